chore: lay out the crate, its shared types and the checks

Cause: an empty repository; the parts of the system need common identifiers, verdicts, events and traits before they can be written side by side. Nothing is served yet. Conclusion: the interfaces are enough to start; each part follows in its own change.

--- /dev/null
+++ b/src/admit/mod.rs
@@ -0,0 +1,1 @@
+//! Admission of requests under each plan's share.
--- /dev/null
+++ b/src/bin/fuchsiaknot.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/src/claim/mod.rs
@@ -0,0 +1,1 @@
+//! Claims that make a request run at most once.
--- /dev/null
+++ b/src/data_centre/mod.rs
@@ -0,0 +1,1 @@
+//! Data centres and the distances between them.
--- /dev/null
+++ b/src/event.rs
@@ -0,0 +1,75 @@
+//! Numbered log events; `docs/events.md` is their catalogue.
+
+/// Declares the events with number, level and short name.
+macro_rules! events {
+    ($($(#[$doc:meta])* $name:ident = ($code:literal, $level:ident);)*) => {
+        /// A kind of log event.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+        pub enum Event {
+            $($(#[$doc])* $name,)*
+        }
+
+        impl Event {
+            /// Every event, in the order of declaration.
+            pub const ALL: &'static [Event] = &[$(Event::$name,)*];
+
+            /// Returns the number, as in `FK-1001`.
+            pub fn number(self) -> u16 {
+                match self { $(Event::$name => $code,)* }
+            }
+
+            /// Returns the level at which the event is logged.
+            pub fn level(self) -> log::Level {
+                match self { $(Event::$name => log::Level::$level,)* }
+            }
+        }
+    };
+}
+
+// 1xxx process, 2xxx callers, 3xxx targets, 4xxx platform and configuration,
+// 5xxx leases, orders and drains, 6xxx peers and membership, 7xxx roles and shares.
+events! {
+    /// The daemon serves callers.
+    Started = (1001, Info);
+    /// The settings file has faults.
+    SettingsInvalid = (1002, Error);
+    /// A graceful shutdown begins.
+    ShutdownBegun = (1003, Info);
+    /// The last request ended and the daemon exits.
+    ShutdownDone = (1004, Info);
+    /// A second interrupt ends the daemon at once.
+    ShutdownForced = (1005, Warn);
+    /// A part of the daemon ended unexpectedly.
+    PartFailed = (1006, Error);
+    /// A request was refused or given up.
+    Refused = (2001, Debug);
+    /// A caller went away before its answer was complete.
+    CallerGone = (2002, Debug);
+    /// An attempt failed and the request is tried again.
+    Retried = (3001, Info);
+    /// A stream goes on at another target.
+    Resumed = (3002, Info);
+    /// A target died while it ran a request.
+    TargetCrashed = (3003, Warn);
+    /// A connection to a target was silent for longer than the bound.
+    TargetSilent = (3004, Warn);
+    /// The platform's table does not answer.
+    TableDown = (4001, Warn);
+    /// The platform's table answers again.
+    TableUp = (4002, Info);
+    /// A new configuration is in force on this host.
+    ConfigInForce = (4003, Info);
+    /// A stored configuration cannot be read; the last one stays in force.
+    ConfigUnreadable = (4004, Error);
+}
+
+/// Logs an event with its number in front.
+///
+/// `event!(Event::Started, "listening on {addr}")`
+#[macro_export]
+macro_rules! event {
+    ($event:expr, $($arg:tt)+) => {{
+        let event: $crate::event::Event = $event;
+        log::log!(event.level(), "FK-{} {}", event.number(), format_args!($($arg)+));
+    }};
+}
--- /dev/null
+++ b/src/host/mod.rs
@@ -0,0 +1,1 @@
+//! Entry hosts: membership, joining and leaving.
--- /dev/null
+++ b/src/lease/mod.rs
@@ -0,0 +1,1 @@
+//! Leases that give a host authority over a group.
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,30 @@
+//! Serving system for a fixed fleet under a shifting prompt-to-output mix.
+//!
+//! Decisions (`lease`, `order`, `claim`, `admit`, `route`, `role`, `retry`, `contract`) are state
+//! machines without input or output: an input and the time go in, typed actions come out. The other
+//! modules run them.
+
+pub mod admit;
+pub mod claim;
+pub mod clock;
+pub mod contract;
+pub mod data_centre;
+pub mod event;
+pub mod host;
+pub mod id;
+pub mod lease;
+pub mod link;
+pub mod metric;
+pub mod operate;
+pub mod order;
+pub mod platform;
+pub mod retry;
+pub mod role;
+pub mod route;
+pub mod serve;
+pub mod settings;
+pub mod standin;
+pub mod target;
+pub mod timer;
+pub mod utils;
+pub mod verdict;
--- /dev/null
+++ b/src/link/mod.rs
@@ -0,0 +1,1 @@
+//! Connections to callers, peers and targets.
--- /dev/null
+++ b/src/metric.rs
@@ -0,0 +1,113 @@
+//! Counters and gauges, sent by cadence and kept for the operators' page.
+
+use std::{
+    collections::BTreeMap,
+    net::{SocketAddr, UdpSocket},
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use cadence::{
+    Counted, Gauged, NopMetricSink, QueuingMetricSink, StatsdClient, Timed, UdpMetricSink,
+};
+use smol_str::SmolStr;
+
+use crate::verdict::Reason;
+
+/// Prefix of every metric.
+const PREFIX: &str = "fuchsiaknot";
+
+/// Why an attempt was made again. Each has a counter `retried.<code>`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Retry {
+    /// The target refused the connection.
+    ConnectRefused,
+    /// The target refused the request before it started.
+    TargetRefused,
+    /// The target failed while it ran a repeatable request.
+    TargetFailed,
+    /// The connection was silent for longer than the bound.
+    Silent,
+}
+
+impl Retry {
+    /// Every retry reason.
+    pub const ALL: &'static [Retry] =
+        &[Retry::ConnectRefused, Retry::TargetRefused, Retry::TargetFailed, Retry::Silent];
+
+    /// Returns the code used in the counter's name.
+    pub fn code(self) -> &'static str {
+        match self {
+            Retry::ConnectRefused => "connect-refused",
+            Retry::TargetRefused => "target-refused",
+            Retry::TargetFailed => "target-failed",
+            Retry::Silent => "silent",
+        }
+    }
+}
+
+/// Records metrics; clones share their values.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    client: Arc<StatsdClient>,
+    counters: Arc<Mutex<BTreeMap<SmolStr, i64>>>,
+}
+
+impl Metrics {
+    /// Creates metrics that are kept in the process only.
+    pub fn local() -> Metrics {
+        Metrics::with_client(StatsdClient::from_sink(PREFIX, NopMetricSink))
+    }
+
+    /// Creates metrics that are also sent to a statsd receiver over UDP.
+    ///
+    /// # Errors
+    /// Fails when no socket can be opened or the address is not usable.
+    pub fn statsd(receiver: SocketAddr) -> cadence::MetricResult<Metrics> {
+        let socket = UdpSocket::bind(("0.0.0.0", 0))?;
+        socket.set_nonblocking(true)?;
+        let sink = QueuingMetricSink::from(UdpMetricSink::from(receiver, socket)?);
+        Ok(Metrics::with_client(StatsdClient::from_sink(PREFIX, sink)))
+    }
+
+    fn with_client(client: StatsdClient) -> Metrics {
+        Metrics { client: Arc::new(client), counters: Arc::default() }
+    }
+
+    /// Adds `n` to a counter.
+    pub fn add(&self, name: &str, n: i64) {
+        let _ = self.client.count(name, n);
+        let mut counters = self.counters.lock().expect("counter lock poisoned");
+        match counters.get_mut(name) {
+            Some(value) => *value += n,
+            None => {
+                counters.insert(SmolStr::new(name), n);
+            }
+        }
+    }
+
+    /// Counts a refusal.
+    pub fn refused(&self, reason: Reason) {
+        self.add(&format!("refused.{}", reason.code()), 1);
+    }
+
+    /// Counts a retry.
+    pub fn retried(&self, retry: Retry) {
+        self.add(&format!("retried.{}", retry.code()), 1);
+    }
+
+    /// Sets a gauge.
+    pub fn gauge(&self, name: &str, value: u64) {
+        let _ = self.client.gauge(name, value);
+    }
+
+    /// Records a duration.
+    pub fn time(&self, name: &str, value: Duration) {
+        let _ = self.client.time(name, value);
+    }
+
+    /// Returns all counters by name.
+    pub fn counters(&self) -> BTreeMap<SmolStr, i64> {
+        self.counters.lock().expect("counter lock poisoned").clone()
+    }
+}
--- /dev/null
+++ b/src/operate/mod.rs
@@ -0,0 +1,1 @@
+//! The operators' interface.
--- /dev/null
+++ b/src/order/mod.rs
@@ -0,0 +1,1 @@
+//! Orders to targets under a lease.
--- /dev/null
+++ b/src/retry/mod.rs
@@ -0,0 +1,1 @@
+//! Retries by verdict, budget and deadline.
--- /dev/null
+++ b/src/role/mod.rs
@@ -0,0 +1,1 @@
+//! Planning of engine roles.
--- /dev/null
+++ b/src/route/mod.rs
@@ -0,0 +1,1 @@
+//! Choice of a target for a request.
--- /dev/null
+++ b/src/serve/mod.rs
@@ -0,0 +1,1 @@
+//! The callers' interface.
--- /dev/null
+++ b/src/settings/callers.rs
@@ -0,0 +1,33 @@
+//! Section `callers`.
+
+use std::time::Duration;
+
+/// Bounds of the callers' port.
+#[derive(Debug, Clone)]
+pub struct Callers {
+    /// Connections open at once.
+    pub connections: usize,
+    /// Time for a request's header to arrive.
+    pub header_time: Duration,
+    /// Time for a request's body to arrive.
+    pub body_time: Duration,
+    /// Size of a request's body, in bytes.
+    pub body_bytes: usize,
+    /// Time that a connection may stay open without a request.
+    pub idle_time: Duration,
+    /// Time allowed for a request that names none.
+    pub request_time: Duration,
+}
+
+impl Default for Callers {
+    fn default() -> Callers {
+        Callers {
+            connections: 4_096,
+            header_time: Duration::from_secs(5),
+            body_time: Duration::from_secs(20),
+            body_bytes: 4 << 20,
+            idle_time: Duration::from_secs(60),
+            request_time: Duration::from_secs(120),
+        }
+    }
+}
--- /dev/null
+++ b/src/settings/peers.rs
@@ -0,0 +1,37 @@
+//! Section `peers`.
+
+use std::time::Duration;
+
+/// Links to the other entry hosts.
+#[derive(Clone)]
+pub struct Peers {
+    /// Key that every host of the deployment shares.
+    pub key: String,
+    /// Time between two heartbeats.
+    pub heartbeat: Duration,
+    /// Silence after which a peer counts as gone.
+    pub silence: Duration,
+    /// Time allowed for one call.
+    pub timeout: Duration,
+}
+
+impl Default for Peers {
+    fn default() -> Peers {
+        Peers {
+            key: String::new(),
+            heartbeat: Duration::from_millis(500),
+            silence: Duration::from_secs(2),
+            timeout: Duration::from_secs(1),
+        }
+    }
+}
+
+impl std::fmt::Debug for Peers {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Peers")
+            .field("heartbeat", &self.heartbeat)
+            .field("silence", &self.silence)
+            .field("timeout", &self.timeout)
+            .finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/src/standin/mod.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for the platform, engines and services.
--- /dev/null
+++ b/src/utils.rs
@@ -0,0 +1,24 @@
+//! Small helpers without a better home.
+
+use std::net::{SocketAddr, TcpListener};
+
+/// Returns the hexadecimal BLAKE3 hash under which a caller's or operator's key is stored.
+pub fn key_hash(key: &str) -> String {
+    blake3::hash(key.as_bytes()).to_hex().to_string()
+}
+
+/// Compares two strings in time that depends on their lengths only.
+pub fn constant_time_eq(a: &str, b: &str) -> bool {
+    use subtle::ConstantTimeEq;
+    a.as_bytes().ct_eq(b.as_bytes()).into()
+}
+
+/// Binds a loopback listener on a free port.
+///
+/// # Errors
+/// Fails when the system has no free port.
+pub fn free_listener() -> std::io::Result<(TcpListener, SocketAddr)> {
+    let listener = TcpListener::bind(("127.0.0.1", 0))?;
+    let addr = listener.local_addr()?;
+    Ok((listener, addr))
+}
--- /dev/null
+++ b/src/verdict.rs
@@ -0,0 +1,138 @@
+//! Whether a request may have run, and every reason for refusing one.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// What is known about the execution of a request that ended without its whole answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Verdict {
+    /// No target started the request, and none will.
+    NotRun,
+    /// A target may have started the request.
+    MayHaveRun,
+    /// A target ran the request to its end.
+    Ran,
+}
+
+impl Verdict {
+    /// Returns the form used in headers and bodies.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Verdict::NotRun => "not-run",
+            Verdict::MayHaveRun => "may-have-run",
+            Verdict::Ran => "ran",
+        }
+    }
+}
+
+impl fmt::Display for Verdict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+/// Declares the refusal reasons with their code, HTTP status and verdict.
+macro_rules! reasons {
+    ($($(#[$doc:meta])* $name:ident = ($code:literal, $status:literal, $verdict:ident);)*) => {
+        /// Why a request was refused or given up.
+        ///
+        /// Each reason has a counter `refused.<code>`.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+        pub enum Reason {
+            $($(#[$doc])* $name,)*
+        }
+
+        impl Reason {
+            /// Every reason, in the order of declaration.
+            pub const ALL: &'static [Reason] = &[$(Reason::$name,)*];
+
+            /// Returns the code used in bodies and counters.
+            pub fn code(self) -> &'static str {
+                match self { $(Reason::$name => $code,)* }
+            }
+
+            /// Returns the HTTP status of the answer that carries this reason.
+            pub fn status(self) -> u16 {
+                match self { $(Reason::$name => $status,)* }
+            }
+
+            /// Returns the verdict that this reason implies.
+            pub fn verdict(self) -> Verdict {
+                match self { $(Reason::$name => Verdict::$verdict,)* }
+            }
+        }
+    };
+}
+
+reasons! {
+    /// The caller's key is missing or unknown. Checked before admission, so nothing was sent.
+    Unauthorised = ("unauthorised", 401, NotRun);
+    /// The request is malformed. Checked before admission, so nothing was sent.
+    BadRequest = ("bad-request", 400, NotRun);
+    /// The path is not part of the interface. Nothing was sent.
+    NotFound = ("not-found", 404, NotRun);
+    /// The model or service is unknown. Nothing was sent.
+    UnknownModel = ("unknown-model", 404, NotRun);
+    /// The plan does not include the model. Nothing was sent.
+    ModelNotAllowed = ("model-not-allowed", 403, NotRun);
+    /// The host holds as many connections as it may. The connection was closed before a request was read.
+    TooManyConnections = ("too-many-connections", 503, NotRun);
+    /// The request's header did not arrive in time. Nothing was sent.
+    HeaderTimeout = ("header-timeout", 408, NotRun);
+    /// The request's body did not arrive in time. Nothing was sent, since a body is read whole first.
+    BodyTimeout = ("body-timeout", 408, NotRun);
+    /// The request's body is larger than allowed. Nothing was sent.
+    BodyTooLarge = ("body-too-large", 413, NotRun);
+    /// The caller's connection was idle for too long. No request was open on it.
+    IdleTimeout = ("idle-timeout", 408, NotRun);
+    /// The host is leaving. Checked before admission.
+    Leaving = ("leaving", 503, NotRun);
+    /// The host is alone and its configuration is older than the bound. Checked before admission.
+    Stale = ("stale", 503, NotRun);
+    /// The host has not yet read its configuration. Checked before admission.
+    NotReady = ("not-ready", 503, NotRun);
+    /// The plan's request rate is used up. The request was never queued.
+    RateLimited = ("rate-limited", 429, NotRun);
+    /// The plan has as many requests open as it may. The request was never queued.
+    ConcurrencyLimited = ("concurrency-limited", 429, NotRun);
+    /// The plan's token allowance is used up. The request was never queued.
+    TokensLimited = ("tokens-limited", 429, NotRun);
+    /// The plan's queue is full. The request was never queued.
+    QueueFull = ("queue-full", 503, NotRun);
+    /// The estimate says that the answer would be late. Refused before any send.
+    WouldBeLate = ("would-be-late", 503, NotRun);
+    /// The deadline passed while the request waited in a queue. It was never sent.
+    Expired = ("expired", 504, NotRun);
+    /// No target can take the request now. Every attempt, if any, was refused before it started.
+    NoTarget = ("no-target", 503, NotRun);
+    /// The retry budget is used up, and every attempt was refused before it started.
+    RetryBudget = ("retry-budget", 503, NotRun);
+    /// The request crashed more than one target. This copy of it was not sent.
+    CrashesTargets = ("crashes-targets", 422, NotRun);
+    /// The claim could not be committed and its token is abandoned, so this copy is never sent.
+    ClaimUnavailable = ("claim-unavailable", 503, NotRun);
+    /// A copy with the same key is running elsewhere or its outcome is unknown.
+    ClaimHeld = ("claim-held", 409, MayHaveRun);
+    /// The same idempotency key was used with another request. This request was not sent.
+    KeyReused = ("key-reused", 422, NotRun);
+    /// A request marked as not repeatable carries no idempotency key. Nothing was sent.
+    KeyMissing = ("key-missing", 400, NotRun);
+    /// The target failed after the request was sent.
+    TargetFailed = ("target-failed", 502, MayHaveRun);
+    /// The target was silent for longer than the bound after the request was sent.
+    TargetSilent = ("target-silent", 504, MayHaveRun);
+    /// The deadline passed after the request was sent.
+    DeadlineExceeded = ("deadline-exceeded", 504, MayHaveRun);
+    /// The request ran, but its stored answer is gone.
+    AnswerLost = ("answer-lost", 410, Ran);
+    /// The host failed internally after the request may have been sent.
+    Internal = ("internal", 500, MayHaveRun);
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.code())
+    }
+}
