--- a/tests/front.rs
+++ b/tests/front.rs
@@ -16,10 +16,13 @@
     utils,
 };
 
+/// Time after which a test counts as hung.
+const HANG: Duration = Duration::from_secs(30);
+
 /// Streams pieces as the test releases them, and reports when a caller went away.
 struct Held {
     release: Mutex<Receiver<&'static str>>,
-    gone: Sender<()>,
+    event: Sender<&'static str>,
 }
 
 impl Handler for Held {
@@ -38,10 +41,11 @@
                 stream.send("part").unwrap();
             }
             _ => {
+                self.event.send("handled").unwrap();
                 while !reply.is_gone() {
                     std::thread::yield_now();
                 }
-                self.gone.send(()).unwrap();
+                self.event.send("gone").unwrap();
             }
         }
     }
@@ -51,18 +55,18 @@
     front: Front,
     metrics: Metrics,
     release: Option<Sender<&'static str>>,
-    gone: Receiver<()>,
+    event: Receiver<&'static str>,
 }
 
 impl Port {
     fn start(bounds: Bounds) -> Port {
         let (release, released) = channel();
-        let (went, gone) = channel();
-        let handler = Held { release: Mutex::new(released), gone: went };
+        let (event, events) = channel();
+        let handler = Held { release: Mutex::new(released), event };
         let metrics = Metrics::local();
         let (listener, _) = utils::free_listener().unwrap();
         let front = Front::start(listener, bounds, Arc::new(handler), metrics.clone()).unwrap();
-        Port { front, metrics, release: Some(release), gone }
+        Port { front, metrics, release: Some(release), event: events }
     }
 
     fn connect(&self) -> TcpStream {
@@ -76,7 +80,7 @@
 
 fn connect(address: SocketAddr) -> TcpStream {
     let stream = TcpStream::connect(address).unwrap();
-    stream.set_read_timeout(Some(Duration::from_secs(30))).unwrap();
+    stream.set_read_timeout(Some(HANG)).unwrap();
     stream
 }
 
@@ -176,8 +180,9 @@
     let port = Port::start(Bounds::default());
     let stream = port.connect();
     send(&stream, "GET /wait HTTP/1.1\r\nhost: a\r\n\r\n");
+    assert_eq!(port.event.recv_timeout(HANG), Ok("handled"));
     stream.shutdown(Shutdown::Both).unwrap();
-    port.gone.recv_timeout(Duration::from_secs(30)).unwrap();
+    assert_eq!(port.event.recv_timeout(HANG), Ok("gone"));
 }
 
 #[test]
