--- a/src/link/front/mod.rs
+++ b/src/link/front/mod.rs
@@ -30,7 +30,7 @@
 };
 
 use self::guard::{Guard, Phase};
-pub use self::reply::{Answer, Gone, Head, Reply, Stream};
+pub use self::reply::{Answer, Gone, Head, Presence, Reply, Stream};
 use crate::{
     link::runtime,
     metric::Metrics,
@@ -270,7 +270,7 @@
             body,
             peer,
         };
-        let (reply, answer) = Reply::new(self.bounds.idle_time);
+        let (reply, answer) = Reply::new(&guard, self.bounds.idle_time);
         let handler = Arc::clone(&self.handler);
         tokio::task::spawn_blocking(move || handler.handle(request, reply));
         match answer.await {
--- a/src/link/front/reply.rs
+++ b/src/link/front/reply.rs
@@ -2,7 +2,7 @@
 
 use std::{
     pin::Pin,
-    sync::Arc,
+    sync::{Arc, Weak},
     task::{Context, Poll},
     time::Duration,
 };
@@ -83,17 +83,38 @@
 #[error("the caller went away")]
 pub struct Gone;
 
+/// Tells whether a caller is still connected.
+#[derive(Debug, Clone)]
+pub struct Presence(Weak<Guard>);
+
+impl Presence {
+    /// Returns whether the caller has closed its connection.
+    pub fn is_gone(&self) -> bool {
+        self.0.strong_count() == 0
+    }
+}
+
 /// The right to answer one request.
 #[derive(Debug)]
 pub struct Reply {
     answer: oneshot::Sender<Outcome>,
+    presence: Presence,
     stall_time: Duration,
 }
 
 impl Reply {
-    pub(super) fn new(stall_time: Duration) -> (Reply, oneshot::Receiver<Outcome>) {
+    pub(super) fn new(
+        guard: &Arc<Guard>,
+        stall_time: Duration,
+    ) -> (Reply, oneshot::Receiver<Outcome>) {
         let (answer, received) = oneshot::channel();
-        (Reply { answer, stall_time }, received)
+        let presence = Presence(Arc::downgrade(guard));
+        (Reply { answer, presence, stall_time }, received)
+    }
+
+    /// Returns a handle that tells whether the caller is still connected.
+    pub fn presence(&self) -> Presence {
+        self.presence.clone()
     }
 
     /// Gives a whole answer.
--- /dev/null
+++ b/src/serve/completion.rs
@@ -0,0 +1,295 @@
+//! Requests for generated text, from JSON to checked values, and the forms of their answers.
+
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use crate::{id, serve::Refusal, verdict::Reason};
+
+/// Tokens generated when the caller names no limit.
+const DEFAULT_MAX_TOKENS: u32 = 256;
+/// Largest limit that a caller may name, in tokens.
+const MOST_TOKENS: u32 = 65_536;
+
+/// Which of the two interfaces the caller uses.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Style {
+    /// `/v1/chat/completions`.
+    Chat,
+    /// `/v1/completions`.
+    Plain,
+}
+
+/// How the caller wants the answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Delivery {
+    /// Token by token, as server-sent events.
+    Streamed,
+    /// In one piece.
+    Whole,
+}
+
+/// A checked request for generated text.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Completion {
+    /// Interface used.
+    pub style: Style,
+    /// Form of the answer.
+    pub delivery: Delivery,
+    /// Model asked for.
+    pub model: id::Model,
+    /// Adapter asked for, if any.
+    pub adapter: Option<SmolStr>,
+    /// Prompt text.
+    pub prompt: String,
+    /// Most tokens to generate.
+    pub max_tokens: u32,
+}
+
+impl Completion {
+    /// Reads a request's JSON body.
+    ///
+    /// # Errors
+    /// Refuses a body that is not JSON, lacks the model or the prompt, or asks for too many tokens.
+    pub fn parse(style: Style, body: &[u8]) -> Result<Completion, Refusal> {
+        match style {
+            Style::Chat => read::<wire::Chat>(body)?.try_into(),
+            Style::Plain => read::<wire::Plain>(body)?.try_into(),
+        }
+    }
+
+    /// Returns a fingerprint of what the request asks for, the same for each copy.
+    pub fn fingerprint(&self) -> SmolStr {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(self.model.as_bytes());
+        hasher.update(&[0]);
+        hasher.update(self.adapter.as_deref().unwrap_or_default().as_bytes());
+        hasher.update(&[0]);
+        hasher.update(&self.max_tokens.to_le_bytes());
+        hasher.update(self.prompt.as_bytes());
+        SmolStr::new(hasher.finalize().to_hex().as_str())
+    }
+}
+
+fn read<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T, Refusal> {
+    serde_json::from_slice(body)
+        .map_err(|err| bad_request(format!("the body is not a valid request: {err}")))
+}
+
+fn bad_request(message: impl Into<String>) -> Refusal {
+    Refusal::new(Reason::BadRequest, message)
+}
+
+/// Fields that both interfaces share.
+struct Common {
+    model: SmolStr,
+    adapter: Option<SmolStr>,
+    max_tokens: Option<u32>,
+    stream: bool,
+}
+
+impl Common {
+    fn check(self, style: Style, prompt: String) -> Result<Completion, Refusal> {
+        if self.model.is_empty() {
+            return Err(bad_request("`model` is empty"));
+        }
+        if prompt.trim().is_empty() {
+            return Err(bad_request("the prompt is empty"));
+        }
+        let max_tokens = self.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
+        if !(1..=MOST_TOKENS).contains(&max_tokens) {
+            return Err(bad_request(format!("`max_tokens` must be 1 to {MOST_TOKENS}")));
+        }
+        let delivery = if self.stream { Delivery::Streamed } else { Delivery::Whole };
+        let Common { model, adapter, .. } = self;
+        Ok(Completion { style, delivery, model, adapter, prompt, max_tokens })
+    }
+}
+
+/// Writes one answer in the caller's interface.
+#[derive(Debug, Clone)]
+pub struct Form {
+    style: Style,
+    id: SmolStr,
+    model: id::Model,
+}
+
+impl Form {
+    /// Creates the form for one request.
+    pub fn new(completion: &Completion, id: SmolStr) -> Form {
+        Form { style: completion.style, id, model: completion.model.clone() }
+    }
+
+    /// Returns the server-sent event of one token.
+    pub fn token(&self, text: &str) -> String {
+        self.event(Some(text), None)
+    }
+
+    /// Returns the last event and the end mark.
+    pub fn end(&self, finish: &str) -> String {
+        let mut events = self.event(None, Some(finish));
+        events.push_str("data: [DONE]\n\n");
+        events
+    }
+
+    /// Returns a whole answer.
+    pub fn whole(&self, text: &str, finish: &str, usage: Usage) -> String {
+        let choice = match self.style {
+            Style::Chat => wire::Choice::message(text, finish),
+            Style::Plain => wire::Choice::text(Some(text), Some(finish)),
+        };
+        let object = match self.style {
+            Style::Chat => "chat.completion",
+            Style::Plain => "text_completion",
+        };
+        let answer = wire::Answer {
+            id: &self.id,
+            object,
+            model: &self.model,
+            choices: [choice],
+            usage: Some(usage),
+        };
+        serde_json::to_string(&answer).unwrap_or_default()
+    }
+
+    fn event(&self, text: Option<&str>, finish: Option<&str>) -> String {
+        let choice = match self.style {
+            Style::Chat => wire::Choice::delta(text, finish),
+            Style::Plain => wire::Choice::text(text, finish),
+        };
+        let object = match self.style {
+            Style::Chat => "chat.completion.chunk",
+            Style::Plain => "text_completion",
+        };
+        let answer = wire::Answer {
+            id: &self.id,
+            object,
+            model: &self.model,
+            choices: [choice],
+            usage: None,
+        };
+        let json = serde_json::to_string(&answer).unwrap_or_default();
+        format!("data: {json}\n\n")
+    }
+}
+
+/// Tokens that an answer took.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct Usage {
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Tokens generated.
+    pub completion_tokens: u32,
+    /// Both together.
+    pub total_tokens: u32,
+}
+
+impl Usage {
+    /// Sums up an answer.
+    pub fn new(prompt_tokens: u32, completion_tokens: u32) -> Usage {
+        let total_tokens = prompt_tokens.saturating_add(completion_tokens);
+        Usage { prompt_tokens, completion_tokens, total_tokens }
+    }
+}
+
+mod wire {
+    use super::*;
+
+    #[derive(Deserialize)]
+    pub(super) struct Chat {
+        model: SmolStr,
+        messages: Vec<Message>,
+        max_tokens: Option<u32>,
+        adapter: Option<SmolStr>,
+        #[serde(default)]
+        stream: bool,
+    }
+
+    #[derive(Deserialize)]
+    struct Message {
+        role: SmolStr,
+        content: String,
+    }
+
+    #[derive(Deserialize)]
+    pub(super) struct Plain {
+        model: SmolStr,
+        prompt: String,
+        max_tokens: Option<u32>,
+        adapter: Option<SmolStr>,
+        #[serde(default)]
+        stream: bool,
+    }
+
+    impl TryFrom<Chat> for Completion {
+        type Error = Refusal;
+
+        fn try_from(it: Chat) -> Result<Completion, Refusal> {
+            if it.messages.is_empty() {
+                return Err(bad_request("`messages` is empty"));
+            }
+            let lines = it.messages.iter().map(|it| format!("{}: {}", it.role, it.content));
+            let prompt = lines.collect::<Vec<_>>().join("\n");
+            let Chat { model, max_tokens, adapter, stream, .. } = it;
+            Common { model, adapter, max_tokens, stream }.check(Style::Chat, prompt)
+        }
+    }
+
+    impl TryFrom<Plain> for Completion {
+        type Error = Refusal;
+
+        fn try_from(it: Plain) -> Result<Completion, Refusal> {
+            let Plain { model, prompt, max_tokens, adapter, stream } = it;
+            Common { model, adapter, max_tokens, stream }.check(Style::Plain, prompt)
+        }
+    }
+
+    #[derive(Serialize)]
+    pub(super) struct Answer<'a> {
+        pub(super) id: &'a str,
+        pub(super) object: &'a str,
+        pub(super) model: &'a str,
+        pub(super) choices: [Choice<'a>; 1],
+        #[serde(skip_serializing_if = "Option::is_none")]
+        pub(super) usage: Option<Usage>,
+    }
+
+    #[derive(Serialize)]
+    pub(super) struct Choice<'a> {
+        index: u32,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        text: Option<&'a str>,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        delta: Option<Text<'a>>,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        message: Option<Text<'a>>,
+        finish_reason: Option<&'a str>,
+    }
+
+    #[derive(Serialize)]
+    struct Text<'a> {
+        #[serde(skip_serializing_if = "Option::is_none")]
+        role: Option<&'a str>,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        content: Option<&'a str>,
+    }
+
+    impl<'a> Choice<'a> {
+        fn bare(finish_reason: Option<&'a str>) -> Choice<'a> {
+            Choice { index: 0, text: None, delta: None, message: None, finish_reason }
+        }
+
+        pub(super) fn text(text: Option<&'a str>, finish: Option<&'a str>) -> Choice<'a> {
+            Choice { text: Some(text.unwrap_or_default()), ..Choice::bare(finish) }
+        }
+
+        pub(super) fn delta(text: Option<&'a str>, finish: Option<&'a str>) -> Choice<'a> {
+            let delta = Text { role: None, content: text };
+            Choice { delta: Some(delta), ..Choice::bare(finish) }
+        }
+
+        pub(super) fn message(text: &'a str, finish: &'a str) -> Choice<'a> {
+            let message = Text { role: Some("assistant"), content: Some(text) };
+            Choice { message: Some(message), ..Choice::bare(Some(finish)) }
+        }
+    }
+}
--- /dev/null
+++ b/src/serve/fleet.rs
@@ -0,0 +1,164 @@
+//! The targets as this host sees them: the router and a client for each target.
+
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    sync::{Mutex, MutexGuard, RwLock},
+};
+
+use crate::{
+    clock, id,
+    platform::{Kind, Machine, State},
+    route::Router,
+    settings, target,
+    target::Report,
+};
+
+/// Targets, their clients and the router that chooses among them.
+#[derive(Debug)]
+pub struct Fleet {
+    router: Mutex<Router>,
+    targets: RwLock<HashMap<id::Target, Entry>>,
+    settings: settings::Targets,
+}
+
+#[derive(Debug, Clone)]
+struct Entry {
+    machine: Machine,
+    client: target::Client,
+    report: Option<Report>,
+    /// Number of the newest cache event seen.
+    events: u64,
+}
+
+impl Fleet {
+    /// Creates a fleet without targets.
+    pub fn new(router: Router, settings: settings::Targets) -> Fleet {
+        Fleet { router: Mutex::new(router), targets: RwLock::default(), settings }
+    }
+
+    /// Returns the router.
+    pub fn router(&self) -> &Mutex<Router> {
+        &self.router
+    }
+
+    /// Locks the router.
+    pub fn route(&self) -> MutexGuard<'_, Router> {
+        self.router.lock().expect("router lock poisoned")
+    }
+
+    /// Takes over the platform's list: new targets, replaced ones, leaving ones and those gone.
+    pub fn list(&self, machines: &[Machine]) {
+        let listed: Vec<&Machine> = machines.iter().filter(|it| it.kind != Kind::Entry).collect();
+        let names: HashSet<&str> = listed.iter().map(|it| it.name.as_str()).collect();
+        let mut gone = Vec::new();
+        {
+            let mut targets = self.targets.write().expect("fleet lock poisoned");
+            targets.retain(|name, _| {
+                let stays = names.contains(name.as_str());
+                if !stays {
+                    gone.push(name.clone());
+                }
+                stays
+            });
+            for machine in &listed {
+                self.put(&mut targets, machine);
+            }
+        }
+        let now = clock::now();
+        let mut router = self.route();
+        for name in gone {
+            router.remove(&name);
+        }
+        for machine in listed {
+            router.upsert(machine, now);
+            router.leaving(&machine.name, machine.state == State::Leaving);
+        }
+    }
+
+    fn put(&self, targets: &mut HashMap<id::Target, Entry>, machine: &Machine) {
+        match targets.get_mut(&machine.name) {
+            Some(entry) if entry.machine.address == machine.address => {
+                if entry.machine.incarnation != machine.incarnation {
+                    entry.events = 0;
+                    entry.report = None;
+                }
+                entry.machine = machine.clone();
+            }
+            _ => {
+                let client = target::Client::new(machine.address, &self.settings);
+                let entry = Entry { machine: machine.clone(), client, report: None, events: 0 };
+                targets.insert(machine.name.clone(), entry);
+            }
+        }
+    }
+
+    /// Returns the client of a target.
+    pub fn client(&self, name: &str) -> Option<target::Client> {
+        self.read(name, |it| it.client.clone())
+    }
+
+    /// Returns the run of a target's process as last listed.
+    pub fn incarnation(&self, name: &str) -> Option<id::Incarnation> {
+        self.read(name, |it| it.machine.incarnation)
+    }
+
+    /// Returns a target's last load report.
+    pub fn report(&self, name: &str) -> Option<Report> {
+        self.read(name, |it| it.report.clone()).flatten()
+    }
+
+    /// Returns all targets with their last reports.
+    pub fn targets(&self) -> Vec<(Machine, Option<Report>)> {
+        let targets = self.targets.read().expect("fleet lock poisoned");
+        targets.values().map(|it| (it.machine.clone(), it.report.clone())).collect()
+    }
+
+    /// Returns the names of the models or services that have a target here.
+    pub fn names(&self, engines: impl Fn(&Kind) -> bool) -> Vec<smol_str::SmolStr> {
+        let targets = self.targets.read().expect("fleet lock poisoned");
+        let kinds = targets.values().map(|it| &it.machine.kind).filter(|it| engines(it));
+        let mut names: Vec<_> = kinds.filter_map(served).collect();
+        names.sort();
+        names.dedup();
+        names
+    }
+
+    /// Asks one target for its load and cache events and passes them to the router.
+    pub fn observe(&self, name: &str) {
+        use crate::target::{Control, Engine};
+
+        let Some((client, since, kind)) =
+            self.read(name, |it| (it.client.clone(), it.events, it.machine.kind.clone()))
+        else {
+            return;
+        };
+        let Ok(report) = client.report() else { return };
+        self.route().report(name, &report, clock::now());
+        self.change(name, |it| it.report = Some(report.clone()));
+        if !matches!(kind, Kind::Engine(_)) {
+            return;
+        }
+        let Ok(events) = client.cache_events(since) else { return };
+        self.change(name, |it| it.events = events.last);
+        self.route().cache_events(name, &events, clock::now());
+    }
+
+    fn read<T>(&self, name: &str, read: impl FnOnce(&Entry) -> T) -> Option<T> {
+        self.targets.read().expect("fleet lock poisoned").get(name).map(read)
+    }
+
+    fn change(&self, name: &str, change: impl FnOnce(&mut Entry)) {
+        let mut targets = self.targets.write().expect("fleet lock poisoned");
+        if let Some(entry) = targets.get_mut(name) {
+            change(entry);
+        }
+    }
+}
+
+fn served(kind: &Kind) -> Option<smol_str::SmolStr> {
+    match kind {
+        Kind::Entry => None,
+        Kind::Engine(name) | Kind::Service(name) => Some(name.clone()),
+    }
+}
--- /dev/null
+++ b/src/serve/refusal.rs
@@ -0,0 +1,115 @@
+//! Errors that a caller sees, each with its verdict.
+
+use std::time::Duration;
+
+use serde::Serialize;
+
+use crate::{
+    link::front::{Answer, VERDICT_HEADER},
+    verdict::{Reason, Verdict},
+};
+
+/// Why a request ends without its answer, and what the caller may do next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Refusal {
+    /// Reason, which has a counter of its own.
+    pub reason: Reason,
+    /// Whether the request may have run; at least as careful as the reason's own verdict.
+    pub verdict: Verdict,
+    /// Details for the caller.
+    pub message: String,
+    /// Time after which another try is sensible.
+    pub retry_after: Option<Duration>,
+    /// Callers' addresses of other hosts that may take the request.
+    pub hosts: Vec<std::net::SocketAddr>,
+}
+
+impl Refusal {
+    /// Creates a refusal with the verdict that the reason implies.
+    pub fn new(reason: Reason, message: impl Into<String>) -> Refusal {
+        Refusal {
+            reason,
+            verdict: reason.verdict(),
+            message: message.into(),
+            retry_after: None,
+            hosts: Vec::new(),
+        }
+    }
+
+    /// Sets the time after which another try is sensible.
+    pub fn with_retry_after(mut self, retry_after: Option<Duration>) -> Refusal {
+        self.retry_after = retry_after;
+        self
+    }
+
+    /// Sets the verdict, for a request that may have been sent before.
+    pub fn with_verdict(mut self, verdict: Verdict) -> Refusal {
+        self.verdict = verdict;
+        self
+    }
+
+    /// Names other hosts.
+    pub fn with_hosts(mut self, hosts: Vec<std::net::SocketAddr>) -> Refusal {
+        self.hosts = hosts;
+        self
+    }
+
+    /// Returns the JSON form, as it stands in bodies and at the end of broken streams.
+    pub fn to_json(&self) -> String {
+        serde_json::to_string(&wire::Refusal::from(self)).unwrap_or_default()
+    }
+
+    /// Returns the HTTP answer.
+    pub fn to_answer(&self, request: &str) -> Answer {
+        let answer = Answer::new(self.reason.status(), self.to_json())
+            .with_header("content-type", "application/json")
+            .with_header(VERDICT_HEADER, self.verdict.as_str())
+            .with_header("x-request-id", request);
+        match self.retry_after {
+            Some(delay) => answer.with_header("retry-after", &whole_seconds(delay).to_string()),
+            None => answer,
+        }
+    }
+}
+
+/// Rounds up to whole seconds, as the `retry-after` header wants them.
+fn whole_seconds(delay: Duration) -> u64 {
+    delay.as_secs() + u64::from(0 < delay.subsec_nanos())
+}
+
+mod wire {
+    use super::*;
+
+    #[derive(Serialize)]
+    pub(super) struct Refusal {
+        error: Error,
+    }
+
+    #[derive(Serialize)]
+    struct Error {
+        code: &'static str,
+        message: String,
+        verdict: Verdict,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        retry_after_ms: Option<u64>,
+        #[serde(skip_serializing_if = "Vec::is_empty")]
+        hosts: Vec<std::net::SocketAddr>,
+    }
+
+    impl From<&super::Refusal> for Refusal {
+        fn from(it: &super::Refusal) -> Refusal {
+            Refusal {
+                error: Error {
+                    code: it.reason.code(),
+                    message: it.message.clone(),
+                    verdict: it.verdict,
+                    retry_after_ms: it
+                        .retry_after
+                        .map(|it| u64::try_from(it.as_millis()).unwrap_or(u64::MAX)),
+                    hosts: it.hosts.clone(),
+                },
+            }
+        }
+    }
+}
+
