--- a/src/utils.rs
+++ b/src/utils.rs
@@ -22,3 +22,15 @@
     let addr = listener.local_addr()?;
     Ok((listener, addr))
 }
+
+/// Returns a hash of a request's contents, given in parts.
+pub fn fingerprint(parts: &[&[u8]]) -> crate::id::Fingerprint {
+    let mut hasher = blake3::Hasher::new();
+    for part in parts {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    let mut first = [0; 8];
+    first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    u64::from_le_bytes(first)
+}
--- a/src/verdict.rs
+++ b/src/verdict.rs
@@ -1,6 +1,6 @@
 //! Whether a request may have run, and every reason for refusing one.
 
-use std::fmt;
+use std::{fmt, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
@@ -136,3 +136,25 @@
         f.write_str(self.code())
     }
 }
+
+/// A refusal as the caller hears it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why the request was refused or given up.
+    pub reason: Reason,
+    /// Time after which it may be sent again; `None` when that is no use.
+    pub retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    /// Creates a refusal that names a time to come back.
+    pub fn after(reason: Reason, retry_after: Duration) -> Refusal {
+        Refusal { reason, retry_after: Some(retry_after) }
+    }
+}
+
+impl From<Reason> for Refusal {
+    fn from(reason: Reason) -> Refusal {
+        Refusal { reason, retry_after: None }
+    }
+}
