feat(route,admit,cost): choose targets and admit requests by engine time

Cause: the serve path needs admission and routing with a stable interface. Routing scores the expected course of a request on a few candidates; the simple policies stay as one enum for comparison. Rates are learned from what was served. Routing has no tests and nothing was measured yet.

--- /dev/null
+++ b/src/cost/mod.rs
@@ -0,0 +1,42 @@
+//! Cost of requests in engine time, learned from what was served.
+
+mod average;
+mod lengths;
+mod rates;
+
+use std::time::Duration;
+
+pub use self::{average::Average, lengths::Lengths, rates::Rates};
+
+/// Rates and lengths assumed until some are learned.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// Prompt tokens that an engine reads in a second.
+    pub prefill_rate: f64,
+    /// Time of a decode step with an empty batch.
+    pub step_base: Duration,
+    /// Time that each request of the batch adds to a decode step.
+    pub step_slope: Duration,
+    /// Tokens of an answer.
+    pub output_tokens: u32,
+    /// Part by which one observation moves an average.
+    pub gain: f64,
+    /// Largest factor by which one observation may differ from the average; more is cut off.
+    pub outlier: f64,
+    /// Plans and models whose lengths are remembered.
+    pub lengths: usize,
+}
+
+impl Default for Config {
+    fn default() -> Config {
+        Config {
+            prefill_rate: 20_000.0,
+            step_base: Duration::from_millis(10),
+            step_slope: Duration::from_micros(300),
+            output_tokens: 200,
+            gain: 0.05,
+            outlier: 3.0,
+            lengths: 1_024,
+        }
+    }
+}
--- /dev/null
+++ b/src/cost/rates.rs
@@ -0,0 +1,134 @@
+//! Prefill and decode rates of the engines of one model in one role.
+
+use std::time::Duration;
+
+use crate::cost::{Average, Config};
+
+/// Batch sizes below which the effect of the batch cannot be told from noise.
+const LEAST_SPREAD: f64 = 4.0;
+/// Part of the memory that each observed step keeps.
+const MEMORY: f64 = 0.995;
+
+/// Rates learned from requests that were served.
+#[derive(Debug, Clone)]
+pub struct Rates {
+    config: Config,
+    prefill: Average,
+    steps: Line,
+}
+
+/// A line fitted to (batch size, step time in seconds) with exponential forgetting.
+#[derive(Debug, Clone, Copy)]
+struct Line {
+    weight: f64,
+    batch: f64,
+    step: f64,
+    batch_squared: f64,
+    product: f64,
+    slope: f64,
+}
+
+impl Rates {
+    /// Creates rates that start from the assumed ones.
+    pub fn new(config: Config) -> Rates {
+        let prefill = Average::assumed(config.prefill_rate);
+        let steps = Line::assumed(config.step_base.as_secs_f64(), config.step_slope.as_secs_f64());
+        Rates { config, prefill, steps }
+    }
+
+    /// Returns the prompt tokens that an engine reads in a second.
+    pub fn prefill_rate(&self) -> f64 {
+        self.prefill.value()
+    }
+
+    /// Returns how many prefills were observed.
+    pub fn prefills_seen(&self) -> u32 {
+        self.prefill.seen()
+    }
+
+    /// Takes in a prefill of `tokens` that took `time` without waiting for others.
+    pub fn observe_prefill(&mut self, tokens: u32, time: Duration) {
+        let rate = f64::from(tokens) / time.as_secs_f64().max(1e-6);
+        self.prefill.observe(rate, self.config.gain, self.config.outlier);
+    }
+
+    /// Takes in the mean step time of a generation that ran in batches of about `batch` requests.
+    pub fn observe_step(&mut self, batch: f64, step: Duration) {
+        let step = step.as_secs_f64();
+        let expected = self.steps.at(batch);
+        let outlier = self.config.outlier;
+        if !batch.is_finite() || step <= 0.0 {
+            return;
+        }
+        self.steps.observe(batch, step.clamp(expected / outlier, expected * outlier));
+    }
+
+    /// Returns the time of a decode step in a batch of `batch` requests.
+    pub fn step(&self, batch: f64) -> Duration {
+        Duration::from_secs_f64(self.steps.at(batch))
+    }
+
+    /// Returns the largest batch whose step takes at most `bound`, and at least 1.
+    pub fn batch_within(&self, bound: Duration) -> f64 {
+        let room = bound.as_secs_f64() - self.steps.base();
+        (room / self.steps.slope.max(1e-7)).clamp(1.0, 1e6)
+    }
+
+    /// Returns the time to read `tokens` of prompt.
+    pub fn prefill(&self, tokens: f64) -> Duration {
+        Duration::from_secs_f64(tokens.max(0.0) / self.prefill_rate())
+    }
+
+    /// Returns the engine time of one request: its prefill and its part of the decode steps.
+    pub fn engine_time(&self, prompt: f64, output: u32, batch: f64) -> Duration {
+        let batch = batch.max(1.0);
+        self.prefill(prompt) + self.step(batch).mul_f64(f64::from(output) / batch)
+    }
+}
+
+impl Line {
+    /// Starts from an assumed line, as if a few batches had been seen on it.
+    fn assumed(base: f64, slope: f64) -> Line {
+        let mut line =
+            Line { weight: 0.0, batch: 0.0, step: 0.0, batch_squared: 0.0, product: 0.0, slope };
+        for batch in [1.0, 32.0] {
+            line.add(batch, base + slope * batch);
+        }
+        line
+    }
+
+    fn add(&mut self, batch: f64, step: f64) {
+        self.weight += 1.0;
+        self.batch += batch;
+        self.step += step;
+        self.batch_squared += batch * batch;
+        self.product += batch * step;
+    }
+
+    fn observe(&mut self, batch: f64, step: f64) {
+        for it in [
+            &mut self.weight,
+            &mut self.batch,
+            &mut self.step,
+            &mut self.batch_squared,
+            &mut self.product,
+        ] {
+            *it *= MEMORY;
+        }
+        self.add(batch, step);
+        let variance = self.batch_squared / self.weight - (self.batch / self.weight).powi(2);
+        if LEAST_SPREAD <= variance {
+            let covariance =
+                self.product / self.weight - self.batch * self.step / self.weight.powi(2);
+            self.slope = (covariance / variance).max(0.0);
+        }
+    }
+
+    fn base(&self) -> f64 {
+        (self.step / self.weight - self.slope * self.batch / self.weight).max(1e-6)
+    }
+
+    fn at(&self, batch: f64) -> f64 {
+        self.base() + self.slope * batch.max(0.0)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod claim;
 pub mod clock;
 pub mod contract;
+pub mod cost;
 pub mod data_centre;
 pub mod event;
 pub mod host;
--- /dev/null
+++ b/src/route/fleet.rs
@@ -0,0 +1,183 @@
+//! All targets by name and by what they serve.
+
+use std::collections::HashMap;
+
+use slotmap::SlotMap;
+use smol_str::SmolStr;
+
+use crate::{
+    clock::Moment,
+    cost::Rates,
+    id, platform,
+    route::{
+        Config,
+        replica::{Replica, ReplicaKey},
+    },
+    target::{Report, Role},
+};
+
+/// Part by which one report moves the learned part of this host.
+const PART_GAIN: f64 = 0.1;
+/// Most requests of all hosts that one of this host stands for.
+const MOST_WEIGHT: f64 = 16.0;
+
+/// The targets that this host knows.
+#[derive(Debug)]
+pub(super) struct Fleet {
+    pub(super) replicas: SlotMap<ReplicaKey, Replica>,
+    by_name: HashMap<id::Target, ReplicaKey>,
+    pools: HashMap<SmolStr, Pool>,
+}
+
+/// The targets that serve one model or service.
+#[derive(Debug)]
+pub(super) struct Pool {
+    pub(super) members: Vec<ReplicaKey>,
+    pub(super) next: usize,
+    /// Part of all requests that this host sends.
+    part: f64,
+    prefill: Rates,
+    decode: Rates,
+    mixed: Rates,
+    pub(super) work: Work,
+}
+
+/// Mean work of a request of the pool.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Work {
+    /// Prompt tokens read.
+    pub(super) prompt: f64,
+    /// Tokens generated.
+    pub(super) output: f64,
+}
+
+impl Fleet {
+    pub(super) fn new() -> Fleet {
+        Fleet { replicas: SlotMap::with_key(), by_name: HashMap::new(), pools: HashMap::new() }
+    }
+
+    pub(super) fn key(&self, name: &str) -> Option<ReplicaKey> {
+        self.by_name.get(name).copied()
+    }
+
+    pub(super) fn named(&mut self, name: &str) -> Option<&mut Replica> {
+        let key = self.key(name)?;
+        self.replicas.get_mut(key)
+    }
+
+    pub(super) fn pool(&self, name: &str) -> Option<&Pool> {
+        self.pools.get(name)
+    }
+
+    pub(super) fn pool_mut(&mut self, name: &str) -> Option<&mut Pool> {
+        self.pools.get_mut(name)
+    }
+
+    pub(super) fn upsert(&mut self, machine: &platform::Machine, config: &Config) {
+        if let Some(key) = self.key(&machine.name) {
+            let replica = &mut self.replicas[key];
+            replica.data_centre = machine.data_centre.clone();
+            replica.leaving = machine.state == platform::State::Leaving;
+            if replica.incarnation != machine.incarnation {
+                replica.restarted(machine.incarnation, config);
+            }
+            return;
+        }
+        let Some(replica) = Replica::new(machine, config) else { return };
+        let (name, serves) = (replica.name.clone(), replica.serves.clone());
+        let key = self.replicas.insert(replica);
+        self.by_name.insert(name, key);
+        self.join(key, &serves, config);
+    }
+
+    pub(super) fn remove(&mut self, name: &str) {
+        let Some(key) = self.by_name.remove(name) else { return };
+        let Some(replica) = self.replicas.remove(key) else { return };
+        self.leave(key, &replica.serves);
+    }
+
+    fn join(&mut self, key: ReplicaKey, serves: &SmolStr, config: &Config) {
+        let pool = self.pools.entry(serves.clone()).or_insert_with(|| Pool::new(config));
+        pool.members.push(key);
+    }
+
+    fn leave(&mut self, key: ReplicaKey, serves: &SmolStr) {
+        if let Some(pool) = self.pools.get_mut(serves) {
+            pool.members.retain(|it| *it != key);
+        }
+    }
+
+    pub(super) fn report(&mut self, name: &str, report: &Report, config: &Config, now: Moment) {
+        let Some(key) = self.key(name) else { return };
+        let serves = self.replicas[key].serves.clone();
+        let role = report.role.unwrap_or(Role::Mixed);
+        let rate = self.pools.get(&serves).map_or(1.0, |it| it.rates(role).prefill_rate());
+        if !self.replicas[key].report(report, rate, now) {
+            return;
+        }
+        if report.serves != serves {
+            self.leave(key, &serves);
+            self.join(key, &report.serves, config);
+        }
+        self.learn_part(&report.serves, report);
+    }
+
+    /// Learns from the requests in flight what part of all is this host's.
+    fn learn_part(&mut self, serves: &str, report: &Report) {
+        let Some(pool) = self.pools.get_mut(serves) else { return };
+        let replicas = pool.members.iter().filter_map(|it| self.replicas.get(*it));
+        let (own, all) = replicas.fold((0.0, 0.0), |(own, all), it| {
+            (own + f64::from(it.load.own), all + it.load.reported())
+        });
+        if 0 < report.running && 0.0 < own && 0.0 < all {
+            let part = (own / all).clamp(1.0 / MOST_WEIGHT, 1.0);
+            pool.part += (part - pool.part) * PART_GAIN;
+        }
+    }
+}
+
+impl Pool {
+    fn new(config: &Config) -> Pool {
+        let rates = Rates::new(config.cost.clone());
+        let output = f64::from(config.cost.output_tokens);
+        Pool {
+            members: Vec::new(),
+            next: 0,
+            part: 1.0,
+            prefill: rates.clone(),
+            decode: rates.clone(),
+            mixed: rates,
+            work: Work { prompt: output, output },
+        }
+    }
+
+    /// Returns how many requests of all hosts one of this host stands for.
+    pub(super) fn weight(&self) -> f64 {
+        (1.0 / self.part).clamp(1.0, MOST_WEIGHT)
+    }
+
+    /// Returns the rates learned for engines in a role.
+    pub(super) fn rates(&self, role: Role) -> &Rates {
+        match role {
+            Role::Prefill => &self.prefill,
+            Role::Decode => &self.decode,
+            Role::Mixed => &self.mixed,
+        }
+    }
+
+    pub(super) fn rates_mut(&mut self, role: Role) -> &mut Rates {
+        match role {
+            Role::Prefill => &mut self.prefill,
+            Role::Decode => &mut self.decode,
+            Role::Mixed => &mut self.mixed,
+        }
+    }
+}
+
+impl Work {
+    /// Takes in one request.
+    pub(super) fn observe(&mut self, prompt: f64, output: f64, gain: f64) {
+        self.prompt += (prompt - self.prompt) * gain;
+        self.output += (output - self.output) * gain;
+    }
+}
