--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod clock;
 pub mod contract;
 pub mod crash;
+pub mod cost;
 pub mod data_centre;
 pub mod event;
 pub mod host;
