feat(settings): checked settings, the two lists and the refresh

Cause: the daemon needs its settings, the operators' lists and a picture of the configuration that never goes back. Change: one table of keys a section, shared by settings and lists; all faults at once with file, section and key; edits by compare-and-set with a token; a pure machine for freshness and its runner. Ruled out: the lists in config/current, since every host reads that row each second; the row holds only version and token, config/<version> the lists. Also: the default of host.configuration_bound is 8 s, so that a silent host admits nothing before the 9 s in which a change must be in force.

--- a/src/contract/mod.rs
+++ b/src/contract/mod.rs
@@ -1,9 +1,24 @@
 //! The operators' two lists: plans of customers, and limits of each plan.
 
+mod account;
+mod announcement;
+mod check;
+mod difference;
+mod limits;
+pub mod store;
+mod wire;
+
 use std::{collections::HashMap, time::Duration};
 
 use smol_str::SmolStr;
 
+pub use self::{
+    account::Account,
+    announcement::{Announcement, Change, Subject},
+    check::{LIMITS, PLANS},
+    difference::Difference,
+    wire::{Lists, Notice, RawSubject},
+};
 use crate::id;
 
 /// A checked configuration, as it is in force.
@@ -15,6 +30,8 @@
     pub customers: HashMap<SmolStr, Customer>,
     /// Limits by plan.
     pub limits: HashMap<id::Plan, Limits>,
+    /// Announced changes to the fleet.
+    pub announcements: Vec<Announcement>,
 }
 
 /// A customer's account.
--- a/src/event.rs
+++ b/src/event.rs
@@ -61,6 +61,8 @@
     ConfigInForce = (4003, Info);
     /// A stored configuration cannot be read; the last one stays in force.
     ConfigUnreadable = (4004, Error);
+    /// The table names an older configuration than the one in force; the newer one stays.
+    ConfigWentBack = (4005, Error);
 }
 
 /// Logs an event with its number in front.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod operate;
 pub mod order;
 pub mod platform;
+pub mod refresh;
 pub mod retry;
 pub mod role;
 pub mod route;
--- a/src/settings/callers.rs
+++ b/src/settings/callers.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use super::{Field, Section, Slot};
+
 /// Bounds of the callers' port.
 #[derive(Debug, Clone)]
 pub struct Callers {
@@ -31,3 +33,29 @@
         }
     }
 }
+
+impl Section for Callers {
+    const NAME: &'static str = "callers";
+    const FIELDS: &'static [Field<Callers>] = &[
+        Field::optional("connections", "Connections open at once.", |it| {
+            Slot::Count(&mut it.connections)
+        }),
+        Field::optional("header_time", "Time for a request's header to arrive.", |it| {
+            Slot::Time(&mut it.header_time)
+        }),
+        Field::optional("body_time", "Time for a request's body to arrive.", |it| {
+            Slot::Time(&mut it.body_time)
+        }),
+        Field::optional("body_bytes", "Largest body of a request.", |it| {
+            Slot::Size(&mut it.body_bytes)
+        }),
+        Field::optional(
+            "idle_time",
+            "Time that a connection may stay open without a request.",
+            |it| Slot::Time(&mut it.idle_time),
+        ),
+        Field::optional("request_time", "Time allowed for a request that names none.", |it| {
+            Slot::Time(&mut it.request_time)
+        }),
+    ];
+}
--- a/src/settings/host.rs
+++ b/src/settings/host.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use super::{Field, Section, Slot};
 use crate::id;
 
 /// This entry host.
@@ -38,7 +39,46 @@
             operators_key_hash: None,
             metrics_address: None,
             leave_after: Duration::from_secs(2),
-            configuration_bound: Duration::from_secs(9),
+            configuration_bound: Duration::from_secs(8),
         }
     }
 }
+
+impl Section for Host {
+    const NAME: &'static str = "host";
+    const FIELDS: &'static [Field<Host>] = &[
+        Field::required("name", "Name of this entry host, unique in the deployment.", |it| {
+            Slot::Name(&mut it.name)
+        }),
+        Field::required("data_centre", "Data centre that the host stands in.", |it| {
+            Slot::Name(&mut it.data_centre)
+        }),
+        Field::optional("callers_address", "Address of the callers' port.", |it| {
+            Slot::Address(&mut it.callers_address)
+        }),
+        Field::optional("operators_address", "Address of the operators' port.", |it| {
+            Slot::Address(&mut it.operators_address)
+        }),
+        Field::optional("peers_address", "Address of the peers' port.", |it| {
+            Slot::Address(&mut it.peers_address)
+        }),
+        Field::optional(
+            "operators_key_hash",
+            "Hash of the operators' key; without it the operators' port answers loopback only.",
+            |it| Slot::OptionalKeyHash(&mut it.operators_key_hash),
+        ),
+        Field::optional("metrics_address", "Receiver of statsd metrics over UDP.", |it| {
+            Slot::OptionalAddress(&mut it.metrics_address)
+        }),
+        Field::optional(
+            "leave_after",
+            "Time after which a leaving host refuses new requests.",
+            |it| Slot::Time(&mut it.leave_after),
+        ),
+        Field::optional(
+            "configuration_bound",
+            "Age of the configuration after which a lone host admits nothing.",
+            |it| Slot::Time(&mut it.configuration_bound),
+        ),
+    ];
+}
--- a/src/settings/platform.rs
+++ b/src/settings/platform.rs
@@ -2,6 +2,8 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use super::{Field, Section, Slot};
+
 /// The platform's services.
 #[derive(Debug, Clone)]
 pub struct Platform {
@@ -22,3 +24,18 @@
         }
     }
 }
+
+impl Section for Platform {
+    const NAME: &'static str = "platform";
+    const FIELDS: &'static [Field<Platform>] = &[
+        Field::optional("address", "Address of the platform's HTTP interface.", |it| {
+            Slot::Address(&mut it.address)
+        }),
+        Field::optional("timeout", "Time allowed for one call to the platform.", |it| {
+            Slot::Time(&mut it.timeout)
+        }),
+        Field::optional("refresh", "Time between two refreshes of the configuration.", |it| {
+            Slot::Time(&mut it.refresh)
+        }),
+    ];
+}
--- a/src/settings/targets.rs
+++ b/src/settings/targets.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use super::{Field, Section, Slot};
+
 /// Bounds of the calls to targets.
 #[derive(Debug, Clone)]
 pub struct Targets {
@@ -25,3 +27,25 @@
         }
     }
 }
+
+impl Section for Targets {
+    const NAME: &'static str = "targets";
+    const FIELDS: &'static [Field<Targets>] = &[
+        Field::optional("connect_time", "Time to open a connection to a target.", |it| {
+            Slot::Time(&mut it.connect_time)
+        }),
+        Field::optional(
+            "silence",
+            "Silence on an open stream after which the connection is dropped.",
+            |it| Slot::Time(&mut it.silence),
+        ),
+        Field::optional("report_every", "Time between two load reports of a target.", |it| {
+            Slot::Time(&mut it.report_every)
+        }),
+        Field::optional(
+            "send_window",
+            "Longest time between the check of a lease and the arrival of an order's last byte.",
+            |it| Slot::Time(&mut it.send_window),
+        ),
+    ];
+}
