feat(platform): client with verdicts, target client and the stand-in platform

Cause: every other part reads and writes the platform's table, and calls targets, through these clients. Change: outgoing HTTP connections over ureq with a socket of our own, so that a refused connect is told apart from a lost answer, an exchange can be cancelled from another thread, and a silent connection takes the idle ones with it. Clients of the platform and of targets on top. A stand-in platform with table, objects, host list and weights, whose outages, rate limits, slowness and lost answers are switched by request. The target client has no tests yet. Ruled out: rouille for the stand-ins; tiny_http answers 500 for a dropped request and cannot cut a connection without an answer, which the lost-answer fault needs. They use link::front. Conclusion: the table, objects, host list and weights can be used by the runners.

--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -1,4 +1,5 @@
 //! Connections to callers, peers and targets.
 
 pub mod front;
+pub mod outgoing;
 pub mod runtime;
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,10 +1,14 @@
 //! The platform's services: transactional table, object store, host list and weight store.
 
+pub mod client;
+pub mod wire;
+
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+pub use self::client::Client;
 use crate::{id, verdict::Verdict};
 
 /// A row as it was read; `version` is 0 and `value` empty when it does not exist.
@@ -152,3 +156,12 @@
     /// [`Fault::Refused`] also when this incarnation was already dropped from the list.
     fn report(&self, machine: &Machine) -> Result<(), Fault>;
 }
+
+/// Weight store for models, adapters and versions.
+pub trait Weights: Clone + Send + Sync + 'static {
+    /// Transfers weights and returns their size in bytes.
+    ///
+    /// # Errors
+    /// Fails when the store refuses or does not answer.
+    fn load(&self, name: &str) -> Result<u64, Fault>;
+}
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -1,1 +1,54 @@
-//! Small stand-ins for the platform, engines and services.
+//! Small stand-ins for the platform, an engine and a plain service, for tests and experiments.
+//!
+//! All of them are served by [`crate::link::front`], since that port can stream an answer, hold it, or
+//! cut its connection without one.
+
+pub mod platform;
+
+use serde::de::DeserializeOwned;
+
+pub use self::platform::Platform;
+use crate::link::front::{Answer, Bounds, Request};
+
+/// Why a stand-in does not carry a request out.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Refusal {
+    status: u16,
+    text: String,
+}
+
+impl Refusal {
+    fn new(status: u16, text: impl Into<String>) -> Refusal {
+        Refusal { status, text: text.into() }
+    }
+}
+
+impl From<Refusal> for Answer {
+    fn from(it: Refusal) -> Answer {
+        Answer::new(it.status, it.text).with_header("content-type", "text/plain")
+    }
+}
+
+/// Reads a JSON body.
+fn body<T: DeserializeOwned>(request: &Request) -> Result<T, Refusal> {
+    serde_json::from_slice(&request.body).map_err(|it| Refusal::new(400, it.to_string()))
+}
+
+/// Returns an answer without a body.
+fn done() -> Answer {
+    Answer::new(200, "")
+}
+
+/// Largest body that a stand-in takes, in bytes.
+const BODY_BYTES: usize = 64 << 20;
+
+/// Returns the bounds of a stand-in's port.
+fn bounds() -> Bounds {
+    Bounds { body_bytes: BODY_BYTES, ..Bounds::default() }
+}
+
+/// Splits `<first>/<rest>` off a path without its leading slash.
+fn split(path: &str) -> (&str, &str) {
+    let path = path.trim_start_matches('/');
+    path.split_once('/').unwrap_or((path, ""))
+}
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -1,10 +1,15 @@
 //! Targets: engines that serve models and replicas of plain services.
 
+pub mod client;
+pub mod stream;
+pub mod wire;
+
 use std::{collections::BTreeMap, time::Duration};
 
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+pub use self::{client::Client, stream::Stream};
 use crate::{id, verdict::Verdict};
 
 /// Tokens in one piece of an engine's prefix cache.
@@ -287,3 +292,38 @@
     /// [`Failure::verdict`] tells whether the target may have taken the order.
     fn order(&self, order: &Order, confirm: impl FnOnce() -> bool) -> Result<Receipt, Failure>;
 }
+
+/// A call to a plain service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Call {
+    /// HTTP method.
+    pub method: SmolStr,
+    /// Path with the query, from the first slash.
+    pub path: SmolStr,
+    /// Header fields to pass on.
+    pub headers: Vec<(SmolStr, SmolStr)>,
+    /// Body.
+    pub body: Vec<u8>,
+    /// Time allowed for the whole call.
+    pub timeout: Duration,
+}
+
+/// A plain service's whole answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Header fields that are text.
+    pub headers: Vec<(SmolStr, SmolStr)>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+/// A replica of a plain service.
+pub trait Service: Clone + Send + Sync + 'static {
+    /// Calls the service and waits for its whole answer.
+    ///
+    /// # Errors
+    /// [`Failure::verdict`] tells whether the service may have run the call.
+    fn call(&self, call: &Call) -> Result<Answer, Failure>;
+}
