feat(standin): engine that batches, service that records its runs, and their command line

Cause: routing, resumption, orders and at-most-once need targets that fail on request and tell what they ran. Change: an engine with continuous batching, chunked prefill by role, a prefix cache in limited memory with late and gappy events, priorities, cancel, resume, KV export and import, lagged reports, fenced orders, weights from the store and crashes; a service that records each run by its key; both report to the host list. fuchsiaknot-standin runs them. Before that, a cancel could arrive between the head of an answer and the request's place in the queue and was lost, and an export could be fetched before it was known; both are now recorded before anything is sent. Conclusion: streams, verdicts and orders can be tested against these.

--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -3,11 +3,15 @@
 //! All of them are served by [`crate::link::front`], since that port can stream an answer, hold it, or
 //! cut its connection without one.
 
+pub mod cli;
+pub mod engine;
 pub mod platform;
+pub mod presence;
+pub mod service;
 
 use serde::de::DeserializeOwned;
 
-pub use self::platform::Platform;
+pub use self::{engine::Engine, platform::Platform, service::Service};
 use crate::link::front::{Answer, Bounds, Request};
 
 /// Why a stand-in does not carry a request out.
