--- a/src/claim/record.rs
+++ b/src/claim/record.rs
@@ -46,9 +46,17 @@
     format_smolstr!("{OBJECT_PREFIX}/{}/{}/{token:016x}", escape(customer), escape(key))
 }
 
-/// Escapes the separator, so that no two pairs of customer and key share a row.
+/// Escapes all but letters, digits, `-` and `_`, so that no two pairs of customer and key share a row
+/// and each name fits into a path.
 fn escape(part: &str) -> String {
-    part.replace('%', "%25").replace('/', "%2F")
+    let mut escaped = String::with_capacity(part.len());
+    for byte in part.bytes() {
+        match byte {
+            b'a'..=b'z' | b'A'..=b'Z' | b'0'..=b'9' | b'-' | b'_' => escaped.push(byte.into()),
+            _ => escaped.push_str(&format!("%{byte:02X}")),
+        }
+    }
+    escaped
 }
 
 impl Record {
