feat(serve): callers' interface and the daemon around it

Cause: requests need one path from the caller's bytes to a target and back. Change: callers' API (chat and plain completions, services, models, hosts, health), one job type that claims, admits, tries and resumes both kinds of work, fleet and gate runners, daemon with graceful leave, fuchsiaknotd.

--- /dev/null
+++ b/src/daemon/process.rs
@@ -0,0 +1,69 @@
+//! The daemon as a process: settings file, signals and exit codes.
+
+use std::{
+    io::Write,
+    path::Path,
+    process::{self, ExitCode},
+    sync::Arc,
+    thread,
+};
+
+use signal_hook::{
+    consts::{SIGINT, SIGTERM},
+    iterator::Signals,
+};
+
+use super::{Daemon, Error};
+use crate::{event, event::Event, settings::Settings};
+
+/// Exit code when the daemon cannot start.
+pub const CANNOT_START: u8 = 1;
+/// Exit code when the settings have faults.
+pub const SETTINGS_INVALID: u8 = 2;
+/// Exit code after a second interrupt.
+pub const INTERRUPTED: u8 = 130;
+
+/// Runs the daemon until a signal ends it, and returns its exit code.
+pub fn run(file: &Path) -> ExitCode {
+    let settings = match Settings::read(file) {
+        Ok(it) => it,
+        Err(faults) => {
+            for fault in faults {
+                event!(Event::SettingsInvalid, "{fault}");
+            }
+            return ExitCode::from(SETTINGS_INVALID);
+        }
+    };
+    match serve(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            log::error!("{err}");
+            ExitCode::from(CANNOT_START)
+        }
+    }
+}
+
+/// Serves until the first signal, then leaves; a second interrupt ends the process at once.
+fn serve(settings: Settings) -> Result<(), Error> {
+    let mut signals = Signals::new([SIGINT, SIGTERM])?;
+    let daemon = Arc::new(Daemon::start(settings)?);
+    announce(&daemon);
+    signals.forever().next();
+    let leaving = Arc::clone(&daemon);
+    let leave = thread::Builder::new().name("leave".to_owned()).spawn(move || leaving.leave())?;
+    thread::Builder::new().name("signals".to_owned()).spawn(move || {
+        if signals.forever().any(|it| it == SIGINT) {
+            event!(Event::ShutdownForced, "interrupted while leaving; requests are cut");
+            process::exit(INTERRUPTED.into());
+        }
+    })?;
+    let _ = leave.join();
+    Ok(())
+}
+
+/// Prints the addresses, for whoever started the process with port 0.
+fn announce(daemon: &Daemon) {
+    let mut out = std::io::stdout().lock();
+    let _ = writeln!(out, "callers {}", daemon.callers_address());
+    let _ = out.flush();
+}
--- a/src/serve/completion.rs
+++ b/src/serve/completion.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::{id, serve::Refusal, verdict::Reason};
+use crate::{id, serve::Refusal, utils, verdict::Reason};
 
 /// Tokens generated when the caller names no limit.
 const DEFAULT_MAX_TOKENS: u32 = 256;
@@ -58,15 +58,15 @@
     }
 
     /// Returns a fingerprint of what the request asks for, the same for each copy.
-    pub fn fingerprint(&self) -> SmolStr {
-        let mut hasher = blake3::Hasher::new();
-        hasher.update(self.model.as_bytes());
-        hasher.update(&[0]);
-        hasher.update(self.adapter.as_deref().unwrap_or_default().as_bytes());
-        hasher.update(&[0]);
-        hasher.update(&self.max_tokens.to_le_bytes());
-        hasher.update(self.prompt.as_bytes());
-        SmolStr::new(hasher.finalize().to_hex().as_str())
+    pub fn fingerprint(&self) -> id::Fingerprint {
+        let adapter = self.adapter.as_deref().unwrap_or_default();
+        let parts = [
+            self.model.as_bytes(),
+            adapter.as_bytes(),
+            &self.max_tokens.to_le_bytes(),
+            self.prompt.as_bytes(),
+        ];
+        utils::fingerprint(&parts)
     }
 }
 
@@ -107,7 +107,7 @@
 
 /// Writes one answer in the caller's interface.
 #[derive(Debug, Clone)]
-pub struct Form {
+pub(super) struct Form {
     style: Style,
     id: SmolStr,
     model: id::Model,
@@ -115,24 +115,24 @@
 
 impl Form {
     /// Creates the form for one request.
-    pub fn new(completion: &Completion, id: SmolStr) -> Form {
+    pub(super) fn new(completion: &Completion, id: SmolStr) -> Form {
         Form { style: completion.style, id, model: completion.model.clone() }
     }
 
     /// Returns the server-sent event of one token.
-    pub fn token(&self, text: &str) -> String {
+    pub(super) fn token(&self, text: &str) -> String {
         self.event(Some(text), None)
     }
 
     /// Returns the last event and the end mark.
-    pub fn end(&self, finish: &str) -> String {
+    pub(super) fn end(&self, finish: &str) -> String {
         let mut events = self.event(None, Some(finish));
         events.push_str("data: [DONE]\n\n");
         events
     }
 
     /// Returns a whole answer.
-    pub fn whole(&self, text: &str, finish: &str, usage: Usage) -> String {
+    pub(super) fn whole(&self, text: &str, finish: &str, usage: Usage) -> String {
         let choice = match self.style {
             Style::Chat => wire::Choice::message(text, finish),
             Style::Plain => wire::Choice::text(Some(text), Some(finish)),
@@ -174,7 +174,7 @@
 
 /// Tokens that an answer took.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
-pub struct Usage {
+pub(super) struct Usage {
     /// Tokens of the prompt.
     pub prompt_tokens: u32,
     /// Tokens generated.
@@ -185,7 +185,7 @@
 
 impl Usage {
     /// Sums up an answer.
-    pub fn new(prompt_tokens: u32, completion_tokens: u32) -> Usage {
+    pub(super) fn new(prompt_tokens: u32, completion_tokens: u32) -> Usage {
         let total_tokens = prompt_tokens.saturating_add(completion_tokens);
         Usage { prompt_tokens, completion_tokens, total_tokens }
     }
--- /dev/null
+++ b/src/serve/context.rs
@@ -0,0 +1,214 @@
+//! What every part of the callers' interface reads.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex, RwLock,
+        atomic::{AtomicUsize, Ordering},
+    },
+};
+
+use smol_str::SmolStr;
+
+use crate::{
+    claim,
+    clock::Moment,
+    contract::Contract,
+    cost::Lengths,
+    crash, event,
+    event::Event,
+    id,
+    metric::Metrics,
+    platform,
+    refresh::{Freshness, Refresh},
+    retry::{Budget, Decision, Policy, Tries},
+    serve::{
+        Refusal,
+        fleet::Fleet,
+        gate::Gate,
+        hosts::Hosts,
+        options::{Caller, Options},
+        peers::Peers,
+        watch::Watch,
+    },
+    settings::{self, Settings},
+    target::Failure,
+    verdict::Reason,
+};
+
+/// Claims of this host.
+pub type Claims = claim::Committer<platform::Client, Peers>;
+/// Configuration of this host.
+pub type Configuration = Refresh<platform::Client, platform::Client>;
+
+/// State that the requests of one host share.
+#[derive(Debug)]
+pub struct Context {
+    /// Checked settings.
+    pub settings: Settings,
+    /// Counters and gauges.
+    pub metrics: Metrics,
+    /// Configuration in force.
+    pub refresh: Configuration,
+    /// Targets and router.
+    pub fleet: Fleet,
+    /// Admission.
+    pub gate: Gate,
+    /// Streams under way.
+    pub watch: Watch,
+    /// Claims of requests that may not repeat.
+    pub claims: Claims,
+    /// Requests that crash targets.
+    pub crashes: crash::Watch,
+    /// Entry hosts that callers may use.
+    pub hosts: Hosts,
+    /// Expected lengths of answers.
+    pub lengths: Mutex<Lengths>,
+    /// Retry budgets.
+    pub retries: Retries,
+    /// Whether this host stays, and what it still runs.
+    pub departure: Departure,
+}
+
+impl Context {
+    /// Returns the configuration in force.
+    pub fn contract(&self) -> Arc<Contract> {
+        self.refresh.contract()
+    }
+
+    /// Checks that this host may admit a request.
+    ///
+    /// # Errors
+    /// Refuses while the host is leaving, has no configuration, or has one that is too old.
+    pub fn admits(&self, now: Moment) -> Result<(), Refusal> {
+        if self.departure.refuses(now) {
+            return Err(Refusal::new(Reason::Leaving, "this host is leaving; use another")
+                .with_hosts(self.hosts.others()));
+        }
+        match self.refresh.freshness() {
+            Freshness::Starting => {
+                Err(Refusal::new(Reason::NotReady, "this host has no configuration yet")
+                    .with_hosts(self.hosts.others()))
+            }
+            Freshness::Alone => {
+                Err(Refusal::new(Reason::Stale, "this host is cut off; use another")
+                    .with_hosts(self.hosts.others()))
+            }
+            Freshness::Fresh | Freshness::Stale => Ok(()),
+        }
+    }
+
+    /// Counts and logs a refusal.
+    pub fn refused(&self, options: &Options, caller: &Caller, refusal: &Refusal) {
+        self.metrics.refused(refusal.reason);
+        let (request, customer, verdict) = (&options.request, &caller.customer, refusal.verdict);
+        let reason = refusal.reason;
+        event!(Event::Refused, "request {request} of {customer}: {reason}, {verdict}");
+    }
+
+    /// Counts and logs a caller that went away.
+    pub fn gone(&self, options: &Options) {
+        self.metrics.add("caller.gone", 1);
+        event!(Event::CallerGone, "the caller of request {} went away", options.request);
+    }
+
+    /// Returns the expected tokens of an answer.
+    pub fn expected_output(&self, plan: &id::Plan, model: &id::Model, most: u32) -> u32 {
+        self.lengths.lock().expect("length lock poisoned").expected(plan, model, most)
+    }
+
+    /// Learns from the tokens of a complete answer.
+    pub fn observe_output(&self, plan: &id::Plan, model: &id::Model, tokens: u32) {
+        self.lengths.lock().expect("length lock poisoned").observe(plan, model, tokens);
+    }
+
+    /// Notes the first try of a request in its plan's retry budget.
+    pub fn first_try(&self, plan: &id::Plan) {
+        self.retries.with(plan, |_, budget| budget.first_try());
+    }
+
+    /// Decides after a failed attempt.
+    pub fn decide(
+        &self,
+        plan: &id::Plan,
+        tries: &mut Tries,
+        failure: &Failure,
+        now: Moment,
+    ) -> Decision {
+        let random = rand::random();
+        self.retries.with(plan, |policy, budget| tries.failed(failure, now, random, policy, budget))
+    }
+}
+
+/// Retry budgets by plan.
+#[derive(Debug, Default)]
+pub struct Retries {
+    policy: Policy,
+    budgets: Mutex<HashMap<id::Plan, Budget>>,
+}
+
+impl Retries {
+    fn with<T>(&self, plan: &id::Plan, use_it: impl FnOnce(&Policy, &mut Budget) -> T) -> T {
+        let mut budgets = self.budgets.lock().expect("budget lock poisoned");
+        if !budgets.contains_key(plan) {
+            budgets.insert(plan.clone(), Budget::new(&self.policy));
+        }
+        let budget = budgets.get_mut(plan).expect("the budget was just inserted");
+        use_it(&self.policy, budget)
+    }
+}
+
+/// Whether this host stays, and how many requests it still runs.
+#[derive(Debug, Default)]
+pub struct Departure {
+    /// When new requests are refused.
+    refuses_from: RwLock<Option<Moment>>,
+    open: AtomicUsize,
+}
+
+impl Departure {
+    /// Begins to leave; new requests are refused from the given time on.
+    pub fn begin(&self, refuses_from: Moment) {
+        let mut begun = self.refuses_from.write().expect("departure lock poisoned");
+        begun.get_or_insert(refuses_from);
+    }
+
+    /// Returns whether the host has begun to leave.
+    pub fn has_begun(&self) -> bool {
+        self.refuses_from.read().expect("departure lock poisoned").is_some()
+    }
+
+    /// Returns whether new requests are refused.
+    pub fn refuses(&self, now: Moment) -> bool {
+        let begun = self.refuses_from.read().expect("departure lock poisoned");
+        begun.is_some_and(|it| it <= now)
+    }
+
+    /// Counts a request as open until the returned guard is dropped.
+    pub fn enter(&self) -> Open<'_> {
+        self.open.fetch_add(1, Ordering::AcqRel);
+        Open(&self.open)
+    }
+
+    /// Returns the number of open requests.
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::Acquire)
+    }
+}
+
+/// Counts one request as open.
+#[derive(Debug)]
+pub struct Open<'a>(&'a AtomicUsize);
+
+impl Drop for Open<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+impl Settings {
+    /// Returns the settings of a plain service; the defaults when it has no section.
+    pub fn service(&self, name: &str) -> settings::Service {
+        self.services.get(&SmolStr::new(name)).cloned().unwrap_or_default()
+    }
+}
--- a/src/serve/fleet.rs
+++ b/src/serve/fleet.rs
@@ -1,17 +1,18 @@
 //! The targets as this host sees them: the router and a client for each target.
 
 use std::{
-    collections::{HashMap, HashSet},
-    net::SocketAddr,
+    collections::{BTreeSet, HashMap, HashSet},
     sync::{Mutex, MutexGuard, RwLock},
 };
 
+use smol_str::SmolStr;
+
 use crate::{
     clock, id,
     platform::{Kind, Machine, State},
-    route::Router,
+    route::{self, Router},
     settings, target,
-    target::Report,
+    target::{Control, Engine, Report},
 };
 
 /// Targets, their clients and the router that chooses among them.
@@ -114,20 +115,28 @@
         targets.values().map(|it| (it.machine.clone(), it.report.clone())).collect()
     }
 
-    /// Returns the names of the models or services that have a target here.
-    pub fn names(&self, engines: impl Fn(&Kind) -> bool) -> Vec<smol_str::SmolStr> {
+    /// Returns the models that engines here serve, by name.
+    pub fn models(&self) -> Vec<SmolStr> {
+        let targets = self.targets.read().expect("fleet lock poisoned");
+        let models = targets.values().filter_map(|it| match &it.machine.kind {
+            Kind::Engine(model) => Some(model.clone()),
+            Kind::Service(_) | Kind::Entry => None,
+        });
+        models.collect::<BTreeSet<_>>().into_iter().collect()
+    }
+
+    /// Returns whether any target serves a model or service.
+    pub fn serves(&self, name: &str, kind: route::Kind) -> bool {
         let targets = self.targets.read().expect("fleet lock poisoned");
-        let kinds = targets.values().map(|it| &it.machine.kind).filter(|it| engines(it));
-        let mut names: Vec<_> = kinds.filter_map(served).collect();
-        names.sort();
-        names.dedup();
-        names
+        targets.values().any(|it| match (&it.machine.kind, kind) {
+            (Kind::Engine(it), route::Kind::Engine) => it == name,
+            (Kind::Service(it), route::Kind::Service) => it == name,
+            _ => false,
+        })
     }
 
     /// Asks one target for its load and cache events and passes them to the router.
     pub fn observe(&self, name: &str) {
-        use crate::target::{Control, Engine};
-
         let Some((client, since, kind)) =
             self.read(name, |it| (it.client.clone(), it.events, it.machine.kind.clone()))
         else {
@@ -155,10 +164,3 @@
         }
     }
 }
-
-fn served(kind: &Kind) -> Option<smol_str::SmolStr> {
-    match kind {
-        Kind::Entry => None,
-        Kind::Engine(name) | Kind::Service(name) => Some(name.clone()),
-    }
-}
--- a/src/serve/gate.rs
+++ b/src/serve/gate.rs
@@ -145,4 +145,3 @@
         crate::verdict::Refusal { reason: it.reason, retry_after: Some(it.retry_after) }
     }
 }
-
--- a/src/serve/generate.rs
+++ b/src/serve/generate.rs
@@ -1,35 +1,24 @@
-//! Runs one request for generated text: admission, claim, attempts, answer.
-
-use std::time::Duration;
+//! Runs requests for generated text.
 
 use serde::{Deserialize, Serialize};
 use smol_str::{SmolStr, format_smolstr};
 
 use crate::{
-    admit, claim,
-    claim::Outcome as Claimed,
-    clock,
-    clock::Moment,
-    event,
-    event::Event,
-    id,
-    link::front::{Presence, Reply},
-    retry::{Accepted, Assembly, Decision, Repeat, Tries},
+    claim, clock,
+    link::front::Reply,
+    retry::{Accepted, Assembly, Repeat},
     route::{Demand, Kind, Outcome, Path, Ticket},
     serve::{
         Context, Refusal, Stop,
         completion::{Completion, Form, Usage},
-        gate::Permit,
+        job::{Broken, Job, Work},
         options::{Caller, Mark, Options},
         output::Output,
     },
     target::{Engine, Failure, Generation, prefix},
-    verdict::{Reason, Verdict},
+    verdict::Reason,
 };
 
-/// Time after which to come back when no target takes the request.
-const NO_TARGET_RETRY: Duration = Duration::from_secs(1);
-
 /// Answers one request for generated text.
 pub(super) fn generate(
     ctx: &Context,
@@ -38,24 +27,51 @@
     completion: Completion,
     reply: Reply,
 ) {
+    let repeat = match options.mark {
+        Mark::NotRepeatable => Repeat::Forbidden,
+        Mark::None | Mark::Repeatable => Repeat::Allowed,
+    };
+    let demand = demand(ctx, caller, &completion);
+    let fingerprint = completion.fingerprint();
     let presence = reply.presence();
+    let mut job = Job::new(ctx, caller, options, presence, fingerprint, repeat, demand);
     let form = Form::new(&completion, options.request.clone());
-    let mut output = Output::new(form, options.request.clone(), completion.delivery, reply);
-    let mut run = Run::new(ctx, caller, options, completion, presence);
-    match run.run(&mut output) {
-        Ok(end) => output.finish(&end.finish, end.usage),
+    let output = Output::new(form, options.request.clone(), completion.delivery, reply);
+    let mut text = Text { completion, assembly: Assembly::new(), output };
+    match job.run(&mut text) {
+        Ok(end) => {
+            let tokens = end.usage.completion_tokens;
+            ctx.observe_output(&caller.plan, &text.completion.model, tokens);
+            text.output.finish(&end.finish, end.usage);
+        }
         Err(Stop::Refused(refusal)) => {
-            ctx.refused(&options.request, &caller.customer, &refusal);
-            output.fail(&refusal);
+            ctx.refused(options, caller, &refusal);
+            text.output.fail(&refusal);
         }
-        Err(Stop::Gone) => ctx.gone(&options.request),
+        Err(Stop::Gone) => ctx.gone(options),
+    }
+}
+
+fn demand(ctx: &Context, caller: &Caller, completion: &Completion) -> Demand {
+    let output_tokens = ctx.expected_output(&caller.plan, &completion.model, completion.max_tokens);
+    Demand {
+        model_or_service: completion.model.clone(),
+        kind: Kind::Engine,
+        data_centre: ctx.settings.host.data_centre.clone(),
+        prompt_tokens: prefix::tokens(&completion.prompt),
+        pieces: prefix::pieces(&completion.model, &completion.prompt),
+        output_tokens,
+        priority: caller.limits.priority,
+        exclude: Vec::new(),
     }
 }
 
 /// End of a whole answer.
+#[derive(Debug, Clone)]
 struct End {
     finish: SmolStr,
     usage: Usage,
+    cached: u32,
 }
 
 /// A generated answer as it is kept for later copies of its request.
@@ -67,82 +83,105 @@
     tokens: u32,
 }
 
-/// One request under way.
-struct Run<'a> {
-    ctx: &'a Context,
-    caller: &'a Caller,
-    options: &'a Options,
+/// A text that is generated for a caller.
+struct Text {
     completion: Completion,
-    presence: Presence,
-    started: Moment,
-    expires: Moment,
-    fingerprint: SmolStr,
-    demand: Demand,
     assembly: Assembly,
-    tries: Tries,
+    output: Output,
 }
 
-/// How an attempt ended without the whole answer.
-enum Broken {
-    Target(Failure),
-    Refused(Refusal),
-    Gone,
-}
+impl Text {
+    fn generation(&self, job: &Job<'_>) -> Generation {
+        let request = &job.options.request;
+        Generation {
+            request: format_smolstr!("{request}-{}", self.assembly.attempt()),
+            model: self.completion.model.clone(),
+            adapter: self.completion.adapter.clone(),
+            prompt: self.completion.prompt.clone(),
+            max_tokens: self.completion.max_tokens,
+            resume_at: self.assembly.resume_at(),
+            priority: job.demand.priority,
+            kv: None,
+        }
+    }
 
-impl From<Failure> for Broken {
-    fn from(it: Failure) -> Broken {
-        Broken::Target(it)
+    /// Passes tokens on; a request that may not repeat goes on without its caller.
+    fn pass_on(&mut self, job: &Job<'_>, tokens: &[SmolStr]) -> Result<(), Broken> {
+        match self.output.tokens(tokens) {
+            Err(_) if job.repeat == Repeat::Allowed => Err(Broken::Gone),
+            Ok(()) | Err(_) => Ok(()),
+        }
     }
 }
 
-impl<'a> Run<'a> {
-    fn new(
-        ctx: &'a Context,
-        caller: &'a Caller,
-        options: &'a Options,
-        completion: Completion,
-        presence: Presence,
-    ) -> Run<'a> {
-        let started = clock::now();
-        let time = options.time.unwrap_or(ctx.settings.callers.request_time);
-        let expires = started + time;
-        let repeat = match options.mark {
-            Mark::NotRepeatable => Repeat::Forbidden,
-            Mark::None | Mark::Repeatable => Repeat::Allowed,
-        };
-        let prompt = prefix::Prompt::new(&completion.model, &completion.prompt);
-        let demand = Demand {
-            model_or_service: completion.model.clone(),
-            kind: Kind::Engine,
-            data_centre: ctx.settings.host.data_centre.clone(),
-            prompt_tokens: prompt.tokens,
-            pieces: prompt.pieces,
-            output_tokens: ctx.expected_output(&caller.plan, &completion.model, completion.max_tokens),
-            priority: caller.limits.priority,
-            exclude: Vec::new(),
-        };
-        Run {
-            ctx,
-            caller,
-            options,
-            fingerprint: completion.fingerprint(),
-            completion,
-            presence,
-            started,
-            expires,
-            demand,
-            assembly: Assembly::new(),
-            tries: Tries::new(repeat, expires),
+impl Work for Text {
+    type End = End;
+
+    fn attempt(&mut self, job: &Job<'_>, path: &Path, ticket: Ticket) -> Result<End, Broken> {
+        let fleet = &job.ctx.fleet;
+        let mut generation = self.generation(job);
+        if let Some(prefill) = &path.prefill {
+            generation.kv = Some(job.client(prefill)?.prefill(&generation)?);
+            fleet.route().prefilled(ticket, clock::now());
+        }
+        let stream = job.client(&path.target)?.generate(&generation)?;
+        let presence = (job.repeat == Repeat::Allowed).then(|| job.presence.clone());
+        let _watched = job.ctx.watch.add(presence, job.expires, stream.canceller());
+        let attempt = self.assembly.attempt();
+        let start = self.assembly.resume_at();
+        for piece in stream {
+            let accepted = self.assembly.accept(attempt, piece?);
+            match accepted.map_err(|gap| Failure::Broken(gap.to_string()))? {
+                Accepted::Nothing => {}
+                Accepted::Tokens(tokens) => {
+                    if self.assembly.resume_at() == start + tokens.len() as u32 {
+                        fleet.route().first_token(ticket, clock::now());
+                    }
+                    self.pass_on(job, &tokens)?;
+                }
+                Accepted::End { tokens, cached, finish } => {
+                    let usage = Usage::new(job.demand.prompt_tokens, tokens);
+                    return Ok(End { finish, usage, cached });
+                }
+            }
+        }
+        Err(Broken::Target(Failure::Broken("the stream ended early".to_owned())))
+    }
+
+    fn restart(&mut self) {
+        self.assembly.begin();
+    }
+
+    fn tokens(&self) -> u32 {
+        self.assembly.resume_at()
+    }
+
+    fn outcome(&self, end: &End) -> Outcome {
+        Outcome::Done {
+            prompt: end.usage.prompt_tokens,
+            cached: end.cached,
+            output: end.usage.completion_tokens,
         }
     }
 
-    fn run(&mut self, output: &mut Output) -> Result<End, Stop> {
-        self.caller.may_use(&self.completion.model)?;
-        let Some(mut grant) = self.claim()? else { return self.serve(output, None) };
-        let grant = match &mut grant {
-            Claimed::Granted(it) => it,
-            Claimed::Replay(answer) => return replay(answer, output),
+    fn kept(&self, end: &End) -> claim::Answer {
+        let kept = Kept {
+            text: SmolStr::new(self.output.text()),
+            finish: end.finish.clone(),
+            prompt_tokens: end.usage.prompt_tokens,
+            tokens: end.usage.completion_tokens,
+        };
+        let body = serde_json::to_vec(&kept).unwrap_or_default();
+        claim::Answer { status: 200, headers: Vec::new(), body }
+    }
+
+    fn replay(&mut self, answer: claim::Answer) -> Result<End, Stop> {
+        let Ok(kept) = serde_json::from_slice::<Kept>(&answer.body) else {
+            let message = "the kept answer cannot be read; ask the operators";
+            return Err(Refusal::new(Reason::AnswerLost, message).into());
         };
-        self.serve(output, Some(grant))
+        self.output.tokens(&[kept.text]).map_err(|_| Stop::Gone)?;
+        let usage = Usage::new(kept.prompt_tokens, kept.tokens);
+        Ok(End { finish: kept.finish, usage, cached: 0 })
     }
 }
--- a/src/serve/output.rs
+++ b/src/serve/output.rs
@@ -13,7 +13,7 @@
 
 /// The caller's side of one generated answer.
 #[derive(Debug)]
-pub struct Output {
+pub(super) struct Output {
     form: Form,
     request: SmolStr,
     text: String,
@@ -32,13 +32,13 @@
 
 impl Output {
     /// Creates an output to which nothing has been written.
-    pub fn new(form: Form, request: SmolStr, delivery: Delivery, reply: Reply) -> Output {
+    pub(super) fn new(form: Form, request: SmolStr, delivery: Delivery, reply: Reply) -> Output {
         let channel = Channel::Waiting(reply, delivery);
         Output { form, request, text: String::new(), channel }
     }
 
     /// Returns the text written so far.
-    pub fn text(&self) -> &str {
+    pub(super) fn text(&self) -> &str {
         &self.text
     }
 
@@ -46,7 +46,7 @@
     ///
     /// # Errors
     /// Fails when the caller has gone. The text is kept nevertheless.
-    pub fn tokens(&mut self, tokens: &[SmolStr]) -> Result<(), Gone> {
+    pub(super) fn tokens(&mut self, tokens: &[SmolStr]) -> Result<(), Gone> {
         self.open();
         let mut events = String::new();
         for token in tokens {
@@ -68,7 +68,7 @@
     }
 
     /// Ends the answer.
-    pub fn finish(mut self, finish: &str, usage: Usage) {
+    pub(super) fn finish(mut self, finish: &str, usage: Usage) {
         self.open();
         match self.channel {
             Channel::Waiting(reply, _) => {
@@ -88,7 +88,7 @@
     }
 
     /// Ends the request without its whole answer; an open stream gets an error event and no end mark.
-    pub fn fail(self, refusal: &Refusal) {
+    pub(super) fn fail(self, refusal: &Refusal) {
         match self.channel {
             Channel::Waiting(reply, _) => reply.whole(refusal.to_answer(&self.request)),
             Channel::Open(mut stream) => {
--- a/src/serve/refusal.rs
+++ b/src/serve/refusal.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     link::front::{Answer, VERDICT_HEADER},
-    verdict::{Reason, Verdict},
+    verdict::{self, Reason, Verdict},
 };
 
 /// Why a request ends without its answer, and what the caller may do next.
@@ -77,6 +77,12 @@
     delay.as_secs() + u64::from(0 < delay.subsec_nanos())
 }
 
+impl From<verdict::Refusal> for Refusal {
+    fn from(it: verdict::Refusal) -> Refusal {
+        Refusal::new(it.reason, it.reason.code()).with_retry_after(it.retry_after)
+    }
+}
+
 mod wire {
     use super::*;
 
@@ -112,4 +118,3 @@
         }
     }
 }
-
--- a/src/serve/watch.rs
+++ b/src/serve/watch.rs
@@ -7,7 +7,10 @@
 
 use slab::Slab;
 
-use crate::{clock::Moment, link::front::Presence, target::Canceller};
+use crate::{
+    clock::Moment,
+    link::{front::Presence, outgoing::Canceller},
+};
 
 /// Time between two looks at all streams.
 pub const CHECK_EVERY: Duration = Duration::from_millis(50);
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -1,6 +1,7 @@
 //! Targets: engines that serve models and replicas of plain services.
 
 pub mod client;
+pub mod prefix;
 pub mod stream;
 pub mod wire;
 
