--- a/src/admit/admission.rs
+++ b/src/admit/admission.rs
@@ -248,8 +248,8 @@
     }
 
     /// Returns the engine time that each plan asks for, in seconds a second.
-    pub fn demand(&mut self, now: Moment) -> Vec<(id::Plan, f64)> {
-        let plans = self.plans.iter_mut();
+    pub fn demand(&self, now: Moment) -> Vec<(id::Plan, f64)> {
+        let plans = self.plans.iter();
         plans.map(|(plan, queue)| (plan.clone(), queue.demand.value(now))).collect()
     }
 
--- a/src/admit/queue.rs
+++ b/src/admit/queue.rs
@@ -11,6 +11,7 @@
     admit::{Config, Counts, Key, Share, allowance::Allowance},
     clock::Moment,
     contract::Limits,
+    cost::Rate,
 };
 
 /// Time for which request and token limits may be saved up.
@@ -42,14 +43,6 @@
     pub(super) counts: Counts,
 }
 
-/// A rate averaged over a time window.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct Rate {
-    sum: f64,
-    at: Moment,
-    window: Duration,
-}
-
 impl Queue {
     pub(super) fn new(limits: Limits, config: &Config, now: Moment) -> Queue {
         Queue {
@@ -60,8 +53,8 @@
             tokens: Allowance::new(0.0, f64::MAX, now),
             waiting: BTreeMap::new(),
             backlog: Duration::ZERO,
-            demand: Rate { sum: 0.0, at: now, window: config.demand_window },
-            drained: Rate { sum: 0.0, at: now, window: config.demand_window },
+            demand: Rate::new(config.demand_window, now),
+            drained: Rate::new(config.demand_window, now),
             counts: Counts::default(),
             limits,
         }
@@ -120,7 +113,7 @@
     }
 
     /// Returns the time in which the waiting requests start at the present rate.
-    pub(super) fn drain_time(&mut self, now: Moment) -> Duration {
+    pub(super) fn drain_time(&self, now: Moment) -> Duration {
         let rate = self.drained.value(now).max(self.given.map_or(0.0, |(it, _)| it.rate));
         if rate <= 0.0 {
             return Duration::ZERO;
@@ -153,22 +146,3 @@
         self.waiting.get(pool)?.first().copied()
     }
 }
-
-impl Rate {
-    pub(super) fn add(&mut self, amount: f64, now: Moment) {
-        self.fade(now);
-        self.sum += amount;
-    }
-
-    /// Returns the rate a second.
-    pub(super) fn value(&mut self, now: Moment) -> f64 {
-        self.fade(now);
-        self.sum / self.window.as_secs_f64()
-    }
-
-    fn fade(&mut self, now: Moment) {
-        let passed = now.saturating_sub(self.at).as_secs_f64();
-        self.sum *= (-passed / self.window.as_secs_f64()).exp();
-        self.at = self.at.max(now);
-    }
-}
--- a/src/cost/mod.rs
+++ b/src/cost/mod.rs
@@ -2,11 +2,12 @@
 
 mod average;
 mod lengths;
+mod rate;
 mod rates;
 
 use std::time::Duration;
 
-pub use self::{average::Average, lengths::Lengths, rates::Rates};
+pub use self::{average::Average, lengths::Lengths, rate::Rate, rates::Rates};
 
 /// Rates and lengths assumed until some are learned.
 #[derive(Debug, Clone)]
--- a/src/route/choice.rs
+++ b/src/route/choice.rs
@@ -162,6 +162,14 @@
         (replica.load.backlog(rate, self.now) / rate, tokens, tokens / rate)
     }
 
+    /// Returns the prompt tokens to read where most of the prompt is cached.
+    pub(super) fn least_tokens(&self) -> f64 {
+        let members = self.pool.members.iter().map(|it| &self.fleet.replicas[*it]);
+        let cached = members.map(|it| it.cache.expected(&self.demand.pieces, self.now));
+        let most = if self.demand.pieces.is_empty() { 0.0 } else { cached.fold(0.0, f64::max) };
+        (f64::from(self.demand.prompt_tokens) - most * f64::from(PIECE_TOKENS)).max(1.0)
+    }
+
     /// Returns the wait for a slot, the time to generate, and what is to be avoided beside them.
     fn generating(&self, replica: &Replica) -> (f64, f64, f64) {
         let rates = self.pool.rates(replica.role);
@@ -170,7 +178,7 @@
         let slots = f64::from(replica.load.slots);
         let step = rates.step((running + 1.0).min(slots)).as_secs_f64();
         let over = (running + 1.0 - slots).max(0.0);
-        let wait = over / slots * self.pool.work.output * step;
+        let wait = over / slots * self.pool.mean.output * step;
         let slope = step - rates.step(running.min(slots)).as_secs_f64();
         let late = (step - self.config.between_tokens.as_secs_f64()).max(0.0);
         let full = replica.load.kv_free < f64::from(self.demand.prompt_tokens) + output;
@@ -218,12 +226,14 @@
     fn sum(&self, replica: &Replica, sum: Sum) -> Course {
         let batch = (replica.load.running() + 1.0).min(f64::from(replica.load.slots));
         let finish = sum.first_token + sum.generating;
+        let output = f64::from(self.demand.output_tokens);
+        let decoding = self.pool.decoding(output, replica.role, self.config);
         Course {
             wait: sum.wait,
             tokens: sum.tokens,
             first_token: sum.first_token,
             finish,
-            engine_time: sum.reading + sum.generating / batch,
+            engine_time: sum.reading + decoding,
             batch,
             score: finish + sum.crowding,
         }
--- a/src/route/fleet.rs
+++ b/src/route/fleet.rs
@@ -1,13 +1,13 @@
 //! All targets by name and by what they serve.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, time::Duration};
 
 use slotmap::SlotMap;
 use smol_str::SmolStr;
 
 use crate::{
     clock::Moment,
-    cost::Rates,
+    cost::{Rate, Rates},
     id, platform,
     route::{
         Config,
@@ -20,6 +20,8 @@
 const PART_GAIN: f64 = 0.1;
 /// Most requests of all hosts that one of this host stands for.
 const MOST_WEIGHT: f64 = 16.0;
+/// Window of the rates of work asked for.
+const ASKED_WINDOW: Duration = Duration::from_secs(1);
 
 /// The targets that this host knows.
 #[derive(Debug)]
@@ -34,17 +36,27 @@
 pub(super) struct Pool {
     pub(super) members: Vec<ReplicaKey>,
     pub(super) next: usize,
+    /// Requests that an engine may run at once, as last reported; 0 when unknown.
+    slots: u32,
     /// Part of all requests that this host sends.
     part: f64,
     prefill: Rates,
     decode: Rates,
     mixed: Rates,
-    pub(super) work: Work,
+    pub(super) mean: Mean,
+    pub(super) asked: Asked,
+}
+
+/// Work asked for, in engine seconds a second.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Asked {
+    pub(super) prefill: Rate,
+    pub(super) decode: Rate,
 }
 
 /// Mean work of a request of the pool.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct Work {
+pub(super) struct Mean {
     /// Prompt tokens read.
     pub(super) prompt: f64,
     /// Tokens generated.
@@ -73,6 +85,10 @@
         self.pools.get_mut(name)
     }
 
+    pub(super) fn pools(&self) -> impl Iterator<Item = (&SmolStr, &Pool)> {
+        self.pools.iter()
+    }
+
     pub(super) fn upsert(&mut self, machine: &platform::Machine, config: &Config) {
         if let Some(key) = self.key(&machine.name) {
             let replica = &mut self.replicas[key];
@@ -125,6 +141,7 @@
     /// Learns from the requests in flight what part of all is this host's.
     fn learn_part(&mut self, serves: &str, report: &Report) {
         let Some(pool) = self.pools.get_mut(serves) else { return };
+        pool.slots = report.slots;
         let replicas = pool.members.iter().filter_map(|it| self.replicas.get(*it));
         let (own, all) = replicas.fold((0.0, 0.0), |(own, all), it| {
             (own + f64::from(it.load.own), all + it.load.reported())
@@ -140,14 +157,17 @@
     fn new(config: &Config) -> Pool {
         let rates = Rates::new(config.cost.clone());
         let output = f64::from(config.cost.output_tokens);
+        let asked = Rate::new(ASKED_WINDOW, Moment::ZERO);
         Pool {
             members: Vec::new(),
             next: 0,
+            slots: 0,
             part: 1.0,
             prefill: rates.clone(),
             decode: rates.clone(),
             mixed: rates,
-            work: Work { prompt: output, output },
+            mean: Mean { prompt: output, output },
+            asked: Asked { prefill: asked, decode: asked },
         }
     }
 
@@ -156,6 +176,19 @@
         (1.0 / self.part).clamp(1.0, MOST_WEIGHT)
     }
 
+    /// Returns the largest batch in which tokens still come in time.
+    pub(super) fn full_batch(&self, role: Role, config: &Config) -> f64 {
+        let most = self.rates(role).batch_within(config.between_tokens);
+        let slots = if self.slots == 0 { f64::INFINITY } else { f64::from(self.slots) };
+        most.min(slots)
+    }
+
+    /// Returns the engine seconds to generate `output` tokens in a full batch.
+    pub(super) fn decoding(&self, output: f64, role: Role, config: &Config) -> f64 {
+        let batch = self.full_batch(role, config);
+        output * self.rates(role).step(batch).as_secs_f64() / batch
+    }
+
     /// Returns the rates learned for engines in a role.
     pub(super) fn rates(&self, role: Role) -> &Rates {
         match role {
@@ -174,7 +207,7 @@
     }
 }
 
-impl Work {
+impl Mean {
     /// Takes in one request.
     pub(super) fn observe(&mut self, prompt: f64, output: f64, gain: f64) {
         self.prompt += (prompt - self.prompt) * gain;
--- a/src/route/learn.rs
+++ b/src/route/learn.rs
@@ -5,7 +5,7 @@
 use crate::{
     clock::Moment,
     route::{
-        Capacity, Config, Outcome,
+        Capacity, Config, Demand, Outcome,
         fleet::{Fleet, Pool},
         flight::Flight,
         replica::{Replica, ReplicaKey},
@@ -27,6 +27,16 @@
         self.pool(&replica.serves).map_or(1.0, |it| it.rates(replica.role).prefill_rate())
     }
 
+    /// Counts the work of a request that was offered, with the prompt tokens to read.
+    pub(super) fn offered(&mut self, demand: &Demand, tokens: f64, config: &Config, now: Moment) {
+        let Some(pool) = self.pool_mut(&demand.model_or_service) else { return };
+        let reading = tokens / pool.rates(Role::Mixed).prefill_rate();
+        let output = f64::from(demand.output_tokens);
+        let decoding = pool.decoding(output, Role::Mixed, config);
+        pool.asked.prefill.add(reading, now);
+        pool.asked.decode.add(decoding, now);
+    }
+
     /// Counts a request that was sent at its targets.
     pub(super) fn sent(&mut self, flight: &Flight, now: Moment) {
         let weight = self.pool(&flight.name).map_or(1.0, Pool::weight);
@@ -147,7 +157,7 @@
     fn learn(&mut self, flight: &Flight, read: f64, output: u32, config: &Config, now: Moment) {
         let batch = self.replicas.get(flight.target).map(|it| (it.role, it.load.running()));
         let Some(pool) = self.pool_mut(&flight.name) else { return };
-        pool.work.observe(read, f64::from(output), config.cost.gain);
+        pool.mean.observe(read, f64::from(output), config.cost.gain);
         let (Some(first), Some((role, running))) = (flight.first, batch) else { return };
         if LEAST_OUTPUT <= output {
             let step = now.saturating_sub(first) / (output - 1);
@@ -176,7 +186,7 @@
         if 0.0 < service.limit {
             return service.capacity(config.service_time.as_secs_f64());
         }
-        reading.and(generating).capacity(pool.mean_cost())
+        reading.and(generating).capacity(pool.mean_cost(config))
     }
 }
 
@@ -217,20 +227,19 @@
         let rate = self.rates(replica.role).prefill_rate();
         let window = config.prefill_window.as_secs_f64();
         let waiting = replica.load.backlog(rate, now) / rate;
-        let each = self.work.prompt.max(1.0) / rate;
+        let each = self.mean.prompt.max(1.0) / rate;
         Room { free: (window - waiting).max(0.0) / each, limit: window / each }
     }
 
     /// Returns the requests that fit into an engine's batch while tokens come in time.
     fn slots_room(&self, replica: &Replica, config: &Config) -> Room {
-        replica.slots_room(self.rates(replica.role).batch_within(config.between_tokens))
+        replica.slots_room(self.full_batch(replica.role, config))
     }
 
     /// Returns the mean engine time of a request, in seconds.
-    fn mean_cost(&self) -> f64 {
-        let rates = self.rates(Role::Mixed);
-        let batch = f64::from(super::NOMINAL_BATCH);
-        rates.engine_time(self.work.prompt, self.work.output as u32, batch).as_secs_f64()
+    fn mean_cost(&self, config: &Config) -> f64 {
+        let reading = self.mean.prompt / self.rates(Role::Mixed).prefill_rate();
+        reading + self.decoding(self.mean.output, Role::Mixed, config)
     }
 }
 
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -71,6 +71,17 @@
     pub engine_time: Duration,
 }
 
+/// Work that was asked of the targets of one model or service.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Work {
+    /// Model or service.
+    pub name: SmolStr,
+    /// Engine seconds of prefill asked for in a second.
+    pub prefill: f64,
+    /// Engine seconds of decoding asked for in a second, at full batches.
+    pub decode: f64,
+}
+
 /// Engine time that may be in flight on the targets of one model or service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Capacity {
@@ -79,6 +90,3 @@
     /// Engine time that could be started if nothing were running.
     pub limit: Duration,
 }
-
-/// Batch size at which the mean engine time of a request is counted.
-const NOMINAL_BATCH: u8 = 16;
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -9,7 +9,7 @@
     clock::Moment,
     platform,
     route::{
-        Capacity, Config, Demand, Estimate, Outcome, Path, Policy, Ticket,
+        Capacity, Config, Demand, Estimate, Outcome, Path, Policy, Ticket, Work,
         choice::{Candidates, Course, Route, Scene},
         fleet::Fleet,
         flight::Flight,
@@ -122,6 +122,25 @@
         })
     }
 
+    /// Counts the work of a request that was offered, whether it is admitted or not.
+    pub fn offered(&mut self, demand: &Demand, now: Moment) {
+        let Some(pool) = self.fleet.pool(&demand.model_or_service) else { return };
+        let scene = Scene { config: &self.config, fleet: &self.fleet, pool, demand, now };
+        let tokens = scene.least_tokens();
+        self.fleet.offered(demand, tokens, &self.config, now);
+    }
+
+    /// Returns the work that was offered to this host, by model or service.
+    pub fn work(&self, now: Moment) -> Vec<Work> {
+        let pools = self.fleet.pools();
+        let work = pools.map(|(name, pool)| Work {
+            name: name.clone(),
+            prefill: pool.asked.prefill.value(now),
+            decode: pool.asked.decode.value(now),
+        });
+        work.collect()
+    }
+
     /// Returns the engine time that may be in flight on the targets of a model or service.
     pub fn capacity(&self, name: &str, now: Moment) -> Capacity {
         self.fleet.capacity(name, &self.config, now)
