--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod contract;
 pub mod cost;
 pub mod crash;
+pub mod daemon;
 pub mod data_centre;
 pub mod event;
 pub mod host;
