--- /dev/null
+++ b/src/demo/fleet.rs
@@ -0,0 +1,149 @@
+//! The demo's platform, targets and entry hosts.
+
+use std::{
+    net::SocketAddr,
+    thread,
+    time::{Duration, Instant},
+};
+
+use smol_str::{SmolStr, format_smolstr};
+
+use super::{Caller, Error, KEY, MODEL, SERVICE};
+use crate::{
+    contract::{
+        Lists,
+        store::{Edit, Store},
+    },
+    daemon::Daemon,
+    platform,
+    settings::{self, Settings},
+    standin::{self, engine, presence::Listing, service},
+    utils,
+};
+
+/// Data centres of the demo.
+const DATA_CENTRES: [&str; 3] = ["brno-a", "olomouc-b", "zlin-c"];
+/// Time between two looks at whether the hosts are ready.
+const READY_CHECK: Duration = Duration::from_millis(50);
+
+/// Everything that the demo runs; dropping it stops all of it.
+pub(super) struct Fleet {
+    daemons: Vec<Daemon>,
+    service: standin::Service,
+    _engines: Vec<standin::Engine>,
+    platform: standin::Platform,
+}
+
+impl Fleet {
+    /// Starts the platform, stores the two lists, and starts targets and hosts.
+    pub(super) fn start() -> Result<Fleet, Error> {
+        let platform = standin::Platform::start(standin::platform::Config::default())?;
+        let address = platform.address();
+        configure(address)?;
+        let engines = DATA_CENTRES.iter().map(|it| engine(address, it));
+        let engines = engines.collect::<Result<Vec<_>, Error>>()?;
+        let service = standin::Service::start(service::Config {
+            listing: listing(address, "dispatch-1", DATA_CENTRES[0]),
+            service: SmolStr::new_static(SERVICE),
+            ..service::Config::default()
+        })?;
+        let daemons = DATA_CENTRES.iter().map(|it| host(address, it));
+        let daemons = daemons.collect::<Result<Vec<_>, Error>>()?;
+        Ok(Fleet { daemons, service, _engines: engines, platform })
+    }
+
+    pub(super) fn platform(&self) -> SocketAddr {
+        self.platform.address()
+    }
+
+    /// Returns the callers' address of one host.
+    pub(super) fn address(&self, index: usize) -> Result<SocketAddr, Error> {
+        let daemon = self.daemons.get(index);
+        daemon
+            .map(Daemon::callers_address)
+            .ok_or_else(|| Error::Step("no entry host runs".to_owned()))
+    }
+
+    pub(super) fn addresses_text(&self) -> String {
+        let addresses = self.daemons.iter().map(|it| it.callers_address().to_string());
+        addresses.collect::<Vec<_>>().join(", ")
+    }
+
+    /// Waits until every host serves callers.
+    pub(super) fn wait_ready(&self, time: Duration) -> Result<(), Error> {
+        let until = Instant::now() + time;
+        for daemon in &self.daemons {
+            let caller = Caller::new(daemon.callers_address());
+            while !self.knows_all(daemon) || !caller.is_ready() {
+                if until <= Instant::now() {
+                    return Err(Error::Step(format!("{} is not ready", caller.address())));
+                }
+                thread::sleep(READY_CHECK);
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns whether a host has had a report from every target and lists every host.
+    fn knows_all(&self, daemon: &Daemon) -> bool {
+        let ctx = daemon.context();
+        let reported = ctx.fleet.targets().iter().filter(|(_, it)| it.is_some()).count();
+        let hosts = ctx.hosts.answer().hosts.len();
+        reported == DATA_CENTRES.len() + 1 && hosts == self.daemons.len()
+    }
+
+    /// Returns how often the service ran an order.
+    pub(super) fn service_runs(&self) -> usize {
+        self.service.record().runs.len()
+    }
+}
+
+fn configure(address: SocketAddr) -> Result<(), Error> {
+    let settings = settings::Platform { address, ..settings::Platform::default() };
+    let client = platform::Client::new(&settings);
+    let lists = Lists {
+        plans: format!("[customer demo]\nplan = order-desk\nkey = {}\n", utils::key_hash(KEY)),
+        limits: "[plan order-desk]\nweight = 1\n".to_owned(),
+        announcements: Vec::new(),
+    };
+    let edit = Edit {
+        from: 0,
+        lists,
+        author: SmolStr::new_static("demo"),
+        edited_ms: 0,
+        token: rand::random(),
+    };
+    Store::new(client.clone(), client).edit(&edit)?;
+    Ok(())
+}
+
+fn listing(platform: SocketAddr, name: &str, data_centre: &str) -> Listing {
+    Listing {
+        platform: Some(platform),
+        name: SmolStr::new(name),
+        data_centre: SmolStr::new(data_centre),
+        ..Listing::default()
+    }
+}
+
+fn engine(platform: SocketAddr, data_centre: &str) -> Result<standin::Engine, Error> {
+    let name = format!("engine-{data_centre}");
+    Ok(standin::Engine::start(engine::Config {
+        listing: listing(platform, &name, data_centre),
+        model: SmolStr::new_static(MODEL),
+        ..engine::Config::default()
+    })?)
+}
+
+fn host(platform: SocketAddr, data_centre: &str) -> Result<Daemon, Error> {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let mut settings = Settings::default();
+    settings.host.name = format_smolstr!("host-{data_centre}");
+    settings.host.data_centre = SmolStr::new(data_centre);
+    settings.host.callers_address = any;
+    settings.host.operators_address = any;
+    settings.host.peers_address = any;
+    settings.peers.key = "demo-peers".to_owned();
+    settings.platform.address = platform;
+    Ok(Daemon::start(settings)?)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod crash;
 pub mod daemon;
 pub mod data_centre;
+pub mod demo;
 pub mod event;
 pub mod host;
 pub mod id;
