feat(claim): runner tests, crash notes across hosts, claims per table write

Cause: the committer and the crash watch had not met a table. The end of a claim now waits up to 5 ms for a claim to share its write with, and a lone claim never waits for the window. Ruled out: a window after every transaction, which delayed lone callers by 2 ms.

--- a/src/claim/queue.rs
+++ b/src/claim/queue.rs
@@ -64,6 +64,11 @@
 }
 
 impl Operation {
+    /// Returns whether a request waits for the operation.
+    pub(super) fn is_urgent(&self) -> bool {
+        !matches!(self.work, Work::Settle(_))
+    }
+
     /// Returns the write to make, or `None` when the row must be read first.
     pub(super) fn write(&self) -> Option<Write> {
         let (expected, record) = match &self.work {
@@ -104,6 +109,11 @@
         self.waiting.is_empty()
     }
 
+    /// Returns whether a request waits for any of the operations.
+    pub(super) fn is_urgent(&self) -> bool {
+        self.waiting.iter().any(Operation::is_urgent)
+    }
+
     /// Takes the operations for the next transaction, at most one a row.
     pub(super) fn batch(&mut self) -> Vec<Operation> {
         let mut rows = HashSet::new();
--- a/src/claim/writer.rs
+++ b/src/claim/writer.rs
@@ -19,8 +19,10 @@
     platform::{Commit, Fault, Objects, Row, Table, Write},
 };
 
-/// Time to wait for further operations while the store is busy.
+/// Time to wait for further claims after a transaction that held several.
 const WINDOW: Duration = Duration::from_millis(2);
+/// Time that the end of a claim waits for a claim to share its transaction with.
+const SETTLE_WINDOW: Duration = Duration::from_millis(5);
 /// Time between two tries of settlements while the store does not answer.
 const SETTLE_RETRY: Duration = Duration::from_millis(250);
 /// Settlements that may wait for the store at once; further ones are dropped.
@@ -100,19 +102,16 @@
 
     /// Waits for operations; `None` when the writer must end.
     fn next(&self, window: Duration) -> Option<Vec<Operation>> {
-        let mut shelf = self.lock();
-        if !window.is_zero() {
-            shelf = self
-                .changed
-                .wait_timeout_while(shelf, window, |it| !it.stopped)
-                .expect("claim lock poisoned")
-                .0;
-        }
+        let mut shelf = self.wait_while(self.lock(), window, |it| !it.stopped);
         loop {
+            shelf.requeue(clock::now());
+            if !shelf.stopped && !shelf.queue.is_empty() {
+                shelf = self
+                    .wait_while(shelf, SETTLE_WINDOW, |it| !it.stopped && !it.queue.is_urgent());
+            }
             if shelf.stopped {
                 return None;
             }
-            shelf.requeue(clock::now());
             if !shelf.queue.is_empty() {
                 let batch = shelf.queue.batch();
                 shelf.in_flight = batch.len();
@@ -122,6 +121,16 @@
         }
     }
 
+    /// Waits for at most `time`, while the condition holds.
+    fn wait_while<'a>(
+        &self,
+        shelf: MutexGuard<'a, Shelf>,
+        time: Duration,
+        condition: impl FnMut(&mut Shelf) -> bool,
+    ) -> MutexGuard<'a, Shelf> {
+        self.changed.wait_timeout_while(shelf, time, condition).expect("claim lock poisoned").0
+    }
+
     /// Waits for a change, or until deferred settlements are due.
     fn await_work<'a>(&'a self, shelf: MutexGuard<'a, Shelf>) -> MutexGuard<'a, Shelf> {
         if shelf.deferred.is_empty() {
@@ -187,7 +196,8 @@
     pub(super) fn run(self) {
         let mut window = Duration::ZERO;
         while let Some(batch) = self.shared.next(window) {
-            window = if 1 < batch.len() { WINDOW } else { Duration::ZERO };
+            let claims = batch.iter().filter(|it| it.is_urgent()).count();
+            window = if 1 < claims { WINDOW } else { Duration::ZERO };
             self.perform(batch);
             let mut shelf = self.shared.lock();
             shelf.in_flight = 0;
--- a/tests/crash.rs
+++ b/tests/crash.rs
@@ -1,8 +1,19 @@
 //! Requests that crash the targets that run them.
 
-use std::time::Duration;
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
 
-use fuchsiaknot::crash::{Crash, Suspects, Suspicion};
+use fuchsiaknot::{
+    crash::{Config, Crash, Suspects, Suspicion, Watch},
+    platform::{Client, Table},
+    settings,
+    standin::platform::{Config as PlatformConfig, Faults, Platform},
+};
+
+/// Ends a test that hangs.
+const HANG: Duration = Duration::from_secs(30);
 
 const MEMORY: Duration = Duration::from_secs(600);
 const POISON: u64 = 1;
@@ -12,6 +23,34 @@
     Crash { target: target.into(), incarnation: 7 }
 }
 
+fn client(platform: &Platform) -> Client {
+    let address = platform.address();
+    Client::new(&settings::Platform { address, ..settings::Platform::default() })
+}
+
+fn watch(platform: &Platform) -> Watch {
+    let refresh = Duration::from_millis(20);
+    let config = Config { refresh, write_time: HANG, ..Config::default() };
+    Watch::start(config, client(platform)).expect("a watch")
+}
+
+fn fail(platform: &Platform, faults: &Faults) {
+    let url = format!("http://{}/faults", platform.address());
+    ureq::post(url).send_json(faults).expect("faults set");
+}
+
+fn rows(platform: &Platform) -> usize {
+    client(platform).scan("crash/").expect("rows").len()
+}
+
+fn eventually(what: &str, condition: impl Fn() -> bool) {
+    let started = Instant::now();
+    while !condition() {
+        assert!(started.elapsed() < HANG, "never came: {what}");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
 fn is_refused(suspects: &Suspects, fingerprint: u64, now: Duration) -> bool {
     matches!(suspects.check(fingerprint, now), Suspicion::Refused { .. })
 }
@@ -55,3 +94,49 @@
     assert!(is_refused(&suspects, POISON, now));
     assert!(suspects.completed(POISON, now).is_none(), "a refusal is not cleared by a late answer");
 }
+
+#[test]
+fn refused_on_all_hosts() {
+    let platform = Platform::start(PlatformConfig::default()).expect("a platform");
+    let hosts = [watch(&platform), watch(&platform), watch(&platform)];
+    assert_eq!(hosts[0].crashed(POISON, crash("engine-1")), Suspicion::Suspect);
+    // The second host knows of the first crash as soon as it has noted its own.
+    let second = hosts[1].crashed(POISON, crash("engine-2"));
+    assert!(matches!(second, Suspicion::Refused { .. }), "{second:?}");
+    for host in &hosts {
+        eventually("a refusal", || matches!(host.check(POISON), Suspicion::Refused { .. }));
+        assert_eq!(host.check(INNOCENT), Suspicion::Clear);
+    }
+}
+
+#[test]
+fn completed_suspect_cleared() {
+    let platform = Platform::start(PlatformConfig::default()).expect("a platform");
+    let hosts = [watch(&platform), watch(&platform)];
+    hosts[0].crashed(INNOCENT, crash("engine-1"));
+    eventually("a suspect", || hosts[1].check(INNOCENT) == Suspicion::Suspect);
+    hosts[0].completed(INNOCENT);
+    eventually("no row", || rows(&platform) == 0);
+    for host in &hosts {
+        eventually("a clear request", || host.check(INNOCENT) == Suspicion::Clear);
+    }
+    assert_eq!(hosts[1].crashed(INNOCENT, crash("engine-2")), Suspicion::Suspect);
+}
+
+#[test]
+fn noted_without_store() {
+    let platform = Platform::start(PlatformConfig::default()).expect("a platform");
+    let (first, second) = (watch(&platform), watch(&platform));
+    fail(&platform, &Faults { table_down: true, ..Faults::default() });
+    thread::scope(|scope| {
+        let crashes = [crash("engine-1"), crash("engine-2")];
+        let notes = crashes.map(|it| scope.spawn(|| first.crashed(POISON, it)));
+        eventually("a refusal", || matches!(first.check(POISON), Suspicion::Refused { .. }));
+        assert_eq!(second.check(POISON), Suspicion::Clear);
+        fail(&platform, &Faults::default());
+        for note in notes {
+            note.join().expect("a note");
+        }
+    });
+    eventually("a refusal", || matches!(second.check(POISON), Suspicion::Refused { .. }));
+}
