feat(settings): section decisions with policy and time scale

Cause: the simple policies must share the daemon's path to be compared with ours. Change: one visible match from a policy's name to the settings of router, admission and planner; one engine does both stages when none is there for one of them.

--- a/src/route/choice.rs
+++ b/src/route/choice.rs
@@ -108,6 +108,15 @@
                 scene.consider(&mut best, Route { prefill: Some(*prefill), target });
             }
         }
+        best.or_else(|| self.last_resort(scene))
+    }
+
+    /// Lets one engine do both stages when no engine is there for one of them.
+    fn last_resort(&self, scene: &Scene<'_>) -> Option<(Route, Course)> {
+        let mut best = None;
+        for target in self.prefill.iter().chain(&self.decode) {
+            scene.consider(&mut best, Route { prefill: None, target: *target });
+        }
         best
     }
 }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,6 +1,7 @@
 //! Settings of the daemon: INI text to checked values, one file a section.
 
 mod callers;
+mod decisions;
 mod document;
 mod fault;
 mod field;
@@ -15,6 +16,7 @@
 
 pub use self::{
     callers::Callers,
+    decisions::{Decisions, Policy},
     document::Document,
     fault::{Fault, Flaw, Place, nearest},
     field::{Field, Key, Need, Section, Slot, keys, text, values},
@@ -39,6 +41,8 @@
     pub callers: Callers,
     /// Section `targets`: bounds of the calls to targets.
     pub targets: Targets,
+    /// Section `decisions`: how requests are admitted and routed.
+    pub decisions: Decisions,
     /// Sections `service <name>`: which calls of a plain service are repeatable.
     pub services: BTreeMap<id::Service, Service>,
 }
@@ -69,6 +73,7 @@
             peers: document.section(Peers::NAME),
             callers: document.section(Callers::NAME),
             targets: document.section(Targets::NAME),
+            decisions: document.section(Decisions::NAME),
             services: services(&mut document),
         };
         document.finish(settings)
@@ -82,14 +87,22 @@
             keys::<Peers>(),
             keys::<Callers>(),
             keys::<Targets>(),
+            keys::<Decisions>(),
             keys::<Service>(),
         ]
         .concat()
     }
 }
 
-const SECTIONS: [&str; 6] =
-    [Host::NAME, Platform::NAME, Peers::NAME, Callers::NAME, Targets::NAME, Service::NAME];
+const SECTIONS: [&str; 7] = [
+    Host::NAME,
+    Platform::NAME,
+    Peers::NAME,
+    Callers::NAME,
+    Targets::NAME,
+    Decisions::NAME,
+    Service::NAME,
+];
 
 fn services(document: &mut Document) -> BTreeMap<id::Service, Service> {
     let mut services = BTreeMap::new();
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -330,3 +330,12 @@
         println!("{targets} targets: median {:?}, p99 {:?}", times[5_000], times[9_900]);
     }
 }
+
+#[rstest]
+#[case::no_decode(Role::Prefill)]
+#[case::no_prefill(Role::Decode)]
+fn last_resort(#[case] role: Role) {
+    let mut router = router(&[role, role], 18);
+    let path = router.choose(&demand(100, &[]), Moment::ZERO).expect("one engine does both");
+    assert_eq!(path.prefill, None);
+}
