--- a/src/event.rs
+++ b/src/event.rs
@@ -63,6 +63,14 @@
     ConfigUnreadable = (4004, Error);
     /// The table names an older configuration than the one in force; the newer one stays.
     ConfigWentBack = (4005, Error);
+    /// A connection to the peers' port did not prove the shared key.
+    PeerRefused = (6001, Warn);
+    /// An entry host is heard for the first time, or again.
+    PeerUp = (6002, Info);
+    /// An entry host is no longer heard.
+    PeerDown = (6003, Warn);
+    /// The host list does not answer.
+    HostListDown = (6004, Warn);
 }
 
 /// Logs an event with its number in front.
--- /dev/null
+++ b/src/host/membership.rs
@@ -0,0 +1,361 @@
+//! Keeps the roster: heartbeats to the other entry hosts, and the platform's host list.
+
+use std::{
+    fmt,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, OnceLock, RwLock},
+    time::Duration,
+};
+
+use super::{Candidate, Change, Choice, Roster, View, choose};
+use crate::{
+    clock::{self, Moment},
+    contract::store::Edition,
+    event,
+    event::Event,
+    id,
+    link::peer::{
+        Links,
+        wire::{Heartbeat, Hint, Load, Member},
+    },
+    platform::{HostList, Kind, Machine, State},
+    refresh::{self, Freshness, Peers},
+    settings,
+    timer::Timer,
+};
+
+/// Time between two reports of this host to the host list.
+const REPORT_EVERY: Duration = Duration::from_secs(1);
+/// Reports of this host for each read of the host list.
+const REPORTS_PER_READ: u32 = 2;
+
+/// What this host says of itself in a heartbeat.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Own {
+    /// Configuration in force; `None` before the first.
+    pub version: Option<id::Version>,
+    /// What this host may do with it.
+    pub freshness: Freshness,
+    /// How busy it is.
+    pub load: Load,
+}
+
+type Describe = Box<dyn Fn() -> Own + Send + Sync>;
+type MachineSubscriber = Box<dyn Fn(&[Machine]) + Send + Sync>;
+
+/// Runs the membership; clones share it.
+pub struct Membership<L> {
+    inner: Arc<Inner<L>>,
+}
+
+struct Inner<L> {
+    own: Mutex<Member>,
+    list: L,
+    links: Links,
+    roster: Mutex<Roster>,
+    describe: OnceLock<Describe>,
+    machines: RwLock<Arc<Vec<Machine>>>,
+    subscribers: RwLock<Vec<MachineSubscriber>>,
+}
+
+impl<L> Clone for Membership<L> {
+    fn clone(&self) -> Membership<L> {
+        Membership { inner: Arc::clone(&self.inner) }
+    }
+}
+
+impl<L> fmt::Debug for Membership<L> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Membership").finish_non_exhaustive()
+    }
+}
+
+impl<L: HostList> Membership<L> {
+    /// Creates the membership of the host `own`.
+    pub fn new(own: Member, list: L, links: Links, peers: &settings::Peers) -> Membership<L> {
+        let roster = Roster::new(own.host.clone(), peers.silence);
+        let inner = Inner {
+            own: Mutex::new(own),
+            list,
+            links,
+            roster: Mutex::new(roster),
+            describe: OnceLock::new(),
+            machines: RwLock::default(),
+            subscribers: RwLock::default(),
+        };
+        Membership { inner: Arc::new(inner) }
+    }
+
+    /// Sets what this host says of itself; heartbeats before that name no configuration.
+    pub fn describe(&self, describe: impl Fn() -> Own + Send + Sync + 'static) {
+        let _ = self.inner.describe.set(Box::new(describe));
+    }
+
+    /// Calls `subscriber` with all machines after each read of the host list.
+    pub fn subscribe(&self, subscriber: impl Fn(&[Machine]) + Send + Sync + 'static) {
+        let mut all = self.inner.subscribers.write().expect("subscriber lock poisoned");
+        all.push(Box::new(subscriber));
+    }
+
+    /// Starts heartbeats and reports on the timer service.
+    pub fn start(&self, timer: &Timer, peers: &settings::Peers) {
+        let it = self.clone();
+        let mut before = clock::now();
+        timer.every("heartbeat", peers.heartbeat, move |now| {
+            it.beat(now);
+            it.note(it.roster().silenced(before, now));
+            before = now;
+        });
+        let it = self.clone();
+        let mut reports = 0;
+        let mut answers = Answers::Given;
+        timer.every("host-list", REPORT_EVERY, move |_| {
+            it.report();
+            if reports % REPORTS_PER_READ == 0 {
+                answers = it.read_list(answers);
+            }
+            reports = reports.wrapping_add(1);
+        });
+    }
+
+    /// Tells the platform and all peers that this host is about to stop.
+    pub fn leave(&self) {
+        self.own_mut().state = State::Leaving;
+        self.report();
+        self.beat_to(self.all_members());
+    }
+
+    /// Returns this host as it describes itself.
+    pub fn own(&self) -> Member {
+        self.own_mut().clone()
+    }
+
+    /// Returns whether this host is about to stop.
+    pub fn is_leaving(&self) -> bool {
+        self.own_mut().state == State::Leaving
+    }
+
+    /// Returns all machines of the host list as last read.
+    pub fn machines(&self) -> Arc<Vec<Machine>> {
+        Arc::clone(&self.inner.machines.read().expect("machine lock poisoned"))
+    }
+
+    /// Returns the other entry hosts as they appear now.
+    pub fn views(&self) -> Vec<View> {
+        self.roster().views(clock::now())
+    }
+
+    /// Returns all known entry hosts, this one included.
+    pub fn members(&self) -> Vec<Member> {
+        let mut members = self.all_members();
+        members.push(self.own());
+        members
+    }
+
+    /// Returns the peers' address of an entry host by its name.
+    pub fn address(&self, host: &str) -> Option<SocketAddr> {
+        self.roster().run(host).map(|it| it.peers_address)
+    }
+
+    /// Returns the peers' address of a certain run of an entry host.
+    pub fn run_address(&self, host: &id::Host, run: id::Incarnation) -> Option<SocketAddr> {
+        self.roster().member(host, run).map(|it| it.peers_address)
+    }
+
+    /// Returns the peers' addresses of all other entry hosts.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.all_members().into_iter().map(|it| it.peers_address).collect()
+    }
+
+    /// Returns the links to the other hosts.
+    pub fn links(&self) -> &Links {
+        &self.inner.links
+    }
+
+    /// Returns which entry hosts a caller near `data_centre` should use; `seed` spreads callers.
+    pub fn choose(&self, data_centre: Option<&str>, seed: u64) -> Choice {
+        let own = self.own();
+        let said = self.own_state();
+        let views = self.views();
+        let mut candidates: Vec<Candidate> =
+            views.iter().filter_map(|it| Candidate::try_from(it).ok()).collect();
+        if own.state == State::Live && said.freshness.admits() {
+            candidates.push(Candidate { member: own.clone(), load: said.load });
+        }
+        choose(&candidates, data_centre.unwrap_or(&own.data_centre), seed)
+    }
+
+    /// Takes a heartbeat from a peer and returns this host's own.
+    pub fn hear(&self, beat: &Heartbeat) -> Heartbeat {
+        self.take(beat);
+        self.heartbeat(&beat.from.host)
+    }
+
+    /// Tells all peers that a row has news.
+    pub fn hint(&self, hint: &Hint) {
+        self.inner.links.hints(self.addresses(), hint);
+    }
+
+    /// Sends a heartbeat to all other hosts now and takes the answers.
+    pub fn beat_all(&self) {
+        self.beat_to(self.all_members());
+    }
+
+    fn beat(&self, now: Moment) {
+        let due = self.roster().due(now);
+        self.beat_to(due);
+        if !self.roster().is_listed() {
+            self.learn_members();
+        }
+    }
+
+    fn beat_to(&self, members: Vec<Member>) {
+        let beat = |it: &Member| (it.peers_address, self.heartbeat(&it.host));
+        let beats = members.iter().map(beat).collect();
+        for answer in self.inner.links.heartbeats(beats) {
+            self.take(&answer);
+        }
+    }
+
+    /// Asks the first peer that answers for the members, while the host list does not answer.
+    fn learn_members(&self) {
+        for member in self.all_members() {
+            if let Ok(members) = self.inner.links.members(member.peers_address) {
+                self.roster().learn(&members);
+                return;
+            }
+        }
+    }
+
+    fn take(&self, beat: &Heartbeat) {
+        let own = self.own_mut().incarnation;
+        let changes = self.roster().hear(beat, own, clock::now());
+        self.note(changes);
+    }
+
+    fn heartbeat(&self, to: &str) -> Heartbeat {
+        let Own { version, freshness, load } = self.own_state();
+        let heard = self.roster().heard_run(to);
+        Heartbeat { from: self.own(), heard, version, freshness, load }
+    }
+
+    fn own_state(&self) -> Own {
+        let unknown = Own { version: None, freshness: Freshness::Starting, load: Load::default() };
+        self.inner.describe.get().map_or(unknown, |it| it())
+    }
+
+    fn report(&self) {
+        let machine = Machine::from(&self.own());
+        if let Err(err) = self.inner.list.report(&machine) {
+            log::debug!("the host list did not take this host's report: {err}");
+        }
+    }
+
+    fn read_list(&self, before: Answers) -> Answers {
+        let machines = match self.inner.list.machines() {
+            Ok(machines) => machines,
+            Err(err) => {
+                if before == Answers::Given {
+                    event!(Event::HostListDown, "the host list does not answer: {err}");
+                }
+                return Answers::Missing;
+            }
+        };
+        let members: Vec<Member> =
+            machines.iter().filter_map(|it| Member::try_from(it).ok()).collect();
+        self.roster().list(&members, clock::now());
+        self.inner.links.retain(&self.addresses());
+        let machines = Arc::new(machines);
+        *self.inner.machines.write().expect("machine lock poisoned") = Arc::clone(&machines);
+        for it in self.inner.subscribers.read().expect("subscriber lock poisoned").iter() {
+            it(&machines);
+        }
+        Answers::Given
+    }
+
+    fn note(&self, changes: Vec<Change>) {
+        for change in changes {
+            match change {
+                Change::Up(host) => event!(Event::PeerUp, "the entry host {host} is heard"),
+                Change::Down(host) => {
+                    event!(Event::PeerDown, "the entry host {host} is no longer heard");
+                }
+                Change::Replaced(host) => {
+                    event!(Event::PeerUp, "the entry host {host} was replaced by a new run");
+                }
+            }
+        }
+    }
+
+    fn all_members(&self) -> Vec<Member> {
+        self.views().into_iter().map(|it| it.member).collect()
+    }
+
+    fn own_mut(&self) -> MutexGuard<'_, Member> {
+        self.inner.own.lock().expect("own lock poisoned")
+    }
+
+    fn roster(&self) -> MutexGuard<'_, Roster> {
+        self.inner.roster.lock().expect("roster lock poisoned")
+    }
+}
+
+/// Whether the host list answered last time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Answers {
+    Given,
+    Missing,
+}
+
+impl<L: HostList> refresh::Source for Membership<L> {
+    fn peers(&self) -> Peers {
+        self.roster().peers(clock::now())
+    }
+
+    fn edition(&self, version: id::Version) -> Option<Edition> {
+        let knows = |it: &View| it.version.is_some_and(|it| version <= it);
+        let peers = self.views();
+        peers.iter().filter(|it| knows(it)).find_map(|it| {
+            let address = it.member.peers_address;
+            let answer = self.inner.links.configuration(address, version).ok()??;
+            Edition::try_from(answer).ok()
+        })
+    }
+}
+
+impl From<&Member> for Machine {
+    fn from(it: &Member) -> Machine {
+        Machine {
+            name: it.host.clone(),
+            kind: Kind::Entry,
+            data_centre: it.data_centre.clone(),
+            address: it.callers_address,
+            peer_address: Some(it.peers_address),
+            incarnation: it.incarnation,
+            state: it.state,
+        }
+    }
+}
+
+/// A machine that is not an entry host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("the machine is not an entry host")]
+pub struct NotEntry;
+
+impl TryFrom<&Machine> for Member {
+    type Error = NotEntry;
+
+    fn try_from(it: &Machine) -> Result<Member, NotEntry> {
+        match (&it.kind, it.peer_address) {
+            (Kind::Entry, Some(peers_address)) => Ok(Member {
+                host: it.name.clone(),
+                incarnation: it.incarnation,
+                data_centre: it.data_centre.clone(),
+                callers_address: it.address,
+                peers_address,
+                state: it.state,
+            }),
+            _ => Err(NotEntry),
+        }
+    }
+}
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -1,1 +1,11 @@
 //! Entry hosts: membership, joining and leaving.
+
+mod choice;
+mod membership;
+mod roster;
+
+pub use self::{
+    choice::{Candidate, Choice, Pick, choose},
+    membership::{Membership, NotEntry, Own},
+    roster::{Change, Roster, Status, View},
+};
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -1,4 +1,5 @@
 //! Connections to callers, peers and targets.
 
 pub mod front;
+pub mod peer;
 pub mod runtime;
--- /dev/null
+++ b/src/link/peer/client.rs
@@ -0,0 +1,316 @@
+//! The connecting side of peer links.
+
+use std::{
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use tarpc::{client::RpcError, context::Context};
+use tokio::{net::TcpStream, sync::Mutex as AsyncMutex, task::JoinSet, time};
+
+use super::{
+    proof::{self, Key},
+    service::PeerClient,
+    transport,
+    wire::{
+        ClaimQuestion, ClaimStatus, Configuration, CrashNotice, Demands, DrainQuestion,
+        DrainStatus, Heartbeat, Hint, Member, Shares, StopQuestion, StopStatus,
+    },
+};
+use crate::{id, link::runtime};
+
+/// A call to a peer that gave no answer.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// No connection could be opened, so the peer did not get the call.
+    #[error("cannot connect to the peer at {address}: {message}")]
+    Unreachable {
+        /// Address of the peer.
+        address: SocketAddr,
+        /// What failed.
+        message: String,
+    },
+    /// The peer did not answer in time; it may have got the call. The connection is dropped.
+    #[error("the peer at {address} did not answer: {message}")]
+    Silent {
+        /// Address of the peer.
+        address: SocketAddr,
+        /// What failed.
+        message: String,
+    },
+}
+
+/// Calls to peers; clones share the connections.
+#[derive(Debug, Clone)]
+pub struct Links {
+    inner: Arc<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    key: Key,
+    timeout: Duration,
+    links: Mutex<HashMap<SocketAddr, Arc<Link>>>,
+}
+
+/// The connection to one peer, opened by the first call and replaced after a failure.
+#[derive(Debug, Default)]
+struct Link {
+    connection: AsyncMutex<Option<Connection>>,
+}
+
+#[derive(Debug, Clone)]
+struct Connection {
+    client: PeerClient,
+    number: u64,
+}
+
+/// Whether a connection was open before the call.
+#[derive(Debug, Clone, Copy)]
+enum Age {
+    New,
+    Old,
+}
+
+/// Why a call on one connection gave no answer.
+enum Failure {
+    /// The connection was closed while it was unused; every call may be repeated on a new one.
+    Stale,
+    Final(Error),
+}
+
+impl Links {
+    /// Creates links that prove `key` and wait at most `timeout` for a connection and an answer.
+    pub fn new(key: Key, timeout: Duration) -> Links {
+        Links { inner: Arc::new(Inner { key, timeout, links: Mutex::default() }) }
+    }
+
+    /// Closes the connections to all addresses that are not among `kept`.
+    pub fn retain(&self, kept: &[SocketAddr]) {
+        self.links().retain(|address, _| kept.contains(address));
+    }
+
+    /// Sends heartbeats to several peers at once and returns the answers that came in time.
+    pub fn heartbeats(&self, beats: Vec<(SocketAddr, Heartbeat)>) -> Vec<Heartbeat> {
+        runtime::handle().block_on(async {
+            let mut calls = JoinSet::new();
+            for (address, beat) in beats {
+                let links = self.clone();
+                calls.spawn(async move { links.send_heartbeat(address, beat).await });
+            }
+            calls.join_all().await.into_iter().flatten().collect()
+        })
+    }
+
+    /// Sends a hint to several peers at once; a peer that misses it learns by its own refresh.
+    pub fn hints(&self, addresses: Vec<SocketAddr>, hint: &Hint) {
+        for address in addresses {
+            let links = self.clone();
+            let hint = hint.clone();
+            runtime::handle().spawn(async move {
+                let call = move |it: PeerClient, context| {
+                    let hint = hint.clone();
+                    async move { it.hint(context, hint).await }
+                };
+                let _ = links.call(address, call).await;
+            });
+        }
+    }
+
+    /// Sends a crash notice to several peers at once, without waiting for them.
+    pub fn crashes(&self, addresses: Vec<SocketAddr>, notice: &CrashNotice) {
+        for address in addresses {
+            let links = self.clone();
+            let notice = notice.clone();
+            runtime::handle().spawn(async move {
+                let call = move |it: PeerClient, context| {
+                    let notice = notice.clone();
+                    async move { it.crash(context, notice).await }
+                };
+                let _ = links.call(address, call).await;
+            });
+        }
+    }
+
+    /// Asks a peer for the entry hosts that it knows.
+    ///
+    /// # Errors
+    /// Fails when the peer does not answer in time.
+    pub fn members(&self, address: SocketAddr) -> Result<Vec<Member>, Error> {
+        self.wait(address, |it: PeerClient, context| async move { it.members(context).await })
+    }
+
+    /// Asks a peer for its configuration in force if its version is at least `least`.
+    ///
+    /// # Errors
+    /// Fails when the peer does not answer in time.
+    pub fn configuration(
+        &self,
+        address: SocketAddr,
+        least: id::Version,
+    ) -> Result<Option<Configuration>, Error> {
+        self.wait(address, async |it: PeerClient, context| it.configuration(context, least).await)
+    }
+
+    /// Asks a claimant what became of a claim.
+    ///
+    /// # Errors
+    /// Fails when the peer does not answer in time.
+    pub fn claim_status(
+        &self,
+        address: SocketAddr,
+        question: ClaimQuestion,
+    ) -> Result<ClaimStatus, Error> {
+        self.wait(address, move |it: PeerClient, context| {
+            let question = question.clone();
+            async move { it.claim_status(context, question).await }
+        })
+    }
+
+    /// Asks a host whether it has nothing left at a drained target.
+    ///
+    /// # Errors
+    /// Fails when the peer does not answer in time.
+    pub fn drain_status(
+        &self,
+        address: SocketAddr,
+        question: DrainQuestion,
+    ) -> Result<DrainStatus, Error> {
+        self.wait(address, move |it: PeerClient, context| {
+            let question = question.clone();
+            async move { it.drain_status(context, question).await }
+        })
+    }
+
+    /// Asks an earlier holder whether it has stopped giving orders.
+    ///
+    /// # Errors
+    /// Fails when the peer does not answer in time.
+    pub fn stop_status(
+        &self,
+        address: SocketAddr,
+        question: StopQuestion,
+    ) -> Result<StopStatus, Error> {
+        self.wait(address, move |it: PeerClient, context| {
+            let question = question.clone();
+            async move { it.stop_status(context, question).await }
+        })
+    }
+
+    /// Sends this host's demand to the holder of a group; `None` when the peer does not hold it.
+    ///
+    /// # Errors
+    /// Fails when the peer does not answer in time.
+    pub fn shares(&self, address: SocketAddr, demands: Demands) -> Result<Option<Shares>, Error> {
+        self.wait(address, move |it: PeerClient, context| {
+            let demands = demands.clone();
+            async move { it.shares(context, demands).await }
+        })
+    }
+
+    async fn send_heartbeat(&self, address: SocketAddr, beat: Heartbeat) -> Option<Heartbeat> {
+        let call = move |it: PeerClient, context| {
+            let beat = beat.clone();
+            async move { it.heartbeat(context, beat).await }
+        };
+        self.call(address, call).await.ok()
+    }
+
+    fn wait<R, F>(
+        &self,
+        address: SocketAddr,
+        call: impl Fn(PeerClient, Context) -> F,
+    ) -> Result<R, Error>
+    where
+        F: Future<Output = Result<R, RpcError>>,
+    {
+        runtime::handle().block_on(self.call(address, call))
+    }
+
+    async fn call<R, F>(
+        &self,
+        address: SocketAddr,
+        call: impl Fn(PeerClient, Context) -> F,
+    ) -> Result<R, Error>
+    where
+        F: Future<Output = Result<R, RpcError>>,
+    {
+        let link = Arc::clone(self.links().entry(address).or_default());
+        match self.call_once(&link, address, &call).await {
+            Err(Failure::Stale) => {}
+            Err(Failure::Final(err)) => return Err(err),
+            Ok(answer) => return Ok(answer),
+        }
+        match self.call_once(&link, address, &call).await {
+            Err(Failure::Stale) => {
+                Err(Error::Silent { address, message: "the connection was closed twice".into() })
+            }
+            Err(Failure::Final(err)) => Err(err),
+            Ok(answer) => Ok(answer),
+        }
+    }
+
+    async fn call_once<R, F>(
+        &self,
+        link: &Link,
+        address: SocketAddr,
+        call: &impl Fn(PeerClient, Context) -> F,
+    ) -> Result<R, Failure>
+    where
+        F: Future<Output = Result<R, RpcError>>,
+    {
+        let opened = self.connection(link, address).await;
+        let (connection, age) = opened.map_err(|err| {
+            Failure::Final(Error::Unreachable { address, message: err.to_string() })
+        })?;
+        let mut context = Context::current();
+        context.deadline = Instant::now() + self.inner.timeout;
+        let err = match call(connection.client, context).await {
+            Ok(answer) => return Ok(answer),
+            Err(err) => err,
+        };
+        link.drop_connection(connection.number).await;
+        match (age, &err) {
+            (Age::Old, RpcError::Shutdown | RpcError::Send(_) | RpcError::Channel(_)) => {
+                Err(Failure::Stale)
+            }
+            _ => Err(Failure::Final(Error::Silent { address, message: err.to_string() })),
+        }
+    }
+
+    /// Returns the open connection, or a new one. Calls that come meanwhile wait for the same one.
+    async fn connection(&self, link: &Link, address: SocketAddr) -> io::Result<(Connection, Age)> {
+        let mut place = link.connection.lock().await;
+        if let Some(connection) = place.as_ref() {
+            return Ok((connection.clone(), Age::Old));
+        }
+        let opened = time::timeout(self.inner.timeout, self.open(address)).await;
+        let client = opened.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?;
+        let connection = Connection { client, number: rand::random() };
+        *place = Some(connection.clone());
+        Ok((connection, Age::New))
+    }
+
+    async fn open(&self, address: SocketAddr) -> io::Result<PeerClient> {
+        let mut stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        proof::connect(&mut stream, &self.inner.key).await?;
+        Ok(PeerClient::new(tarpc::client::Config::default(), transport(stream)).spawn())
+    }
+
+    fn links(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Arc<Link>>> {
+        self.inner.links.lock().expect("link lock poisoned")
+    }
+}
+
+impl Link {
+    async fn drop_connection(&self, number: u64) {
+        let mut place = self.connection.lock().await;
+        if place.as_ref().is_some_and(|it| it.number == number) {
+            *place = None;
+        }
+    }
+}
--- a/src/refresh/mod.rs
+++ b/src/refresh/mod.rs
@@ -164,8 +164,12 @@
 
     /// Returns what this host may do now.
     pub fn freshness(&self) -> Freshness {
+        let now = clock::now();
+        if self.state().is_fresh(now) {
+            return Freshness::Fresh;
+        }
         let peers = self.inner.source.peers();
-        self.state().freshness(clock::now(), &peers)
+        self.state().freshness(now, &peers)
     }
 
     /// Returns the store that the refresh reads.
--- a/src/refresh/state.rs
+++ b/src/refresh/state.rs
@@ -131,13 +131,18 @@
         }
     }
 
+    /// Returns whether the host is fresh at `now`, whatever its peers say.
+    pub fn is_fresh(&self, now: Moment) -> bool {
+        self.joined && self.version.is_some() && self.is_confirmed(now)
+    }
+
     /// Returns what the host may do at `now`.
     pub fn freshness(&self, now: Moment, peers: &Peers) -> Freshness {
         let Some(version) = self.version else { return Freshness::Starting };
         if !self.joined {
             return Freshness::Starting;
         }
-        if self.is_confirmed(now) {
+        if self.is_fresh(now) {
             return Freshness::Fresh;
         }
         if peers.is_majority() && peers.highest <= version {
--- a/src/settings/peers.rs
+++ b/src/settings/peers.rs
@@ -21,8 +21,8 @@
     fn default() -> Peers {
         Peers {
             key: String::new(),
-            heartbeat: Duration::from_millis(500),
-            silence: Duration::from_secs(2),
+            heartbeat: Duration::from_secs(1),
+            silence: Duration::from_secs(3),
             timeout: Duration::from_secs(1),
         }
     }
