feat(link): peer links and membership of entry hosts

Cause: hosts must know each other, spread news of the configuration and answer each other's questions about claims, drains, leases and shares. Ruled out: heartbeats in both directions of a pair, which double the bytes; retiring a run for good when another one is heard, since a late old run could then retire the new one.

--- /dev/null
+++ b/tests/peer.rs
@@ -0,0 +1,227 @@
+//! Peer links: proof of the shared key, calls, and connections that go silent.
+
+use std::{
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use fuchsiaknot::{
+    contract::store::Edition,
+    link::peer::{
+        self, Config, Error, Handler, Links, Listener, proof,
+        wire::{
+            ClaimQuestion, ClaimStatus, Configuration, CrashNotice, Demands, DrainQuestion,
+            DrainStatus, Heartbeat, Hint, Load, Member, Shares, StopQuestion, StopStatus,
+        },
+    },
+    platform::State,
+    refresh::Freshness,
+    utils,
+};
+use proptest::{prelude::*, test_runner::RngSeed};
+
+const PATIENCE: Duration = Duration::from_secs(20);
+const SHORT: Duration = Duration::from_secs(2);
+
+struct Echo(Member);
+
+impl Handler for Echo {
+    fn heartbeat(&self, beat: Heartbeat) -> Heartbeat {
+        Heartbeat { from: self.0.clone(), heard: Some(beat.from.incarnation), ..beat }
+    }
+    fn members(&self) -> Vec<Member> {
+        vec![self.0.clone()]
+    }
+    fn hint(&self, _: Hint) {}
+    fn configuration(&self, least: u64) -> Option<Configuration> {
+        let edition = Edition { version: 5, lists: Default::default() };
+        (least <= 5).then(|| Configuration::from(&edition))
+    }
+    fn claim_status(&self, _: ClaimQuestion) -> ClaimStatus {
+        ClaimStatus::NeverSent
+    }
+    fn drain_status(&self, _: DrainQuestion) -> DrainStatus {
+        panic!("a handler that fails");
+    }
+    fn stop_status(&self, _: StopQuestion) -> StopStatus {
+        StopStatus::Stopped
+    }
+    fn shares(&self, _: Demands) -> Option<Shares> {
+        None
+    }
+    fn crash(&self, _: CrashNotice) {}
+}
+
+fn member(address: SocketAddr) -> Member {
+    Member {
+        host: "a".into(),
+        incarnation: 9,
+        data_centre: "brno-a".into(),
+        callers_address: address,
+        peers_address: address,
+        state: State::Live,
+    }
+}
+
+fn beat(address: SocketAddr) -> Heartbeat {
+    Heartbeat {
+        from: member(address),
+        heard: None,
+        version: Some(3),
+        freshness: Freshness::Fresh,
+        load: Load::default(),
+    }
+}
+
+fn listen(secret: &str) -> Listener {
+    let (listener, address) = utils::free_listener().unwrap();
+    listen_on(listener, address, secret)
+}
+
+fn listen_on(listener: TcpListener, address: SocketAddr, secret: &str) -> Listener {
+    let config =
+        Config { key: proof::Key::from(secret), proof_time: PATIENCE, idle_time: PATIENCE };
+    peer::listen(listener, config, Arc::new(Echo(member(address)))).unwrap()
+}
+
+fn links(secret: &str, timeout: Duration) -> Links {
+    Links::new(proof::Key::from(secret), timeout)
+}
+
+#[test]
+fn calls_answered() {
+    let listener = listen("shared");
+    let address = listener.address();
+    let links = links("shared", PATIENCE);
+    let answers = links.heartbeats(vec![(address, beat(address))]);
+    assert_eq!(answers[0].heard, Some(9));
+    assert_eq!(links.members(address).unwrap(), [member(address)]);
+    let configuration = links.configuration(address, 4).unwrap().unwrap();
+    assert_eq!(Edition::try_from(configuration).unwrap().version, 5);
+    assert_eq!(links.configuration(address, 6).unwrap(), None);
+}
+
+#[test]
+fn other_key_refused() {
+    let listener = listen("shared");
+    let err = links("another", PATIENCE).members(listener.address()).unwrap_err();
+    assert!(matches!(err, Error::Unreachable { .. }), "{err}");
+}
+
+#[test]
+fn false_server_refused() {
+    let (server, address) = utils::free_listener().unwrap();
+    thread::spawn(move || {
+        use std::io::{Read, Write};
+        let (mut stream, _) = server.accept().unwrap();
+        let mut opening = [0; 40];
+        stream.read_exact(&mut opening).unwrap();
+        stream.write_all(&[7; 64]).unwrap();
+        let mut rest = Vec::new();
+        let _ = stream.read_to_end(&mut rest);
+        assert!(rest.is_empty(), "the client sent its proof to a false server");
+    });
+    let err = links("shared", PATIENCE).members(address).unwrap_err();
+    assert!(err.to_string().contains("peers.key"), "{err}");
+}
+
+#[test]
+fn failed_handler_isolated() {
+    let listener = listen("shared");
+    let links = links("shared", SHORT);
+    let question = DrainQuestion { group: "g".into(), target: "t".into(), revision: 1 };
+    assert!(links.drain_status(listener.address(), question).is_err());
+    let patient = self::links("shared", PATIENCE);
+    assert!(patient.members(listener.address()).is_ok());
+}
+
+#[test]
+fn restarted_peer_reached() {
+    let first = listen("shared");
+    let address = first.address();
+    let links = links("shared", PATIENCE);
+    links.members(address).unwrap();
+    drop(first);
+    let listener = loop {
+        match TcpListener::bind(address) {
+            Ok(listener) => break listener,
+            Err(_) => thread::sleep(Duration::from_millis(10)),
+        }
+    };
+    let _second = listen_on(listener, address, "shared");
+    assert!(links.members(address).is_ok());
+}
+
+/// Forwards connections; the first one is kept open but forwards nothing after `bytes` bytes.
+fn silent_proxy(to: SocketAddr, bytes: u64) -> (SocketAddr, Arc<AtomicUsize>) {
+    use std::io::{Read, copy};
+    let (listener, address) = utils::free_listener().unwrap();
+    let count = Arc::new(AtomicUsize::new(0));
+    let connections = Arc::clone(&count);
+    thread::spawn(move || {
+        for (index, client) in listener.incoming().enumerate() {
+            let client = client.unwrap();
+            let server = TcpStream::connect(to).unwrap();
+            connections.fetch_add(1, Ordering::SeqCst);
+            let (mut back, mut forth) = (server.try_clone().unwrap(), client.try_clone().unwrap());
+            thread::spawn(move || copy(&mut back, &mut forth));
+            thread::spawn(move || {
+                let (mut client, mut server) = (client, server);
+                let limit = if index == 0 { bytes } else { u64::MAX };
+                let _ = copy(&mut (&mut client).take(limit), &mut server);
+                loop {
+                    thread::park();
+                }
+            });
+        }
+    });
+    (address, count)
+}
+
+#[test]
+fn silent_connection_replaced() {
+    const PROOF_BYTES: u64 = 8 + 32 + 32;
+    let listener = listen("shared");
+    let (address, connections) = silent_proxy(listener.address(), PROOF_BYTES);
+    let err = links("shared", SHORT);
+    let silent = err.members(address).unwrap_err();
+    assert!(matches!(silent, Error::Silent { .. }), "{silent}");
+    let mut answered = false;
+    for _ in 0..50 {
+        answered |= err.members(address).is_ok();
+        if answered {
+            break;
+        }
+    }
+    assert!(answered);
+    assert!(2 <= connections.load(Ordering::SeqCst));
+}
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(17),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn lists_cross_unchanged(plans in any::<String>(), version in any::<u64>()) {
+        let lists = fuchsiaknot::contract::Lists { plans, ..Default::default() };
+        let edition = Edition { version, lists };
+        prop_assert_eq!(Edition::try_from(Configuration::from(&edition)).unwrap(), edition);
+    }
+
+    #[test]
+    fn any_lists_checked(lists in any::<String>()) {
+        let _ = Edition::try_from(Configuration { version: 1, lists });
+    }
+}
--- /dev/null
+++ b/tests/roster.rs
@@ -0,0 +1,152 @@
+//! The roster of entry hosts, and which hosts callers should use.
+
+use std::{collections::HashSet, net::SocketAddr, time::Duration};
+
+use fuchsiaknot::{
+    host::{Candidate, Change, Roster, Status, choose},
+    link::peer::wire::{Heartbeat, Load, Member},
+    platform::State,
+    refresh::Freshness,
+};
+use smol_str::format_smolstr;
+
+const SILENCE: Duration = Duration::from_secs(3);
+const OWN: u64 = 77;
+
+fn at(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn member(host: &str, incarnation: u64) -> Member {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    Member {
+        host: host.into(),
+        incarnation,
+        data_centre: "brno-a".into(),
+        callers_address: address,
+        peers_address: address,
+        state: State::Live,
+    }
+}
+
+fn beat(host: &str, incarnation: u64, version: u64) -> Heartbeat {
+    Heartbeat {
+        from: member(host, incarnation),
+        heard: Some(OWN),
+        version: Some(version),
+        freshness: Freshness::Fresh,
+        load: Load::default(),
+    }
+}
+
+fn roster() -> Roster {
+    let mut roster = Roster::new("b".into(), SILENCE);
+    roster.list(&[member("a", 1), member("b", OWN), member("c", 3)], at(0));
+    roster
+}
+
+#[test]
+fn heard_hosts_counted() {
+    let mut roster = roster();
+    assert_eq!(roster.hear(&beat("a", 1, 4), OWN, at(1)), [Change::Up("a".into())]);
+    let peers = roster.peers(at(2));
+    assert_eq!((peers.known, peers.heard, peers.told, peers.highest), (2, 1, 1, 4));
+    assert_eq!(roster.peers(at(4)).heard, 0);
+    assert_eq!(roster.silenced(at(3), at(4)), [Change::Down("a".into())]);
+}
+
+#[test]
+fn earlier_run_told_not() {
+    let mut roster = roster();
+    roster.hear(&Heartbeat { heard: Some(OWN + 1), ..beat("a", 1, 4) }, OWN, at(1));
+    assert_eq!(roster.peers(at(1)).told, 0);
+}
+
+#[test]
+fn replaced_run_followed() {
+    let mut roster = roster();
+    roster.hear(&beat("a", 1, 4), OWN, at(1));
+    let changes = roster.hear(&beat("a", 2, 5), OWN, at(2));
+    assert_eq!(changes, [Change::Replaced("a".into()), Change::Up("a".into())]);
+    assert_eq!(roster.run("a").unwrap().incarnation, 2);
+    assert_eq!(roster.peers(at(2)).known, 2);
+    assert!(roster.member(&"a".into(), 1).is_some());
+    roster.list(&[member("a", 2)], at(9));
+    assert!(roster.member(&"a".into(), 1).is_none());
+}
+
+#[test]
+fn gone_host_forgotten() {
+    let mut roster = roster();
+    roster.hear(&beat("a", 1, 4), OWN, at(1));
+    roster.list(&[], at(2));
+    assert_eq!(roster.peers(at(2)).known, 1);
+    roster.list(&[], at(4));
+    assert_eq!(roster.peers(at(4)).known, 0);
+}
+
+#[test]
+fn unlisted_learns_from_peer() {
+    let mut roster = Roster::new("b".into(), SILENCE);
+    roster.hear(&beat("a", 1, 4), OWN, at(1));
+    assert!(!roster.peers(at(1)).is_majority());
+    roster.learn(&[member("a", 1), member("c", 3), member("d", 4)]);
+    assert_eq!(roster.peers(at(1)).known, 3);
+}
+
+#[test]
+fn leaving_stays_leaving() {
+    let mut roster = roster();
+    let leaving = Member { state: State::Leaving, ..member("a", 1) };
+    roster.hear(&Heartbeat { from: leaving, ..beat("a", 1, 4) }, OWN, at(1));
+    roster.list(&[member("a", 1), member("c", 3)], at(2));
+    let views = roster.views(at(2));
+    assert_eq!(
+        views.iter().map(|it| it.status).collect::<Vec<_>>(),
+        [Status::Leaving, Status::Silent]
+    );
+    assert!(views.iter().all(|it| Candidate::try_from(it).is_err()));
+}
+
+#[test]
+fn lower_name_calls() {
+    let mut roster = roster();
+    roster.hear(&beat("a", 1, 4), OWN, at(10));
+    roster.hear(&beat("c", 3, 4), OWN, at(10));
+    let due = |roster: &Roster, now| -> Vec<_> {
+        roster.due(now).into_iter().map(|it| it.host).collect()
+    };
+    assert_eq!(due(&roster, at(11)), ["c"]);
+    assert_eq!(due(&roster, at(12)), ["a", "c"]);
+}
+
+fn candidate(host: &str, data_centre: &str, connections: u32) -> Candidate {
+    let member = Member { data_centre: data_centre.into(), ..member(host, 1) };
+    Candidate { member, load: Load { connections, capacity: 100 } }
+}
+
+#[test]
+fn near_hosts_first() {
+    let candidates =
+        [candidate("a", "far", 0), candidate("b", "near", 50), candidate("c", "near", 90)];
+    let order = |seed| -> Vec<_> {
+        choose(&candidates, "near", seed).hosts.into_iter().map(|it| it.host).collect()
+    };
+    assert!((0..50).all(|seed| order(seed) == ["b", "a", "c"]));
+}
+
+#[test]
+fn callers_spread() {
+    let candidates: Vec<_> =
+        (0..3).map(|it| candidate(&format_smolstr!("h{it}"), "near", it * 30)).collect();
+    let mut first = [0_u32; 3];
+    for seed in 0..3_000 {
+        let host = &choose(&candidates, "near", seed).hosts[0].host;
+        first[host[1..].parse::<usize>().unwrap()] += 1;
+    }
+    assert!(first[1] < first[0] && first[2] < first[1], "{first:?}");
+    assert!(first.iter().all(|it| 300 < *it), "{first:?}");
+    let orders: HashSet<_> =
+        (0..100).map(|seed| choose(&candidates, "near", seed).hosts[0].host.clone()).collect();
+    assert_eq!(orders.len(), 3);
+}
