--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod front;
 pub mod outgoing;
+pub mod peer;
 pub mod runtime;
