feat(daemon): peers, membership and policies wired into the entry host

Cause: claims asked nobody, the answer to 'which host' came from the lagging list alone, and decisions ran on defaults. Change: the daemon listens to peers, claims ask the claimant over the peer link, /v1/hosts answers from the membership, router and admission take the settings' policy; a stale host refuses what must not repeat.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,36 +1,48 @@
 //! One entry host: builds its parts, starts them and ends them in order.
 
+mod peer;
 pub mod process;
 
 use std::{
     collections::HashSet,
     io,
     net::{SocketAddr, TcpListener},
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, atomic::Ordering},
     time::Duration,
 };
 
+use self::peer::Peer;
 use crate::{
-    admit::{self, Admission},
+    admit::Admission,
     claim::{self, Claimant},
     clock,
     contract::store::Store,
-    cost::{self, Lengths},
+    cost::Lengths,
     crash, event,
     event::Event,
-    id,
-    link::{front::Front, runtime},
+    host::Own,
+    id, link,
+    link::{
+        front::Front,
+        peer::{
+            Links, Listener,
+            proof::Key,
+            wire::{Load, Member},
+        },
+        runtime,
+    },
     metric::Metrics,
-    platform::{self, HostList, Kind, Machine, State},
-    refresh::{NoPeers, Refresh},
-    route::{self, Router},
-    serve::{self, Callers, Context, Departure, Fleet, Gate, Hosts, Peers, Retries, Watch},
+    platform,
+    platform::{Kind, State},
+    refresh::{Freshness, Refresh},
+    route::Router,
+    serve::{self, Callers, Context, Departure, Fleet, Gate, Members, Peers, Retries, Watch},
     settings::Settings,
     timer::Timer,
 };
 
-/// Time between two readings of the host list, and between two reports to it.
-const LIST_EVERY: Duration = Duration::from_secs(1);
+/// Time without a call after which a peer's connection is dropped.
+const PEER_IDLE: Duration = Duration::from_secs(10);
 /// Time between two looks at what waits for admission.
 const ADMIT_EVERY: Duration = Duration::from_millis(20);
 /// Time between two looks at what a leaving host still runs.
@@ -62,9 +74,8 @@
 pub struct Daemon {
     ctx: Arc<Context>,
     front: Front,
+    peers: Listener,
     timer: Timer,
-    machine: Arc<Mutex<Machine>>,
-    platform: platform::Client,
 }
 
 impl Daemon {
@@ -73,29 +84,28 @@
     /// # Errors
     /// Fails when an address cannot be listened on or the system refuses a thread.
     pub fn start(settings: Settings) -> Result<Daemon, Error> {
-        let listener = listen(settings.host.callers_address)?;
-        let incarnation = rand::random();
-        let machine = Machine {
-            name: settings.host.name.clone(),
-            kind: Kind::Entry,
+        let callers = listen(settings.host.callers_address)?;
+        let peers = listen(settings.host.peers_address)?;
+        let own = Member {
+            host: settings.host.name.clone(),
+            incarnation: rand::random(),
             data_centre: settings.host.data_centre.clone(),
-            address: listener.local_addr()?,
-            peer_address: None,
-            incarnation,
+            callers_address: callers.local_addr()?,
+            peers_address: peers.local_addr()?,
             state: State::Live,
         };
-        let platform = platform::Client::new(&settings.platform);
-        let ctx = Arc::new(context(settings, &platform, incarnation)?);
+        let ctx = Arc::new(context(settings, own)?);
         let timer = Timer::new();
-        let machine = Arc::new(Mutex::new(machine));
-        subscribe(&ctx);
-        schedule(&ctx, &timer, &platform, &machine);
+        let peers =
+            link::peer::listen(peers, peer_config(&ctx), Arc::new(Peer::new(Arc::clone(&ctx))))?;
         let bounds = (&ctx.settings.callers).into();
-        let callers = Arc::new(Callers::new(Arc::clone(&ctx)));
-        let front = Front::start(listener, bounds, callers, ctx.metrics.clone())?;
+        let handler = Arc::new(Callers::new(Arc::clone(&ctx)));
+        let front = Front::start(callers, bounds, handler, ctx.metrics.clone())?;
+        subscribe(&ctx, &front);
+        schedule(&ctx, &timer);
         let name = &ctx.settings.host.name;
         event!(Event::Started, "host {name} serves callers on {}", front.address());
-        Ok(Daemon { ctx, front, timer, machine, platform })
+        Ok(Daemon { ctx, front, peers, timer })
     }
 
     /// Returns the callers' address.
@@ -103,6 +113,11 @@
         self.front.address()
     }
 
+    /// Returns the peers' address.
+    pub fn peers_address(&self) -> SocketAddr {
+        self.peers.address()
+    }
+
     /// Returns what the requests of this host share.
     pub fn context(&self) -> &Arc<Context> {
         &self.ctx
@@ -114,7 +129,7 @@
         let host = &self.ctx.settings.host;
         event!(Event::ShutdownBegun, "host {} leaves", host.name);
         self.ctx.departure.begin(clock::now() + host.leave_after);
-        self.report(State::Leaving);
+        self.ctx.members.leave();
         while !self.ctx.departure.refuses(clock::now()) || 0 < self.ctx.departure.open() {
             std::thread::sleep(LEAVE_CHECK);
         }
@@ -130,45 +145,35 @@
         self.timer.stop();
         event!(Event::ShutdownDone, "host {} has left", host.name);
     }
-
-    fn report(&self, state: State) {
-        let machine = {
-            let mut machine = self.machine.lock().expect("machine lock poisoned");
-            machine.state = state;
-            machine.clone()
-        };
-        if let Err(fault) = self.platform.report(&machine) {
-            log::warn!("the platform does not know that this host leaves: {fault}");
-        }
-    }
 }
 
 fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
     TcpListener::bind(address).map_err(|source| Error::Listen { address, source })
 }
 
-fn context(
-    settings: Settings,
-    platform: &platform::Client,
-    incarnation: id::Incarnation,
-) -> Result<Context, Error> {
+fn context(settings: Settings, own: Member) -> Result<Context, Error> {
+    let platform = platform::Client::new(&settings.platform);
     let metrics = match settings.host.metrics_address {
         Some(address) => Metrics::statsd(address)?,
         None => Metrics::local(),
     };
+    let key = Key::from(settings.peers.key.as_str());
+    let links = Links::new(key, settings.peers.timeout);
+    let incarnation = own.incarnation;
+    let members = Members::new(own, platform.clone(), links, &settings.peers);
     let store = Store::new(platform.clone(), platform.clone());
-    let refresh = Refresh::new(store, NoPeers, settings.host.configuration_bound);
-    let router = Router::new(route::Config::default(), rand::random());
+    let refresh = Refresh::new(store, members.clone(), settings.host.configuration_bound);
+    let router = Router::new(settings.decisions.route(), rand::random());
     let claimant = Claimant { host: settings.host.name.clone(), incarnation };
     let config = claim::Config { claimant };
-    let claims = serve::Claims::start(config, platform.clone(), platform.clone(), Peers)?;
-    let crashes = crash::Watch::start(crash::Config::default(), platform.clone())?;
+    let peers = Peers(members.clone());
+    let claims = serve::Claims::start(config, platform.clone(), platform.clone(), peers)?;
+    let crashes = crash::Watch::start(crash::Config::default(), platform)?;
     Ok(Context {
         fleet: Fleet::new(router, settings.targets.clone()),
-        hosts: Hosts::new(settings.host.name.clone()),
-        gate: Gate::new(Admission::new(admit::Config::default())),
+        gate: Gate::new(Admission::new(settings.decisions.admit())),
         watch: Watch::default(),
-        lengths: Mutex::new(Lengths::new(cost::Config::default())),
+        lengths: Mutex::new(Lengths::new(settings.decisions.cost())),
         retries: Retries::default(),
         departure: Departure::default(),
         settings,
@@ -176,29 +181,58 @@
         refresh,
         claims,
         crashes,
+        members,
     })
 }
 
-/// Passes each new configuration on to admission.
-fn subscribe(ctx: &Arc<Context>) {
+fn peer_config(ctx: &Context) -> link::peer::Config {
+    let peers = &ctx.settings.peers;
+    link::peer::Config {
+        key: Key::from(peers.key.as_str()),
+        proof_time: peers.timeout,
+        idle_time: PEER_IDLE,
+    }
+}
+
+/// Passes news of the configuration, the host list and the own state on.
+fn subscribe(ctx: &Arc<Context>, front: &Front) {
     let weak = Arc::downgrade(ctx);
     ctx.refresh.subscribe(move |contract| {
         if let Some(ctx) = weak.upgrade() {
             ctx.gate.with(|admission, now| admission.contract(&contract.limits, now));
         }
     });
+    let weak = Arc::downgrade(ctx);
+    ctx.members.subscribe(move |machines| {
+        if let Some(ctx) = weak.upgrade() {
+            ctx.fleet.list(machines);
+            let hosts = machines.iter().filter(|it| it.kind == Kind::Entry).count();
+            ctx.gate.with(|admission, now| admission.hosts(hosts, now));
+        }
+    });
+    let (weak, open) = (Arc::downgrade(ctx), front.counter());
+    ctx.members.describe(move || match weak.upgrade() {
+        Some(ctx) => own_state(&ctx, open.load(Ordering::Relaxed)),
+        None => Own { version: None, freshness: Freshness::Starting, load: Load::default() },
+    });
+}
+
+fn own_state(ctx: &Context, connections: usize) -> Own {
+    let count = |it: usize| u32::try_from(it).unwrap_or(u32::MAX);
+    let load =
+        Load { connections: count(connections), capacity: count(ctx.settings.callers.connections) };
+    let freshness = ctx.refresh.freshness();
+    let version = match freshness {
+        Freshness::Starting => None,
+        _ => Some(ctx.contract().version),
+    };
+    Own { version, freshness, load }
 }
 
 /// Subscribes the parts that run at intervals.
-fn schedule(
-    ctx: &Arc<Context>,
-    timer: &Timer,
-    platform: &platform::Client,
-    machine: &Arc<Mutex<Machine>>,
-) {
+fn schedule(ctx: &Arc<Context>, timer: &Timer) {
     ctx.refresh.start(timer, ctx.settings.platform.refresh);
-    let (it, client, own) = (Arc::clone(ctx), platform.clone(), Arc::clone(machine));
-    timer.every("hosts", LIST_EVERY, move |_| list(&it, &client, &own));
+    ctx.members.start(timer, &ctx.settings.peers);
     let it = Arc::clone(ctx);
     timer.every("admission", ADMIT_EVERY, move |_| it.gate.advance(it.fleet.router()));
     let it = Arc::clone(ctx);
@@ -208,19 +242,6 @@
     timer.every("reports", ctx.settings.targets.report_every, move |_| observe(&it, &busy));
 }
 
-/// Reports this host to the platform and takes over its list.
-fn list(ctx: &Context, platform: &platform::Client, machine: &Mutex<Machine>) {
-    let machine = machine.lock().expect("machine lock poisoned").clone();
-    if let Err(fault) = platform.report(&machine) {
-        log::debug!("the platform did not take this host's report: {fault}");
-    }
-    let Ok(machines) = platform.machines() else { return };
-    ctx.fleet.list(&machines);
-    ctx.hosts.list(&machines);
-    let hosts = machines.iter().filter(|it| it.kind == Kind::Entry).count();
-    ctx.gate.with(|admission, now| admission.hosts(hosts, now));
-}
-
 /// Asks each target for its report, unless the last question to it is still open.
 fn observe(ctx: &Arc<Context>, busy: &Arc<Mutex<HashSet<id::Target>>>) {
     for (machine, _) in ctx.fleet.targets() {
--- a/src/link/front/mod.rs
+++ b/src/link/front/mod.rs
@@ -146,6 +146,11 @@
         self.open.load(Ordering::Acquire)
     }
 
+    /// Returns the counter of open connections.
+    pub fn counter(&self) -> Arc<AtomicUsize> {
+        Arc::clone(&self.open)
+    }
+
     /// Soon accepts no more connections, and closes each open one after its present request.
     pub fn stop(&self) {
         self.stop.send_replace(true);
--- a/src/serve/context.rs
+++ b/src/serve/context.rs
@@ -6,6 +6,7 @@
         Arc, Mutex, RwLock,
         atomic::{AtomicUsize, Ordering},
     },
+    time::Duration,
 };
 
 use smol_str::SmolStr;
@@ -26,9 +27,8 @@
         Refusal,
         fleet::Fleet,
         gate::Gate,
-        hosts::Hosts,
         options::{Caller, Options},
-        peers::Peers,
+        peers::{Members, Peers, others},
         watch::Watch,
     },
     settings::{self, Settings},
@@ -36,6 +36,9 @@
     verdict::Reason,
 };
 
+/// Time after which to come back when the platform's table does not answer.
+const STALE_RETRY: Duration = Duration::from_secs(2);
+
 /// Claims of this host.
 pub type Claims = claim::Committer<platform::Client, Peers>;
 /// Configuration of this host.
@@ -60,8 +63,8 @@
     pub claims: Claims,
     /// Requests that crash targets.
     pub crashes: crash::Watch,
-    /// Entry hosts that callers may use.
-    pub hosts: Hosts,
+    /// Entry hosts.
+    pub members: Members,
     /// Expected lengths of answers.
     pub lengths: Mutex<Lengths>,
     /// Retry budgets.
@@ -83,21 +86,33 @@
     pub fn admits(&self, now: Moment) -> Result<(), Refusal> {
         if self.departure.refuses(now) {
             return Err(Refusal::new(Reason::Leaving, "this host is leaving; use another")
-                .with_hosts(self.hosts.others()));
+                .with_hosts(others(&self.members)));
         }
         match self.refresh.freshness() {
             Freshness::Starting => {
                 Err(Refusal::new(Reason::NotReady, "this host has no configuration yet")
-                    .with_hosts(self.hosts.others()))
+                    .with_hosts(others(&self.members)))
             }
             Freshness::Alone => {
                 Err(Refusal::new(Reason::Stale, "this host is cut off; use another")
-                    .with_hosts(self.hosts.others()))
+                    .with_hosts(others(&self.members)))
             }
             Freshness::Fresh | Freshness::Stale => Ok(()),
         }
     }
 
+    /// Checks that this host may admit a request that must not repeat.
+    ///
+    /// # Errors
+    /// Refuses while the configuration is older than the bound.
+    pub fn admits_unrepeatable(&self) -> Result<(), Refusal> {
+        if self.refresh.freshness().admits_unrepeatable() {
+            return Ok(());
+        }
+        let message = "the platform's table does not answer; nothing that must not repeat is sent";
+        Err(Refusal::new(Reason::Stale, message).with_retry_after(Some(STALE_RETRY)))
+    }
+
     /// Counts and logs a refusal.
     pub fn refused(&self, options: &Options, caller: &Caller, refusal: &Refusal) {
         self.metrics.refused(refusal.reason);
--- a/src/serve/job.rs
+++ b/src/serve/job.rs
@@ -104,6 +104,9 @@
     pub(super) fn run<W: Work>(&mut self, work: &mut W) -> Result<W::End, Stop> {
         self.caller.may_use(&self.demand.model_or_service)?;
         self.check_suspicion()?;
+        if self.repeat == Repeat::Forbidden {
+            self.ctx.admits_unrepeatable()?;
+        }
         let Some(key) = self.options.key.clone().filter(|_| self.repeat == Repeat::Forbidden)
         else {
             return self.admitted(work, None);
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -6,7 +6,6 @@
 mod fleet;
 mod gate;
 mod generate;
-mod hosts;
 mod job;
 mod options;
 mod output;
@@ -25,9 +24,8 @@
     context::{Claims, Configuration, Context, Departure, Retries},
     fleet::Fleet,
     gate::{Gate, Permit},
-    hosts::Hosts,
     options::{Caller, KEY_HEADER, MARK_HEADER, Mark, Options, REQUEST_HEADER, TIME_HEADER},
-    peers::Peers,
+    peers::{Members, Peers},
     refusal::Refusal,
     watch::{CHECK_EVERY, Watch},
 };
@@ -125,7 +123,7 @@
         match (&request.method, path.as_str()) {
             (&Method::GET, "/health/live") => reply.whole(Answer::new(200, "live\n")),
             (&Method::GET, "/health/ready") => reply.whole(ready(ctx)),
-            (&Method::GET, "/v1/hosts") => reply.whole(Answer::json(200, &ctx.hosts.answer())),
+            (&Method::GET, "/v1/hosts") => reply.whole(hosts(ctx, &request)),
             (&Method::GET, "/v1/models") => self.serve(Route::Models, &request, reply),
             (&Method::POST, "/v1/chat/completions") => {
                 self.serve(Route::Generate(Style::Chat), &request, reply);
@@ -157,6 +155,13 @@
     }
 }
 
+/// Answers which hosts to use; the query may name the caller's data centre.
+fn hosts(ctx: &Context, request: &Request) -> Answer {
+    let query = request.query.as_deref().unwrap_or_default();
+    let data_centre = query.split('&').find_map(|it| it.strip_prefix("data_centre="));
+    Answer::json(200, &ctx.members.choose(data_centre, rand::random()))
+}
+
 fn models(ctx: &Context, caller: &Caller) -> Answer {
     #[derive(Serialize)]
     struct Models {
