fix(claim): read the row again when its claimant no longer knows

Ruled out: a missing link (the hosts had heard each other before). Change: after 'unknown' or no answer the row is read once more; only an unchanged claim is held. The gate wakes only the thread that a decision is for. 'overhead' measures what a host adds.

--- a/src/bin/fuchsiaknot.rs
+++ b/src/bin/fuchsiaknot.rs
@@ -3,7 +3,10 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
-use fuchsiaknot::demo::{self, Afterwards};
+use fuchsiaknot::{
+    demo::{self, Afterwards},
+    overhead,
+};
 
 /// Operates a fuchsiaknot deployment.
 #[derive(Debug, Parser)]
@@ -21,11 +24,14 @@
         #[arg(long)]
         keep: bool,
     },
+    /// Measures what an entry host adds to a call.
+    Overhead(overhead::Args),
 }
 
 fn main() -> ExitCode {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("warn")).init();
     match Args::parse().command {
         Command::Demo { keep } => demo::run(if keep { Afterwards::Keep } else { Afterwards::Stop }),
+        Command::Overhead(args) => overhead::run(&args),
     }
 }
--- a/src/claim/attempt.rs
+++ b/src/claim/attempt.rs
@@ -98,6 +98,10 @@
     expected: id::Version,
     until: Moment,
     rounds: u32,
+    /// Token whose claimant was asked last.
+    asked: id::Token,
+    /// Token whose claimant could not say what became of it.
+    unsettled: Option<id::Token>,
     replaying: Option<Stored>,
 }
 
@@ -109,8 +113,17 @@
         token: id::Token,
         until: Moment,
     ) -> (Attempt, Action) {
-        let attempt =
-            Attempt { request, me, token, expected: 0, until, rounds: 0, replaying: None };
+        let attempt = Attempt {
+            request,
+            me,
+            token,
+            expected: 0,
+            until,
+            rounds: 0,
+            asked: 0,
+            unsettled: None,
+            replaying: None,
+        };
         let action = attempt.commit(Duration::ZERO);
         (attempt, action)
     }
@@ -128,7 +141,10 @@
             Input::Refused if self.in_time(now) => self.commit(STORE_RETRY),
             Input::Lost => Action::ReadBack { after: Duration::ZERO },
             Input::Unreadable if self.replaying.is_some() => Action::Refuse(Reason::ClaimHeld),
-            Input::Unreadable if self.in_time(now) => Action::ReadBack { after: STORE_RETRY },
+            Input::Unreadable if self.in_time(now) && self.unsettled.is_none() => {
+                Action::ReadBack { after: STORE_RETRY }
+            }
+            Input::Unreadable if self.unsettled.is_some() => Action::Refuse(Reason::ClaimHeld),
             Input::Refused | Input::Unreadable => Action::Refuse(Reason::ClaimUnavailable),
             Input::Told(status) => self.told(status),
             Input::Fetched(body) => self.fetched(body),
@@ -176,8 +192,12 @@
         match record.state {
             State::Done(Some(stored)) => self.replay(stored),
             State::Done(None) => Action::Refuse(Reason::AnswerLost),
+            State::Claimed if self.unsettled == Some(record.token) => {
+                Action::Refuse(Reason::ClaimHeld)
+            }
             State::Claimed | State::Abandoned => {
                 self.expected = version;
+                self.asked = record.token;
                 Action::Ask { claimant: record.claimant, token: record.token }
             }
         }
@@ -207,7 +227,12 @@
         match status {
             Some(Status::Abandoned | Status::NeverSent) => self.replace(self.expected),
             Some(Status::Answered(answer)) => Action::Replay(answer),
-            Some(Status::Sent | Status::Unknown) | None => Action::Refuse(Reason::ClaimHeld),
+            Some(Status::Sent) => Action::Refuse(Reason::ClaimHeld),
+            // The claimant forgets an answer once its row holds it, perhaps since the row was read.
+            Some(Status::Unknown) | None => {
+                self.unsettled = Some(self.asked);
+                Action::ReadBack { after: Duration::ZERO }
+            }
         }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod metric;
 pub mod operate;
 pub mod order;
+pub mod overhead;
 pub mod platform;
 pub mod refresh;
 pub mod retry;
--- a/src/serve/gate.rs
+++ b/src/serve/gate.rs
@@ -1,7 +1,8 @@
 //! Holds requests until admission starts or refuses them.
 
 use std::{
-    sync::{Condvar, Mutex, MutexGuard},
+    sync::{Mutex, MutexGuard},
+    thread::{self, Thread},
     time::Duration,
 };
 
@@ -22,13 +23,19 @@
 #[derive(Debug)]
 pub struct Gate {
     state: Mutex<State>,
-    decided: Condvar,
 }
 
 #[derive(Debug)]
 struct State {
     admission: Admission,
-    decisions: SecondaryMap<Key, Decision>,
+    requests: SecondaryMap<Key, Waiting>,
+}
+
+/// A request whose thread waits for a decision.
+#[derive(Debug)]
+struct Waiting {
+    thread: Thread,
+    decision: Option<Decision>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -49,8 +56,7 @@
 impl Gate {
     /// Creates a gate around admission.
     pub fn new(admission: Admission) -> Gate {
-        let state = State { admission, decisions: SecondaryMap::new() };
-        Gate { state: Mutex::new(state), decided: Condvar::new() }
+        Gate { state: Mutex::new(State { admission, requests: SecondaryMap::new() }) }
     }
 
     /// Waits until the request may start.
@@ -63,24 +69,29 @@
         router: &Mutex<Router>,
         presence: &Presence,
     ) -> Result<Permit<'_>, Stop> {
-        let key = self.lock().admission.offer(request, clock::now()).map_err(Stop::Refused)?;
+        let key = self.offer(request).map_err(Stop::Refused)?;
         self.advance(router);
-        let mut state = self.lock();
         loop {
-            match state.decisions.remove(key) {
+            match self.lock().decided(key) {
                 Some(Decision::Start) => return Ok(Permit { gate: self, key, cost: None }),
                 Some(Decision::Refuse(refusal)) => return Err(Stop::Refused(refusal)),
                 None => {}
             }
             if presence.is_gone() {
-                state.admission.cancel(key, clock::now());
+                self.lock().withdraw(key);
                 return Err(Stop::Gone);
             }
-            let waited = self.decided.wait_timeout(state, PRESENCE_CHECK);
-            state = waited.expect("gate lock poisoned").0;
+            thread::park_timeout(PRESENCE_CHECK);
         }
     }
 
+    fn offer(&self, request: Request) -> Result<Key, Refusal> {
+        let mut state = self.lock();
+        let key = state.admission.offer(request, clock::now())?;
+        state.requests.insert(key, Waiting { thread: thread::current(), decision: None });
+        Ok(key)
+    }
+
     /// Lets admission decide on what waits; called at each tick and each end of a request.
     pub fn advance(&self, router: &Mutex<Router>) {
         let now = clock::now();
@@ -89,19 +100,12 @@
             let router = router.lock().expect("router lock poisoned");
             state.admission.next(|name| router.capacity(name, now), now)
         };
-        if steps.is_empty() {
-            return;
-        }
         for step in steps {
             match step {
-                Step::Start(key) => state.decisions.insert(key, Decision::Start),
-                Step::Refuse(key, refusal) => {
-                    state.decisions.insert(key, Decision::Refuse(refusal))
-                }
-            };
+                Step::Start(key) => state.decide(key, Decision::Start),
+                Step::Refuse(key, refusal) => state.decide(key, Decision::Refuse(refusal)),
+            }
         }
-        drop(state);
-        self.decided.notify_all();
     }
 
     /// Gives access to admission, for limits, shares and counts.
@@ -114,6 +118,29 @@
     }
 }
 
+impl State {
+    /// Notes a decision and wakes the request's thread.
+    fn decide(&mut self, key: Key, decision: Decision) {
+        if let Some(waiting) = self.requests.get_mut(key) {
+            waiting.decision = Some(decision);
+            waiting.thread.unpark();
+        }
+    }
+
+    /// Takes the decision on a request, once there is one.
+    fn decided(&mut self, key: Key) -> Option<Decision> {
+        let decision = self.requests.get(key)?.decision?;
+        self.requests.remove(key);
+        Some(decision)
+    }
+
+    /// Withdraws a request whose caller went away.
+    fn withdraw(&mut self, key: Key) {
+        self.requests.remove(key);
+        self.admission.cancel(key, clock::now());
+    }
+}
+
 /// Permission to run one request; dropped, it makes room for others.
 #[derive(Debug)]
 pub struct Permit<'a> {
--- a/tests/claim.rs
+++ b/tests/claim.rs
@@ -8,7 +8,8 @@
 
 use fuchsiaknot::{
     claim::{
-        Answer, Claimant, Committer, Config, Outcome, Peers, Question, Request, State, Status, row,
+        Action, Answer, Attempt, Claimant, Committer, Config, Found, Input, Outcome, Peers,
+        Question, Record, Request, State, Status, Stored, row,
     },
     clock,
     platform::{Client, Row, Table, Write},
@@ -206,7 +207,7 @@
     fixture.fail(&Faults::default());
     assert!(first.flush(HANG));
     let row = fixture.row("order");
-    let record = fuchsiaknot::claim::Record::try_from(row.value.as_str()).expect("a claim");
+    let record = Record::try_from(row.value.as_str()).expect("a claim");
     assert_eq!(record.state, State::Abandoned);
     drop(first);
     granted(&fixture.host("host-2", 2), "order");
@@ -335,3 +336,29 @@
         assert_eq!(runs.count(), 1, "round {round}");
     }
 }
+
+/// Claims against a row of another host whose claimant knows nothing of it, and reads it again.
+fn reread(state: Option<State>) -> Action {
+    let other = Claimant { host: "host-2".into(), incarnation: 2 };
+    let record = Record { token: 8, claimant: other, fingerprint: 7, state: State::Claimed };
+    let found = |record| Found::Claim { version: 1, record };
+    let me = Claimant { host: "host-1".into(), incarnation: 1 };
+    let (mut attempt, _) = Attempt::new(request("order"), me, 9, HANG);
+    let asked = attempt.step(clock::Moment::ZERO, Input::Conflict(found(record.clone())));
+    assert!(matches!(asked, Action::Ask { token: 8, .. }), "{asked:?}");
+    let read = attempt.step(clock::Moment::ZERO, Input::Told(Some(Status::Unknown)));
+    assert!(matches!(read, Action::ReadBack { .. }), "{read:?}");
+    let input = match state {
+        Some(state) => Input::Read(found(Record { state, ..record })),
+        None => Input::Unreadable,
+    };
+    attempt.step(clock::Moment::ZERO, input)
+}
+
+#[test]
+fn forgotten_answer_reread() {
+    let stored = Stored::new(&answer("shipped"), || "unused".into());
+    assert_eq!(reread(Some(State::Done(Some(stored)))), Action::Replay(answer("shipped")));
+    assert_eq!(reread(Some(State::Claimed)), Action::Refuse(Reason::ClaimHeld));
+    assert_eq!(reread(None), Action::Refuse(Reason::ClaimHeld));
+}
