feat(operate): operators' port, command line, and joining by the host list

Cause: operators edit two lists, announce changes and look at the fleet; an edit must say stored and in force apart. Ruled out: forgetting unlisted silent runs at once, since they may be the greater part of the fleet, cut off from the platform.

--- a/src/contract/mod.rs
+++ b/src/contract/mod.rs
@@ -3,9 +3,10 @@
 mod account;
 mod announcement;
 mod check;
-mod difference;
+pub mod difference;
 mod limits;
 pub mod store;
+pub mod text;
 mod wire;
 
 use std::{collections::HashMap, time::Duration};
--- a/src/contract/store.rs
+++ b/src/contract/store.rs
@@ -194,7 +194,7 @@
         Contract::try_from(&edit.lists).map_err(Error::Invalid)?;
         let (current, row) = self.read_current()?;
         if current.version != edit.from {
-            return self.conflict(edit.from, current.version);
+            return self.repeated(edit, current.version);
         }
         let writes = self.writes(edit, row.version)?;
         match self.commit(edit, &writes)? {
@@ -206,6 +206,14 @@
         }
     }
 
+    /// Answers an edit from an earlier version: stored already by the same edit, or in conflict.
+    fn repeated(&self, edit: &Edit, current: id::Version) -> Result<Outcome, Error> {
+        match self.winner(edit)? {
+            Won::Ours => Ok(Outcome::Stored(edit.from + 1)),
+            Won::Another => self.conflict(edit.from, current),
+        }
+    }
+
     /// Repeats the write until its outcome is known; the token makes a repeat harmless.
     fn commit(&self, edit: &Edit, writes: &[Write]) -> Result<Won, Error> {
         let version = edit.from + 1;
--- a/src/host/membership.rs
+++ b/src/host/membership.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use super::{Candidate, Change, Choice, Roster, View, choose};
+use super::{Candidate, Change, Choice, Roster, Said, View, choose};
 use crate::{
     clock::{self, Moment},
     contract::store::Edition,
@@ -26,6 +26,8 @@
 
 /// Time between two reports of this host to the host list.
 const REPORT_EVERY: Duration = Duration::from_secs(1);
+/// Time between two reports while the list does not yet name this host.
+const JOIN_EVERY: Duration = Duration::from_millis(250);
 /// Reports of this host for each read of the host list.
 const REPORTS_PER_READ: u32 = 2;
 
@@ -72,8 +74,17 @@
 
 impl<L: HostList> Membership<L> {
     /// Creates the membership of the host `own`.
-    pub fn new(own: Member, list: L, links: Links, peers: &settings::Peers) -> Membership<L> {
-        let roster = Roster::new(own.host.clone(), peers.silence);
+    ///
+    /// `bound` is the age of the configuration after which a lone host admits nothing.
+    pub fn new(
+        own: Member,
+        list: L,
+        links: Links,
+        peers: &settings::Peers,
+        bound: Duration,
+    ) -> Membership<L> {
+        let memory = bound + peers.silence;
+        let roster = Roster::new(own.host.clone(), own.incarnation, peers.silence, memory);
         let inner = Inner {
             own: Mutex::new(own),
             list,
@@ -107,14 +118,16 @@
             before = now;
         });
         let it = self.clone();
-        let mut reports = 0;
+        let mut reports: u32 = 0;
         let mut answers = Answers::Given;
-        timer.every("host-list", REPORT_EVERY, move |_| {
+        timer.schedule("host-list", move |_| {
             it.report();
-            if reports % REPORTS_PER_READ == 0 {
+            let listed = it.roster().is_listed();
+            if !listed || reports.is_multiple_of(REPORTS_PER_READ) {
                 answers = it.read_list(answers);
             }
             reports = reports.wrapping_add(1);
+            if it.roster().is_listed() { REPORT_EVERY } else { JOIN_EVERY }
         });
     }
 
@@ -135,6 +148,11 @@
         self.own_mut().state == State::Leaving
     }
 
+    /// Returns how busy this host is.
+    pub fn load(&self) -> Load {
+        self.own_state().load
+    }
+
     /// Returns all machines of the host list as last read.
     pub fn machines(&self) -> Arc<Vec<Machine>> {
         Arc::clone(&self.inner.machines.read().expect("machine lock poisoned"))
@@ -145,6 +163,11 @@
         self.roster().views(clock::now())
     }
 
+    /// Returns what the runs of the other entry hosts said of their configuration.
+    pub fn said(&self) -> Vec<Said> {
+        self.roster().said(clock::now())
+    }
+
     /// Returns all known entry hosts, this one included.
     pub fn members(&self) -> Vec<Member> {
         let mut members = self.all_members();
@@ -196,9 +219,16 @@
         self.inner.links.hints(self.addresses(), hint);
     }
 
-    /// Sends a heartbeat to all other hosts now and takes the answers.
-    pub fn beat_all(&self) {
-        self.beat_to(self.all_members());
+    /// Sends a heartbeat to all other hosts now, those included that only other hosts know.
+    pub fn survey(&self) {
+        let known = self.all_members();
+        let told = self.inner.links.all_members(self.addresses());
+        let own = self.own().host;
+        let unknown = |it: &Member| it.host != own && !known.iter().any(|has| has.host == it.host);
+        let mut members = known.clone();
+        members.extend(told.into_iter().filter(unknown));
+        members.dedup_by(|a, b| a.host == b.host);
+        self.beat_to(members);
     }
 
     fn beat(&self, now: Moment) {
@@ -221,15 +251,14 @@
     fn learn_members(&self) {
         for member in self.all_members() {
             if let Ok(members) = self.inner.links.members(member.peers_address) {
-                self.roster().learn(&members);
+                self.roster().learn(&members, clock::now());
                 return;
             }
         }
     }
 
     fn take(&self, beat: &Heartbeat) {
-        let own = self.own_mut().incarnation;
-        let changes = self.roster().hear(beat, own, clock::now());
+        let changes = self.roster().hear(beat, clock::now());
         self.note(changes);
     }
 
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -7,5 +7,5 @@
 pub use self::{
     choice::{Candidate, Choice, Pick, choose},
     membership::{Membership, NotEntry, Own},
-    roster::{Change, Roster, Status, View},
+    roster::{Change, Roster, Said, Status, View},
 };
--- a/src/host/roster.rs
+++ b/src/host/roster.rs
@@ -16,7 +16,9 @@
 #[derive(Debug, Clone)]
 pub struct Roster {
     own: id::Host,
+    incarnation: id::Incarnation,
     silence: Duration,
+    memory: Duration,
     listed: bool,
     runs: BTreeMap<(id::Host, id::Incarnation), Entry>,
 }
@@ -25,6 +27,7 @@
 struct Entry {
     member: Member,
     listed: bool,
+    seen: Moment,
     heard: Option<Heard>,
 }
 
@@ -54,6 +57,17 @@
     pub silent_for: Option<Duration>,
 }
 
+/// What a run of an entry host said of its configuration.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Said {
+    /// Name of the host.
+    pub host: id::Host,
+    /// Version that it last said to have in force.
+    pub version: Option<id::Version>,
+    /// Whether it was heard within the bound on silence.
+    pub heard: bool,
+}
+
 /// Whether an entry host is in use.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Status {
@@ -67,6 +81,18 @@
     Silent,
 }
 
+impl Status {
+    /// Returns the form used in the operators' interface.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Status::Joining => "joining",
+            Status::Live => "live",
+            Status::Leaving => "leaving",
+            Status::Silent => "silent",
+        }
+    }
+}
+
 /// Something that happened to the roster.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Change {
@@ -79,26 +105,43 @@
 }
 
 impl Roster {
-    /// Creates an empty roster for the host `own`; `silence` is the bound on a peer's silence.
-    pub fn new(own: id::Host, silence: Duration) -> Roster {
-        Roster { own, silence, listed: false, runs: BTreeMap::new() }
+    /// Creates an empty roster for the run `incarnation` of the host `own`.
+    ///
+    /// `silence` is the bound on a peer's silence, `memory` the time for which a run is remembered
+    /// after it was last listed or heard; it exceeds the time for which such a run may still admit
+    /// requests.
+    pub fn new(
+        own: id::Host,
+        incarnation: id::Incarnation,
+        silence: Duration,
+        memory: Duration,
+    ) -> Roster {
+        Roster { own, incarnation, silence, memory, listed: false, runs: BTreeMap::new() }
     }
 
-    /// Takes the host list. Runs that are neither in it nor heard are forgotten.
+    /// Takes the host list.
+    ///
+    /// The other hosts count as known once the list names this run: of two hosts that start at the
+    /// same moment, the one that the list took later then finds the other one there. Runs that are neither in it nor heard are forgotten after a while, but only by a host that
+    /// hears most hosts: otherwise the silent ones may be the greater part of the fleet, cut off.
     pub fn list(&mut self, members: &[Member], now: Moment) {
-        self.listed = true;
+        let is_own = |it: &Member| it.host == self.own && it.incarnation == self.incarnation;
+        self.listed |= members.iter().any(is_own);
         self.runs.values_mut().for_each(|it| it.listed = false);
-        members.iter().for_each(|it| self.take_listed(it));
-        let silence = self.silence;
-        self.runs.retain(|_, it| it.listed || it.is_heard(now, silence));
+        members.iter().for_each(|it| self.take_listed(it, now));
+        if !self.peers(now).is_majority() {
+            return;
+        }
+        let memory = self.memory;
+        self.runs.retain(|_, it| it.listed || now.saturating_sub(it.seen) < memory);
     }
 
-    /// Takes the members that a peer knows, when the host list was never read.
-    pub fn learn(&mut self, members: &[Member]) {
+    /// Takes the members that a peer knows, while the host list does not name this run.
+    pub fn learn(&mut self, members: &[Member], now: Moment) {
         if self.listed {
             return;
         }
-        members.iter().for_each(|it| self.take_listed(it));
+        members.iter().for_each(|it| self.take_listed(it, now));
         self.listed = true;
     }
 
@@ -107,8 +150,8 @@
         self.listed
     }
 
-    /// Takes a heartbeat that was received at `now` by the run `own` of this host.
-    pub fn hear(&mut self, beat: &Heartbeat, own: id::Incarnation, now: Moment) -> Vec<Change> {
+    /// Takes a heartbeat that was received at `now`.
+    pub fn hear(&mut self, beat: &Heartbeat, now: Moment) -> Vec<Change> {
         let member = &beat.from;
         if member.host == self.own {
             return Vec::new();
@@ -117,12 +160,13 @@
         if self.run(&member.host).is_some_and(|it| it.incarnation != member.incarnation) {
             changes.push(Change::Replaced(member.host.clone()));
         }
-        let silence = self.silence;
-        let entry = self.entry(member);
+        let (silence, own) = (self.silence, self.incarnation);
+        let entry = self.entry(member, now);
         if !entry.is_heard(now, silence) {
             changes.push(Change::Up(member.host.clone()));
         }
         entry.member = member.clone();
+        entry.seen = now;
         entry.heard = Some(Heard {
             at: now,
             told: beat.heard == Some(own),
@@ -187,6 +231,20 @@
         peers
     }
 
+    /// Returns what each remembered run said of its configuration.
+    ///
+    /// Runs that left and are no longer heard are not among them; they admit nothing.
+    pub fn said(&self, now: Moment) -> Vec<Said> {
+        let said = |it: &Entry| Said {
+            host: it.member.host.clone(),
+            version: it.heard.and_then(|it| it.version),
+            heard: it.is_heard(now, self.silence),
+        };
+        let left =
+            |it: &Entry| it.member.state == State::Leaving && !it.is_heard(now, self.silence);
+        self.runs.values().filter(|it| !left(it)).map(said).collect()
+    }
+
     /// Returns one run of each host: the one heard last.
     fn hosts(&self) -> Vec<&Entry> {
         let mut hosts: Vec<&Entry> = Vec::new();
@@ -200,20 +258,21 @@
         hosts
     }
 
-    fn take_listed(&mut self, member: &Member) {
+    fn take_listed(&mut self, member: &Member, now: Moment) {
         if member.host == self.own {
             return;
         }
-        let entry = self.entry(member);
+        let entry = self.entry(member, now);
         entry.listed = true;
+        entry.seen = now;
         // The list lags, so it can say that a host leaves but not that it stays.
         if member.state == State::Leaving {
             entry.member.state = State::Leaving;
         }
     }
 
-    fn entry(&mut self, member: &Member) -> &mut Entry {
-        let new = || Entry { member: member.clone(), listed: false, heard: None };
+    fn entry(&mut self, member: &Member, now: Moment) -> &mut Entry {
+        let new = || Entry { member: member.clone(), listed: false, seen: now, heard: None };
         self.runs.entry((member.host.clone(), member.incarnation)).or_insert_with(new)
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admit;
 pub mod claim;
 pub mod clock;
+pub mod command;
 pub mod contract;
 pub mod cost;
 pub mod crash;
--- a/src/link/peer/client.rs
+++ b/src/link/peer/client.rs
@@ -135,6 +135,19 @@
         }
     }
 
+    /// Asks several peers at once for the entry hosts that they know.
+    pub fn all_members(&self, addresses: Vec<SocketAddr>) -> Vec<Member> {
+        runtime::handle().block_on(async {
+            let mut calls = JoinSet::new();
+            for address in addresses {
+                let links = self.clone();
+                let call = |it: PeerClient, context| async move { it.members(context).await };
+                calls.spawn(async move { links.call(address, call).await.unwrap_or_default() });
+            }
+            calls.join_all().await.into_iter().flatten().collect()
+        })
+    }
+
     /// Asks a peer for the entry hosts that it knows.
     ///
     /// # Errors
