--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -21,6 +21,7 @@
 
 pub use self::{failure::Failure, print::Printer};
 use crate::{
+    demo::{self, Afterwards},
     operate::Client,
     settings::{self, value},
 };
@@ -118,6 +119,12 @@
     },
     /// Reads a key from standard input and prints the hash that goes into settings and lists.
     HashKey,
+    /// Runs the whole path in one process on loopback.
+    Demo {
+        /// Goes on serving and prints a line to try.
+        #[arg(long)]
+        keep: bool,
+    },
     /// Prints the completions for a shell.
     Completions {
         /// The shell.
@@ -138,7 +145,7 @@
     };
     let printer = Printer::new(args.options.json, args.options.colour);
     match dispatch(args.command, &args.options, &printer) {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(code) => code,
         Err(failure) => {
             printer.failure(&failure);
             ExitCode::from(failure.code())
@@ -146,21 +153,25 @@
     }
 }
 
-fn dispatch(command: Command, options: &Options, printer: &Printer) -> Result<(), Failure> {
+fn dispatch(command: Command, options: &Options, printer: &Printer) -> Result<ExitCode, Failure> {
     match command {
-        Command::Plans(it) => it.run(lists::List::Plans, options, printer),
-        Command::Limits(it) => it.run(lists::List::Limits, options, printer),
-        Command::Announce(it) => it.run(options, printer),
-        Command::Drain(it) => it.run(options, printer),
-        Command::Release(it) => it.run(options, printer),
-        Command::Fleet(it) => it.run(options, printer),
-        Command::Requests => fleet::requests(options, printer),
-        Command::Counters => fleet::counters(options, printer),
-        Command::Check { file } => check::settings(&file, printer),
-        Command::HashKey => check::hash_key(printer),
-        Command::Completions { shell } => completions(shell, printer),
-        Command::Manual => manual(printer),
+        Command::Plans(it) => it.run(lists::List::Plans, options, printer)?,
+        Command::Limits(it) => it.run(lists::List::Limits, options, printer)?,
+        Command::Announce(it) => it.run(options, printer)?,
+        Command::Drain(it) => it.run(options, printer)?,
+        Command::Release(it) => it.run(options, printer)?,
+        Command::Fleet(it) => it.run(options, printer)?,
+        Command::Requests => fleet::requests(options, printer)?,
+        Command::Counters => fleet::counters(options, printer)?,
+        Command::Check { file } => check::settings(&file, printer)?,
+        Command::HashKey => check::hash_key(printer)?,
+        Command::Demo { keep } => {
+            return Ok(demo::run(if keep { Afterwards::Keep } else { Afterwards::Stop }));
+        }
+        Command::Completions { shell } => completions(shell, printer)?,
+        Command::Manual => manual(printer)?,
     }
+    Ok(ExitCode::SUCCESS)
 }
 
 fn completions(shell: Shell, printer: &Printer) -> Result<(), Failure> {
