--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -153,6 +153,11 @@
     }
 }
 
+/// Returns the long help of the whole command.
+pub fn help() -> String {
+    Args::command().render_long_help().to_string()
+}
+
 fn dispatch(command: Command, options: &Options, printer: &Printer) -> Result<ExitCode, Failure> {
     match command {
         Command::Plans(it) => it.run(lists::List::Plans, options, printer)?,
