--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -160,7 +160,13 @@
     let key = Key::from(settings.peers.key.as_str());
     let links = Links::new(key, settings.peers.timeout);
     let incarnation = own.incarnation;
-    let members = Members::new(own, platform.clone(), links, &settings.peers);
+    let members = Members::new(
+        own,
+        platform.clone(),
+        links,
+        &settings.peers,
+        settings.host.configuration_bound,
+    );
     let store = Store::new(platform.clone(), platform.clone());
     let refresh = Refresh::new(store, members.clone(), settings.host.configuration_bound);
     let router = Router::new(settings.decisions.route(), rand::random());
