feat(daemon): operators' port and the register of open requests

Cause: the command line had no host to talk to. Change: the daemon opens operate's port and prints its address; open requests are registered with customer, plan, target and attempts. Left: groups and release wait for the runner of leases and orders.

--- a/src/command/fleet.rs
+++ b/src/command/fleet.rs
@@ -104,18 +104,18 @@
 fn open_requests(requests: &Requests, printer: &Printer) -> String {
     let row = |it: &Request| {
         vec![
-            it.id.to_string(),
+            it.request.to_string(),
             it.customer.to_string(),
             it.plan.to_string(),
             it.asks.to_string(),
             it.target.as_deref().unwrap_or("-").to_owned(),
-            it.attempt.to_string(),
+            it.attempts.to_string(),
             format!("{} ms", it.age_ms),
         ]
     };
     let rows: Vec<_> = requests.requests.iter().map(row).collect();
     let title = format!("Open requests of {}", requests.host);
-    let heads = ["id", "customer", "plan", "asks for", "target", "attempt", "age"];
+    let heads = ["request", "customer", "plan", "asks for", "target", "attempts", "age"];
     printer.table(&title, &heads, &rows)
 }
 
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,5 +1,6 @@
 //! One entry host: builds its parts, starts them and ends them in order.
 
+mod operate;
 mod peer;
 pub mod process;
 
@@ -32,11 +33,14 @@
         runtime,
     },
     metric::Metrics,
+    operate::{Port, Unavailable},
     platform,
     platform::{Kind, State},
     refresh::{Freshness, Refresh},
     route::Router,
-    serve::{self, Callers, Context, Departure, Fleet, Gate, Members, Peers, Retries, Watch},
+    serve::{
+        self, Callers, Context, Departure, Fleet, Gate, Members, Peers, Register, Retries, Watch,
+    },
     settings::Settings,
     timer::Timer,
 };
@@ -64,6 +68,9 @@
     /// A part could not start.
     #[error("cannot start: {0}")]
     Start(#[from] io::Error),
+    /// The operators' port cannot be opened.
+    #[error(transparent)]
+    Operators(#[from] Unavailable),
     /// The receiver of metrics is not usable.
     #[error("cannot send metrics: {0}; check host.metrics_address")]
     Metrics(#[from] cadence::MetricError),
@@ -75,6 +82,7 @@
     ctx: Arc<Context>,
     front: Front,
     peers: Listener,
+    operators: Port,
     timer: Timer,
 }
 
@@ -101,11 +109,12 @@
         let bounds = (&ctx.settings.callers).into();
         let handler = Arc::new(Callers::new(Arc::clone(&ctx)));
         let front = Front::start(callers, bounds, handler, ctx.metrics.clone())?;
+        let operators = operate::open(&ctx, ctx.settings.host.operators_address)?;
         subscribe(&ctx, &front);
         schedule(&ctx, &timer);
         let name = &ctx.settings.host.name;
         event!(Event::Started, "host {name} serves callers on {}", front.address());
-        Ok(Daemon { ctx, front, peers, timer })
+        Ok(Daemon { ctx, front, peers, operators, timer })
     }
 
     /// Returns the callers' address.
@@ -113,6 +122,11 @@
         self.front.address()
     }
 
+    /// Returns the operators' address.
+    pub fn operators_address(&self) -> SocketAddr {
+        self.operators.address()
+    }
+
     /// Returns the peers' address.
     pub fn peers_address(&self) -> SocketAddr {
         self.peers.address()
@@ -179,6 +193,7 @@
         fleet: Fleet::new(router, settings.targets.clone()),
         gate: Gate::new(Admission::new(settings.decisions.admit())),
         watch: Watch::default(),
+        register: Register::default(),
         lengths: Mutex::new(Lengths::new(settings.decisions.cost())),
         retries: Retries::default(),
         departure: Departure::default(),
--- a/src/daemon/process.rs
+++ b/src/daemon/process.rs
@@ -65,6 +65,7 @@
 fn announce(daemon: &Daemon) {
     let mut out = std::io::stdout().lock();
     let _ = writeln!(out, "callers {}", daemon.callers_address());
+    let _ = writeln!(out, "operators {}", daemon.operators_address());
     let _ = writeln!(out, "peers {}", daemon.peers_address());
     let _ = out.flush();
 }
--- a/src/operate/mod.rs
+++ b/src/operate/mod.rs
@@ -14,7 +14,7 @@
     client::{Client, Error},
     editor::Editor,
     key::{Access, Denied},
-    server::{Port, Service, serve},
+    server::{Port, Service, Unavailable, serve},
 };
 
 /// What the operators' interface needs from the other parts of the host.
--- a/src/operate/wire.rs
+++ b/src/operate/wire.rs
@@ -287,8 +287,8 @@
 /// An open request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Request {
-    /// Number of the request on its host.
-    pub id: u64,
+    /// Identifier, as the caller sees it in its answer.
+    pub request: SmolStr,
     /// Account that sent it.
     pub customer: id::Customer,
     /// Plan of the account.
@@ -297,8 +297,8 @@
     pub asks: SmolStr,
     /// Target that runs it, if any.
     pub target: Option<id::Target>,
-    /// Number of the present attempt.
-    pub attempt: id::Attempt,
+    /// Attempts begun.
+    pub attempts: id::Attempt,
     /// Time since it arrived, in milliseconds.
     pub age_ms: u64,
 }
--- a/src/serve/context.rs
+++ b/src/serve/context.rs
@@ -29,6 +29,7 @@
         gate::Gate,
         options::{Caller, Options},
         peers::{Members, Peers, others},
+        register::Register,
         watch::Watch,
     },
     settings::{self, Settings},
@@ -59,6 +60,8 @@
     pub gate: Gate,
     /// Streams under way.
     pub watch: Watch,
+    /// Open requests.
+    pub register: Register,
     /// Claims of requests that may not repeat.
     pub claims: Claims,
     /// Requests that crash targets.
--- a/src/serve/job.rs
+++ b/src/serve/job.rs
@@ -18,6 +18,7 @@
         Context, Refusal, Stop,
         gate::Permit,
         options::{Caller, Options},
+        register::{Entry, Registered},
     },
     target::{self, Failure},
     verdict::{Reason, Verdict},
@@ -81,6 +82,7 @@
     started: Moment,
     fingerprint: id::Fingerprint,
     tries: Tries,
+    registered: Registered<'a>,
 }
 
 impl<'a> Job<'a> {
@@ -97,7 +99,28 @@
         let started = clock::now();
         let expires = started + options.time.unwrap_or(ctx.settings.callers.request_time);
         let tries = Tries::new(repeat, expires);
-        Job { ctx, caller, options, presence, expires, repeat, demand, started, fingerprint, tries }
+        let registered = ctx.register.enter(Entry {
+            request: options.request.clone(),
+            customer: caller.customer.clone(),
+            plan: caller.plan.clone(),
+            asks: demand.model_or_service.clone(),
+            target: None,
+            attempts: 0,
+            arrived: started,
+        });
+        Job {
+            ctx,
+            caller,
+            options,
+            presence,
+            expires,
+            repeat,
+            demand,
+            started,
+            fingerprint,
+            tries,
+            registered,
+        }
     }
 
     /// Runs the request to its answer; one that may not repeat and has a key is claimed first.
@@ -209,6 +232,7 @@
     /// Runs one attempt and tells the router what came of it.
     fn attempt<W: Work>(&self, work: &mut W, path: &Path) -> Result<W::End, Broken> {
         let fleet = &self.ctx.fleet;
+        self.registered.attempt(&path.target);
         let ticket = fleet.route().sent(path, &self.demand, clock::now());
         let result = work.attempt(self, path, ticket);
         let outcome = match &result {
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -11,6 +11,7 @@
 mod output;
 mod peers;
 mod refusal;
+mod register;
 mod watch;
 
 use std::sync::Arc;
@@ -27,6 +28,7 @@
     options::{Caller, KEY_HEADER, MARK_HEADER, Mark, Options, REQUEST_HEADER, TIME_HEADER},
     peers::{Members, Peers},
     refusal::Refusal,
+    register::{Entry, Register, Registered},
     watch::{CHECK_EVERY, Watch},
 };
 use crate::{
