fix(serve): note a crash of the run that an attempt was sent to

Cause: the run of a crashed target was looked up after the crash, when the host list may already name the next run, and a death of the prefill target was not looked for. A dying process may also accept a connection and drop it, which counted as unclear at once. Change: the runs of both targets are taken before the attempt; the question to the target is repeated for a second while it is unclear.

--- a/src/crash/confirm.rs
+++ b/src/crash/confirm.rs
@@ -1,10 +1,17 @@
 //! Tells a dead target from a broken connection.
 
+use std::{thread, time::Duration};
+
 use crate::{
     id,
     target::{Control, Failure},
 };
 
+/// Questions to a target before its state counts as unclear.
+const TRIES: u32 = 20;
+/// Time between two questions; a dying process may accept a connection and drop it.
+const PAUSE: Duration = Duration::from_millis(50);
+
 /// What a target says of itself after a request to it broke off.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Finding {
@@ -18,9 +25,13 @@
 
 /// Asks a target, on a new connection, whether a run of it is still there.
 pub fn confirm(control: &impl Control, incarnation: id::Incarnation) -> Finding {
-    match control.report() {
-        Ok(report) if report.incarnation == incarnation => Finding::Alive,
-        Ok(_) | Err(Failure::Connect(_)) => Finding::Died,
-        Err(_) => Finding::Unclear,
+    for _ in 0..TRIES {
+        match control.report() {
+            Ok(report) if report.incarnation == incarnation => return Finding::Alive,
+            Ok(_) | Err(Failure::Connect(_)) => return Finding::Died,
+            Err(Failure::Silent) => return Finding::Unclear,
+            Err(_) => thread::sleep(PAUSE),
+        }
     }
+    Finding::Unclear
 }
--- a/src/serve/job.rs
+++ b/src/serve/job.rs
@@ -83,6 +83,12 @@
     tries: Tries,
 }
 
+/// One run of a target that an attempt goes to.
+struct Run {
+    client: target::Client,
+    crash: Crash,
+}
+
 impl<'a> Job<'a> {
     /// Creates a job whose time runs from now.
     pub(super) fn new(
@@ -193,12 +199,13 @@
             if let Some(grant) = grant.as_deref_mut() {
                 grant.send().map_err(Refusal::from)?;
             }
+            let runs = self.runs(&path);
             let failure = match self.attempt(work, &path) {
                 Ok(end) => return Ok(end),
                 Err(Broken::Target(it)) => it,
                 Err(Broken::Gone) => return Err(Stop::Gone),
             };
-            self.failed(&path, &failure, work.tokens())?;
+            self.failed(&path, &runs, &failure, work.tokens())?;
             work.restart();
         }
     }
@@ -289,7 +296,13 @@
     }
 
     /// Decides after a failed attempt; returns once another one may start.
-    fn failed(&mut self, path: &Path, failure: &Failure, tokens: u32) -> Result<(), Stop> {
+    fn failed(
+        &mut self,
+        path: &Path,
+        runs: &[Run],
+        failure: &Failure,
+        tokens: u32,
+    ) -> Result<(), Stop> {
         let now = clock::now();
         let decision = self.ctx.decide(&self.caller.plan, &mut self.tries, failure, now);
         if self.is_abandoned() {
@@ -298,7 +311,7 @@
         if self.expires <= now && self.tries.verdict() == Verdict::MayHaveRun {
             return Err(self.refusal(Reason::DeadlineExceeded).into());
         }
-        self.note_crash(path, failure)?;
+        self.note_crashes(runs, failure)?;
         let (after, reason) = match decision {
             Decision::Again { after, reason } => (after, reason),
             Decision::GiveUp(reason) => return Err(self.refusal(reason).into()),
@@ -323,22 +336,30 @@
             .with_verdict(self.tries.verdict()))
     }
 
-    /// Notes the death of the target under this request.
-    fn note_crash(&self, path: &Path, failure: &Failure) -> Result<(), Refusal> {
+    /// Returns the runs of the targets that an attempt goes to, as they are before it.
+    fn runs(&self, path: &Path) -> Vec<Run> {
+        let names = [Some(&path.target), path.prefill.as_ref()];
+        names.into_iter().flatten().filter_map(|it| self.run_of(it)).collect()
+    }
+
+    fn run_of(&self, name: &id::Target) -> Option<Run> {
+        let client = self.ctx.fleet.client(name)?;
+        let incarnation = self.ctx.fleet.incarnation(name)?;
+        Some(Run { client, crash: Crash { target: name.clone(), incarnation } })
+    }
+
+    /// Notes the death of any target under this request.
+    fn note_crashes(&self, runs: &[Run], failure: &Failure) -> Result<(), Refusal> {
         if failure.verdict() == Verdict::NotRun {
             return Ok(());
         }
-        let fleet = &self.ctx.fleet;
-        let (client, incarnation) =
-            match (fleet.client(&path.target), fleet.incarnation(&path.target)) {
-                (Some(client), Some(incarnation)) => (client, incarnation),
-                _ => return Ok(()),
-            };
-        if crash::confirm(&client, incarnation) != Finding::Died {
-            return Ok(());
+        for run in runs {
+            if crash::confirm(&run.client, run.crash.incarnation) == Finding::Died {
+                let crash = run.crash.clone();
+                self.unless_refused(self.ctx.crashes.crashed(self.fingerprint, crash))?;
+            }
         }
-        let crash = Crash { target: path.target.clone(), incarnation };
-        self.unless_refused(self.ctx.crashes.crashed(self.fingerprint, crash)).map(drop)
+        Ok(())
     }
 
     /// Returns the client of a target.
