feat(crash): one trial a target over all hosts; tests with real processes

Cause: suspects of different hosts could meet on one target, so that an innocent request was refused with the poisonous one; and other hosts learnt of a refusal up to a second late. Ruled out: holding the refusal back for a refresh, which would delay a final answer.

--- a/src/claim/writer.rs
+++ b/src/claim/writer.rs
@@ -147,7 +147,7 @@
         let was_down = std::mem::replace(&mut self.store_down, fault.is_some());
         match fault {
             Some(fault) if !was_down => {
-                event!(Event::TableDown, "refusing requests that may not repeat: {fault}");
+                event!(Event::TableDown, "claims cannot be written; check the platform: {fault}");
             }
             None if was_down => event!(Event::TableUp, "claims are written again"),
             _ => {}
--- a/src/crash/mod.rs
+++ b/src/crash/mod.rs
@@ -8,6 +8,7 @@
 mod confirm;
 mod record;
 mod suspects;
+mod trial;
 mod watch;
 mod wire;
 
--- a/src/crash/suspects.rs
+++ b/src/crash/suspects.rs
@@ -42,14 +42,16 @@
 pub struct Suspects {
     memory: Duration,
     known: HashMap<id::Fingerprint, Suspect>,
-    /// Targets on which this host is trying a suspect, and which.
+    /// Targets on which this host tries a suspect, and which.
     trials: HashMap<id::Target, id::Fingerprint>,
+    /// Targets on which other hosts try suspects, and until when that is assumed.
+    foreign: HashMap<id::Target, Moment>,
 }
 
 impl Suspects {
     /// Creates an empty record that forgets a suspect after `memory` without a new crash.
     pub fn new(memory: Duration) -> Suspects {
-        Suspects { memory, known: HashMap::new(), trials: HashMap::new() }
+        Suspects { memory, known: HashMap::new(), trials: HashMap::new(), foreign: HashMap::new() }
     }
 
     /// Returns what is known of a request.
@@ -114,8 +116,11 @@
     ///
     /// A target tries one suspect at a time, so that its death tells which of them was the cause.
     pub fn begin_trial(&mut self, fingerprint: id::Fingerprint, target: &id::Target) -> bool {
-        let holder = *self.trials.entry(target.clone()).or_insert(fingerprint);
-        holder == fingerprint
+        if self.trials.contains_key(target) {
+            return false;
+        }
+        self.trials.insert(target.clone(), fingerprint);
+        true
     }
 
     /// Ends the trial of a suspect on a target.
@@ -125,10 +130,17 @@
         }
     }
 
+    /// Notes that another host tries a suspect on a target.
+    pub fn avoid(&mut self, target: &id::Target, until: Moment) {
+        self.foreign.insert(target.clone(), until);
+    }
+
     /// Returns the targets on which a suspect must not be tried now.
-    pub fn taken(&self, fingerprint: id::Fingerprint) -> HashSet<id::Target> {
+    pub fn taken(&mut self, fingerprint: id::Fingerprint, now: Moment) -> HashSet<id::Target> {
+        self.foreign.retain(|_, until| now < *until);
         let others = self.trials.iter().filter(|(_, holder)| **holder != fingerprint);
-        others.map(|(target, _)| target.clone()).collect()
+        let others = others.map(|(target, _)| target);
+        others.chain(self.foreign.keys()).cloned().collect()
     }
 
     /// Removes the suspects whose time is over and returns them.
--- a/src/crash/watch.rs
+++ b/src/crash/watch.rs
@@ -9,7 +9,10 @@
 
 use smol_str::SmolStr;
 
-use super::record;
+use super::{
+    record,
+    trial::{self, Foreign, Reservation},
+};
 use crate::{
     clock,
     clock::Moment,
@@ -24,6 +27,8 @@
 const BATCH: usize = 128;
 /// Notes that may wait for the store; further ones stay on this host.
 const MAX_PENDING: usize = 1_024;
+/// Time that a target is left to another host's suspect before it is asked for again.
+const FOREIGN_TRIAL: Duration = Duration::from_millis(200);
 /// Times that a transaction is tried again because rows changed.
 const MAX_CONFLICTS: u32 = 4;
 
@@ -50,8 +55,9 @@
 
 /// Suspected requests of all hosts, as this one knows them.
 #[derive(Debug)]
-pub struct Watch {
+pub struct Watch<T> {
     config: Config,
+    table: T,
     shared: Arc<Shared>,
     worker: Option<JoinHandle<()>>,
 }
@@ -75,43 +81,54 @@
 struct Shelf {
     suspects: Suspects,
     pending: BTreeMap<id::Fingerprint, Note>,
+    /// Trials that have ended and whose targets are still reserved.
+    ended: Vec<Reservation>,
+    foreign: Foreign,
     /// Earliest time of the next transaction, after one that failed.
     write_at: Moment,
     scan_at: Moment,
     stopped: bool,
 }
 
-/// The sole right of a suspect to be tried on a target by this host; ends when dropped.
+/// The sole right of a suspect to be tried on a target; ends when dropped.
 #[derive(Debug)]
 pub struct Trial {
     shared: Arc<Shared>,
-    fingerprint: id::Fingerprint,
-    target: id::Target,
+    reservation: Reservation,
 }
 
 impl Drop for Trial {
     fn drop(&mut self) {
-        self.shared.lock().suspects.end_trial(self.fingerprint, &self.target);
+        let Reservation { target, fingerprint, .. } = &self.reservation;
+        let mut shelf = self.shared.lock();
+        shelf.suspects.end_trial(*fingerprint, target);
+        if shelf.ended.len() < MAX_PENDING {
+            shelf.ended.push(self.reservation.clone());
+        }
+        self.shared.changed.notify_all();
     }
 }
 
-impl Watch {
+impl<T: Table> Watch<T> {
     /// Starts reading and writing the shared notes.
     ///
     /// # Errors
     /// Fails when the system has no thread left.
-    pub fn start<T: Table>(config: Config, table: T) -> std::io::Result<Watch> {
+    pub fn start(config: Config, table: T) -> std::io::Result<Watch<T>> {
         let shelf = Shelf {
             suspects: Suspects::new(config.memory),
             pending: BTreeMap::new(),
+            ended: Vec::new(),
+            foreign: Foreign::default(),
             write_at: Moment::ZERO,
             scan_at: Moment::ZERO,
             stopped: false,
         };
         let shared = Arc::new(Shared { state: Mutex::new(shelf), changed: Condvar::new() });
-        let worker = Worker { shared: Arc::clone(&shared), table, config: config.clone() };
+        let worker =
+            Worker { shared: Arc::clone(&shared), table: table.clone(), config: config.clone() };
         let worker = thread::Builder::new().name("crashes".to_owned()).spawn(|| worker.run())?;
-        Ok(Watch { config, shared, worker: Some(worker) })
+        Ok(Watch { config, table, shared, worker: Some(worker) })
     }
 
     /// Returns what is known of a request.
@@ -160,20 +177,37 @@
         self.shared.lock().suspects.record(fingerprint, clock::now())
     }
 
-    /// Returns the targets on which this host tries other suspects now.
+    /// Returns the targets on which other suspects are known to be tried now.
     pub fn taken(&self, fingerprint: id::Fingerprint) -> HashSet<id::Target> {
-        self.shared.lock().suspects.taken(fingerprint)
+        self.shared.lock().suspects.taken(fingerprint, clock::now())
     }
 
-    /// Reserves a target for a suspect; `None` while this host tries another suspect there.
+    /// Reserves a target for a suspect; `None` while any host tries another suspect there.
     pub fn trial(&self, fingerprint: id::Fingerprint, target: &id::Target) -> Option<Trial> {
-        let reserved = self.shared.lock().suspects.begin_trial(fingerprint, target);
-        let shared = Arc::clone(&self.shared);
-        reserved.then(|| Trial { shared, fingerprint, target: target.clone() })
+        if !self.shared.lock().suspects.begin_trial(fingerprint, target) {
+            return None;
+        }
+        let token = rand::random();
+        let reservation = Reservation { target: target.clone(), fingerprint, token };
+        if self.reserve(&reservation) {
+            return Some(Trial { shared: Arc::clone(&self.shared), reservation });
+        }
+        let mut shelf = self.shared.lock();
+        shelf.suspects.end_trial(fingerprint, target);
+        shelf.suspects.avoid(target, clock::now() + FOREIGN_TRIAL);
+        None
+    }
+
+    fn reserve(&self, reservation: &Reservation) -> bool {
+        let Ok(row) = trial::read(&self.table, &reservation.target) else { return true };
+        if self.shared.lock().foreign.blocks(&row, clock::now()) {
+            return false;
+        }
+        trial::reserve(&self.table, reservation, &row)
     }
 }
 
-impl Drop for Watch {
+impl<T> Drop for Watch<T> {
     fn drop(&mut self) {
         self.shared.lock().stopped = true;
         self.shared.changed.notify_all();
@@ -198,7 +232,8 @@
 
     /// Returns when the worker has something to do next.
     fn due(&self) -> Moment {
-        if self.pending.is_empty() { self.scan_at } else { self.scan_at.min(self.write_at) }
+        let is_idle = self.pending.is_empty() && self.ended.is_empty();
+        if is_idle { self.scan_at } else { self.scan_at.min(self.write_at) }
     }
 }
 
@@ -212,6 +247,7 @@
 impl<T: Table> Worker<T> {
     fn run(self) {
         while self.wait() {
+            self.release();
             self.write();
             self.scan();
         }
@@ -233,6 +269,17 @@
         }
     }
 
+    /// Frees the targets of trials that have ended.
+    fn release(&self) {
+        let ended = std::mem::take(&mut self.shared.lock().ended);
+        if ended.is_empty() || trial::release(&self.table, &ended) {
+            return;
+        }
+        let mut shelf = self.shared.lock();
+        shelf.ended.extend(ended);
+        shelf.write_at = clock::now() + self.config.refresh;
+    }
+
     fn write(&self) {
         let now = clock::now();
         let batch: Vec<_> = {
--- a/src/crash/wire.rs
+++ b/src/crash/wire.rs
@@ -4,7 +4,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::crash::Crash;
+use crate::{
+    crash::{Crash, trial::Reservation},
+    id,
+};
 
 /// Crashes that one row may list.
 const MAX_CRASHES: usize = 64;
@@ -44,3 +47,31 @@
         serde_json::to_string(&raw).expect("a suspected request has a JSON form")
     }
 }
+
+/// Contents of a row that reserves a target for a suspect.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct Trial {
+    fingerprint: id::Fingerprint,
+    /// Token of the reservation.
+    pub(super) token: id::Token,
+}
+
+impl TryFrom<&str> for Trial {
+    type Error = Fault;
+
+    fn try_from(text: &str) -> Result<Trial, Fault> {
+        Ok(serde_json::from_str(text)?)
+    }
+}
+
+impl From<&Trial> for String {
+    fn from(trial: &Trial) -> String {
+        serde_json::to_string(trial).expect("a reservation has a JSON form")
+    }
+}
+
+impl From<&Reservation> for Trial {
+    fn from(it: &Reservation) -> Trial {
+        Trial { fingerprint: it.fingerprint, token: it.token }
+    }
+}
--- a/src/link/front/mod.rs
+++ b/src/link/front/mod.rs
@@ -18,7 +18,12 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
-use hyper::{HeaderMap, Method, body::Incoming, server::conn::http1, service::service_fn};
+use hyper::{
+    HeaderMap, Method,
+    body::{Body, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use smol_str::SmolStr;
 use socket2::{SockRef, TcpKeepalive};
@@ -288,6 +293,9 @@
     }
 
     async fn read_body(&self, body: Incoming) -> Result<Bytes, Reason> {
+        if self.bounds.body_bytes as u64 < body.size_hint().lower() {
+            return Err(Reason::BodyTooLarge);
+        }
         let limited = Limited::new(body, self.bounds.body_bytes);
         match timeout(self.bounds.body_time, limited.collect()).await {
             Err(_) => Err(Reason::BodyTimeout),
--- a/src/link/peer/client.rs
+++ b/src/link/peer/client.rs
@@ -120,19 +120,21 @@
         }
     }
 
-    /// Sends a crash notice to several peers at once, without waiting for them.
+    /// Sends a crash notice to several peers at once and waits until each has answered or is late.
     pub fn crashes(&self, addresses: Vec<SocketAddr>, notice: &CrashNotice) {
-        for address in addresses {
-            let links = self.clone();
-            let notice = notice.clone();
-            runtime::handle().spawn(async move {
+        runtime::handle().block_on(async {
+            let mut calls = JoinSet::new();
+            for address in addresses {
+                let links = self.clone();
+                let notice = notice.clone();
                 let call = move |it: PeerClient, context| {
                     let notice = notice.clone();
                     async move { it.crash(context, notice).await }
                 };
-                let _ = links.call(address, call).await;
-            });
-        }
+                calls.spawn(async move { links.call(address, call).await.is_ok() });
+            }
+            calls.join_all().await;
+        });
     }
 
     /// Asks a peer for the entry hosts that it knows.
--- a/src/serve/context.rs
+++ b/src/serve/context.rs
@@ -62,7 +62,7 @@
     /// Claims of requests that may not repeat.
     pub claims: Claims,
     /// Requests that crash targets.
-    pub crashes: crash::Watch,
+    pub crashes: crash::Watch<platform::Client>,
     /// Entry hosts.
     pub members: Members,
     /// Expected lengths of answers.
--- a/src/serve/job.rs
+++ b/src/serve/job.rs
@@ -18,6 +18,7 @@
         Context, Refusal, Stop,
         gate::Permit,
         options::{Caller, Options},
+        peers,
     },
     target::{self, Failure},
     verdict::{Reason, Verdict},
@@ -27,6 +28,8 @@
 const NO_TARGET_RETRY: Duration = Duration::from_secs(1);
 /// Time between two looks for a target that can go on with a request.
 const CHOICE_PAUSE: Duration = Duration::from_millis(50);
+/// Time that a request whose attempt failed waits for another target.
+const RETARGET_TIME: Duration = Duration::from_secs(2);
 
 /// How an attempt ended without the whole answer.
 #[derive(Debug)]
@@ -232,8 +235,10 @@
 
     /// Chooses a target; a suspect runs only where this host tries no other suspect.
     ///
-    /// A request that the caller has part of waits for a target until its deadline.
+    /// A request that the caller has part of waits for a target until its deadline, and one whose
+    /// last target has just failed waits a short time, since targets are set aside after a failure.
     fn choose(&mut self, tokens: u32) -> Result<(Path, Option<Trial>), Stop> {
+        let began = clock::now();
         loop {
             let suspicion = self.check_suspicion()?;
             let choice = match suspicion {
@@ -243,7 +248,10 @@
             if let Some(choice) = choice {
                 return Ok(choice);
             }
-            if self.demand.exclude.is_empty() && tokens == 0 && suspicion == Suspicion::Clear {
+            let is_retry = 1 < self.tries.attempt();
+            let may_wait = is_retry && clock::now() < began + RETARGET_TIME;
+            let must_wait = 0 < tokens || suspicion != Suspicion::Clear;
+            if self.demand.exclude.is_empty() && !may_wait && !must_wait {
                 return Err(self.give_up(Reason::NoTarget).into());
             }
             if self.demand.exclude.is_empty() {
@@ -358,8 +366,12 @@
         }
         for run in runs {
             if crash::confirm(&run.client, run.crash.incarnation) == Finding::Died {
-                let crash = run.crash.clone();
-                self.unless_refused(self.ctx.crashes.crashed(self.fingerprint, crash))?;
+                let suspicion = self.ctx.crashes.crashed(self.fingerprint, run.crash.clone());
+                if let Suspicion::Refused { .. } = suspicion {
+                    let record = self.ctx.crashes.record(self.fingerprint);
+                    peers::tell_crashes(&self.ctx.members, self.fingerprint, record);
+                }
+                self.unless_refused(suspicion)?;
             }
         }
         Ok(())
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -4,8 +4,10 @@
 
 use crate::{
     claim,
+    crash::{self, Record},
     host::{Membership, Status},
-    link::peer::wire::{self, ClaimQuestion, ClaimStatus},
+    id,
+    link::peer::wire::{self, ClaimQuestion, ClaimStatus, CrashNotice},
     platform,
 };
 
@@ -39,6 +41,15 @@
     live.map(|it| it.member.callers_address).collect()
 }
 
+/// Tells the other hosts of a request that crashes targets; returns when those that run know it.
+pub(super) fn tell_crashes(members: &Members, fingerprint: id::Fingerprint, record: Record) {
+    let crash = |it: crash::Crash| wire::Crash { target: it.target, incarnation: it.incarnation };
+    let crashes = record.crashes.into_iter().map(crash).collect();
+    let views = members.views().into_iter().filter(|it| it.status != Status::Silent);
+    let addresses = views.map(|it| it.member.peers_address).collect();
+    members.links().crashes(addresses, &CrashNotice { fingerprint, crashes });
+}
+
 impl From<&ClaimQuestion> for claim::Question {
     fn from(it: &ClaimQuestion) -> claim::Question {
         claim::Question { customer: it.customer.clone(), key: it.key.clone(), token: it.token }
--- a/src/target/client.rs
+++ b/src/target/client.rs
@@ -120,7 +120,7 @@
 
     fn generate(&self, generation: &Generation) -> Result<Stream, Failure> {
         let incoming = self.post("/v1/completions", generation)?;
-        Ok(Stream::new(incoming, generation.resume_at))
+        Ok(Stream::new(incoming))
     }
 
     fn prefill(&self, generation: &Generation) -> Result<Cache, Failure> {
--- a/src/target/stream.rs
+++ b/src/target/stream.rs
@@ -12,7 +12,7 @@
 /// Bytes read from the connection at once.
 const READ_BYTES: usize = 4 << 10;
 
-/// Pieces of an answer, checked to be in order and without gaps.
+/// Pieces of an answer as they arrive; [`crate::retry::Assembly`] puts them in order.
 ///
 /// The end is given out only when the engine has also closed the answer. Dropping the stream earlier
 /// closes the connection, which cancels the generation.
@@ -20,7 +20,6 @@
 pub struct Stream {
     incoming: Incoming,
     buffer: Vec<u8>,
-    expected: u32,
     end: Option<Piece>,
     state: State,
 }
@@ -39,8 +38,8 @@
 }
 
 impl Stream {
-    pub(super) fn new(incoming: Incoming, resume_at: u32) -> Stream {
-        Stream { incoming, buffer: Vec::new(), expected: resume_at, end: None, state: State::Open }
+    pub(super) fn new(incoming: Incoming) -> Stream {
+        Stream { incoming, buffer: Vec::new(), end: None, state: State::Open }
     }
 
     /// Returns what cancels the stream from another thread.
@@ -53,27 +52,16 @@
             let line = self.line()?;
             match event(&line)? {
                 Event::Comment => {}
-                Event::Piece(it @ Piece::Token { index, .. }) => {
-                    self.check(index)?;
-                    self.expected += 1;
-                    return Ok(it);
-                }
-                Event::Piece(it @ Piece::End { tokens, .. }) => {
-                    self.check(tokens)?;
-                    self.end = Some(it);
+                Event::Piece(it @ Piece::Token { .. }) if self.end.is_none() => return Ok(it),
+                Event::Piece(it @ Piece::End { .. }) if self.end.is_none() => self.end = Some(it),
+                Event::Piece(it) => {
+                    return Err(Failure::Broken(format!("{it:?} after the end of the answer")));
                 }
                 Event::Done => return self.close(),
             }
         }
     }
 
-    fn check(&self, index: u32) -> Result<(), Failure> {
-        if index == self.expected && self.end.is_none() {
-            return Ok(());
-        }
-        Err(Failure::Broken(format!("piece {index} in place of {}", self.expected)))
-    }
-
     /// Reads to the end of the body, so that the connection can serve another exchange.
     fn close(&mut self) -> Result<Piece, Failure> {
         let Some(end) = self.end.take() else {
--- /dev/null
+++ b/tests/at_most_once.rs
@@ -0,0 +1,186 @@
+//! Orders that must not run twice, through real processes that fail.
+
+mod common;
+mod fleet;
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Barrier},
+    thread,
+};
+
+use common::{http::Answer, wait_until};
+use fleet::{Caller, Fleet, SERVICE, Shape};
+use fuchsiaknot::standin::{platform, service};
+
+/// Keys that are sent to two hosts at once.
+const KEYS: usize = 100;
+
+fn start(hosts: usize) -> Fleet {
+    Fleet::start(&Shape { services: 1, hosts, ..Shape::default() })
+}
+
+fn code(answer: &Answer) -> (u16, String, String) {
+    let body: serde_json::Value = answer.json();
+    let code = body["error"]["code"].as_str().unwrap_or_default().to_owned();
+    (answer.status, code, answer.header("x-verdict").to_owned())
+}
+
+fn refused(status: u16, code: &str, verdict: &str) -> (u16, String, String) {
+    (status, code.to_owned(), verdict.to_owned())
+}
+
+/// Places an order in the background; the result tells whether an answer came.
+fn order_in_background(caller: Caller) -> thread::JoinHandle<bool> {
+    thread::spawn(move || caller.order("order-1", "40 kg").is_ok())
+}
+
+#[test]
+fn copy_replayed() {
+    let fleet = start(2);
+    let first = fleet.hosts[0].caller.order("order-1", "40 kg").unwrap();
+    assert_eq!(first.status, 200, "{first:?}");
+    for host in &fleet.hosts {
+        wait_until("the answer is stored", || {
+            let copy = host.caller.order("order-1", "40 kg").unwrap();
+            copy.status == 200 && copy.body == first.body
+        });
+    }
+    let other = fleet.hosts[1].caller.order("order-1", "80 kg").unwrap();
+    assert_eq!(code(&other), refused(422, "key-reused", "not-run"));
+    assert_eq!(fleet.runs().len(), 1);
+}
+
+#[test]
+fn killed_before_send() {
+    let mut fleet = start(2);
+    // The claim takes effect, but the host cannot learn that it did.
+    fleet.platform_faults(&platform::Faults {
+        lose_answers: 1,
+        lose_prefix: "claim/".into(),
+        reads_per_second: Some(0),
+        ..platform::Faults::default()
+    });
+    let caller = order_in_background(fleet.hosts[0].caller);
+    wait_until("the claim is written", || fleet.platform_stats().lost == 1);
+    fleet.hosts[0].process.kill();
+    fleet.platform_faults(&platform::Faults::default());
+    assert!(!caller.join().unwrap(), "the killed host answered");
+    for _ in 0..2 {
+        let copy = fleet.hosts[1].caller.order("order-1", "40 kg").unwrap();
+        assert_eq!(code(&copy), refused(409, "claim-held", "may-have-run"));
+    }
+    assert_eq!(fleet.runs(), []);
+}
+
+#[test]
+fn killed_after_send() {
+    let mut fleet = start(2);
+    fleet.services[0]
+        .service_faults(&service::Faults { hold_after_run: true, ..service::Faults::default() });
+    let caller = order_in_background(fleet.hosts[0].caller);
+    wait_until("the order runs", || fleet.runs().len() == 1);
+    let during = fleet.hosts[1].caller.order("order-1", "40 kg").unwrap();
+    assert_eq!(code(&during), refused(409, "claim-held", "may-have-run"));
+    fleet.hosts[0].process.kill();
+    assert!(!caller.join().unwrap(), "the killed host answered");
+    fleet.services[0].service_faults(&service::Faults::default());
+    let after = fleet.hosts[1].caller.order("order-1", "40 kg").unwrap();
+    assert_eq!(code(&after), refused(409, "claim-held", "may-have-run"));
+    assert_eq!(fleet.runs().len(), 1);
+}
+
+#[test]
+fn claim_answer_lost() {
+    let fleet = start(2);
+    fleet.platform_faults(&platform::Faults {
+        lose_answers: 1,
+        lose_prefix: "claim/".into(),
+        ..platform::Faults::default()
+    });
+    let first = fleet.hosts[0].caller.order("order-1", "40 kg").unwrap();
+    assert_eq!(first.status, 200, "{first:?}");
+    assert_eq!(fleet.platform_stats().lost, 1);
+    wait_until("the answer is stored", || {
+        let copy = fleet.hosts[1].caller.order("order-1", "40 kg").unwrap();
+        copy.status == 200 && copy.body == first.body
+    });
+    assert_eq!(fleet.runs().len(), 1);
+}
+
+#[test]
+fn target_answer_lost() {
+    let fleet = start(2);
+    fleet.services[0]
+        .service_faults(&service::Faults { lose_answers: 1, ..service::Faults::default() });
+    let first = fleet.hosts[0].caller.order("order-1", "40 kg").unwrap();
+    assert_eq!(code(&first), refused(502, "target-failed", "may-have-run"));
+    for host in &fleet.hosts {
+        let copy = host.caller.order("order-1", "40 kg").unwrap();
+        assert_eq!(code(&copy), refused(409, "claim-held", "may-have-run"));
+    }
+    assert_eq!(fleet.runs().len(), 1);
+}
+
+#[test]
+fn refused_then_run() {
+    let fleet = start(2);
+    fleet.services[0]
+        .service_faults(&service::Faults { refuse: true, ..service::Faults::default() });
+    let first = fleet.hosts[0].caller.order("order-1", "40 kg").unwrap();
+    assert_eq!(first.header("x-verdict"), "not-run", "{first:?}");
+    assert_eq!(fleet.runs(), []);
+    fleet.services[0].service_faults(&service::Faults::default());
+    wait_until("the key is free", || {
+        fleet.hosts[1].caller.order("order-1", "40 kg").unwrap().status == 200
+    });
+    assert_eq!(fleet.runs().len(), 1);
+}
+
+#[test]
+fn sent_to_two_hosts() {
+    let fleet = start(2);
+    let start = Arc::new(Barrier::new(fleet.hosts.len()));
+    thread::scope(|scope| {
+        for host in &fleet.hosts {
+            let (start, caller) = (&start, host.caller);
+            scope.spawn(move || {
+                for number in 0..KEYS {
+                    start.wait();
+                    let answer = caller.order(&format!("order-{number}"), "40 kg").unwrap();
+                    let held = refused(409, "claim-held", "may-have-run");
+                    assert!(answer.status == 200 || code(&answer) == held, "{answer:?}");
+                }
+            });
+        }
+    });
+    let mut runs = BTreeMap::new();
+    for run in fleet.runs() {
+        *runs.entry(run.key).or_insert(0) += 1;
+    }
+    assert_eq!(runs.len(), KEYS);
+    assert!(runs.values().all(|it| *it == 1), "{runs:?}");
+}
+
+#[test]
+fn store_down() {
+    let fleet = Fleet::start(&Shape { engines: 1, services: 1, hosts: 2, ..Shape::default() });
+    fleet.platform_faults(&platform::Faults { table_down: true, ..platform::Faults::default() });
+    for round in 0..3 {
+        for host in &fleet.hosts {
+            let order = host.caller.order(&format!("order-{round}"), "40 kg").unwrap();
+            assert_eq!(code(&order), refused(503, "claim-unavailable", "not-run"));
+            assert_ne!(order.header("retry-after"), "");
+            assert_eq!(host.caller.get(&format!("/v1/services/{SERVICE}/stock")).status, 200);
+            assert!(host.caller.stream("a quick stock question", 4).rest().is_whole);
+        }
+    }
+    let runs = fleet.runs();
+    assert!(runs.iter().all(|it| it.path == "/stock"), "{runs:?}");
+    assert_eq!(runs.len(), 6);
+    fleet.platform_faults(&platform::Faults::default());
+    wait_until("orders are taken again", || {
+        fleet.hosts[0].caller.order("order-0", "40 kg").unwrap().status == 200
+    });
+    assert_eq!(fleet.runs().iter().filter(|it| it.path == "/orders").count(), 1);
+}
--- /dev/null
+++ b/tests/rough_callers.rs
@@ -0,0 +1,145 @@
+//! Callers that send garbage, too much, too slowly, or close half of their connection.
+
+mod common;
+mod fleet;
+
+use std::{
+    io::{Read, Write},
+    net::{Shutdown, TcpStream},
+    thread,
+};
+
+use common::{HANG_GUARD, wait_until};
+use fleet::{Caller, Fleet, KEY, MODEL, SERVICE, Shape};
+use fuchsiaknot::standin::{engine, service};
+use rstest::rstest;
+
+/// Bounds that are short for tests.
+const SETTINGS: &str = "[callers]\nheader_time = 300ms\nbody_time = 300ms\nidle_time = 300ms\n\
+                        body_bytes = 1KiB\n";
+
+fn start() -> Fleet {
+    Fleet::start(&Shape {
+        engines: 1,
+        services: 1,
+        hosts: 1,
+        settings: SETTINGS,
+        ..Shape::default()
+    })
+}
+
+/// Returns an order with a body of this many bytes, of which it promises `length`.
+fn order(key: &str, length: usize, body: usize) -> String {
+    format!(
+        "POST /v1/services/{SERVICE}/orders HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {KEY}\r\n\
+         idempotency-key: {key}\r\nx-not-repeatable: true\r\ncontent-length: {length}\r\n\r\n{}",
+        "x".repeat(body)
+    )
+}
+
+fn connect(caller: Caller) -> TcpStream {
+    let stream = TcpStream::connect(caller.address).unwrap();
+    stream.set_read_timeout(Some(HANG_GUARD)).unwrap();
+    stream
+}
+
+/// Reads until the host closes.
+fn rest(mut stream: &TcpStream) -> String {
+    let mut text = Vec::new();
+    let _ = stream.read_to_end(&mut text);
+    String::from_utf8_lossy(&text).into_owned()
+}
+
+#[rstest]
+#[case::garbage("\u{1}\u{2}\u{3} no request\r\n\r\n".to_owned(), "400")]
+#[case::unterminated("POST /v1/services/orders".to_owned(), "408")]
+#[case::oversized(order("order-1", 2_000, 2_000), "413")]
+#[case::oversized_unsent(order("order-1", 2_000, 0), "413")]
+#[case::slow_body(order("order-1", 100, 10), "408")]
+#[case::no_key("POST /v1/services/orders/a HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n".to_owned(), "401")]
+fn refused_unrun(#[case] sent: String, #[case] status: &str) {
+    let fleet = start();
+    let caller = fleet.hosts[0].caller;
+    let mut stream = connect(caller);
+    stream.write_all(sent.as_bytes()).unwrap();
+    let answer = rest(&stream);
+    assert!(answer.starts_with(&format!("HTTP/1.1 {status}")), "{answer}");
+    // What is no HTTP at all is answered by the library, without a body.
+    assert!(answer.contains("not-run") || status == "400", "{answer}");
+    assert_eq!(fleet.runs(), []);
+    assert_eq!(caller.order("order-1", "40 kg").unwrap().status, 200);
+    assert_eq!(fleet.runs().len(), 1);
+}
+
+#[test]
+fn half_closed_answered() {
+    let fleet = start();
+    let mut stream = connect(fleet.hosts[0].caller);
+    stream.write_all(order("order-1", 5, 5).as_bytes()).unwrap();
+    stream.shutdown(Shutdown::Write).unwrap();
+    let answer = rest(&stream);
+    // Either the host answers, or it takes the half-closed caller for gone; the order runs once.
+    assert!(answer.is_empty() || answer.starts_with("HTTP/1.1 200"), "{answer}");
+    wait_until("the answer is kept", || {
+        fleet.hosts[0].caller.order("order-1", "xxxxx").unwrap().status == 200
+    });
+    assert_eq!(fleet.runs().len(), 1);
+}
+
+#[test]
+fn gone_order_finished() {
+    let fleet = start();
+    let held = service::Faults { hold_after_run: true, ..service::Faults::default() };
+    fleet.services[0].service_faults(&held);
+    let mut stream = connect(fleet.hosts[0].caller);
+    stream.write_all(order("order-1", 5, 5).as_bytes()).unwrap();
+    wait_until("the order runs", || fleet.runs().len() == 1);
+    drop(stream);
+    fleet.services[0].service_faults(&service::Faults::default());
+    wait_until("the answer is kept", || {
+        fleet.hosts[0].caller.order("order-1", "xxxxx").unwrap().status == 200
+    });
+    assert_eq!(fleet.runs().len(), 1);
+}
+
+#[test]
+fn gone_stream_cancelled() {
+    let fleet = start();
+    let held = engine::Faults { hold_after_tokens: Some(2), ..engine::Faults::default() };
+    fleet.engines[0].engine_faults(&held);
+    let body = format!(r#"{{"model":"{MODEL}","prompt":"a b","max_tokens":9,"stream":true}}"#);
+    let mut stream = connect(fleet.hosts[0].caller);
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {KEY}\r\n\
+         content-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).unwrap();
+    wait_until("tokens come", || fleet.engines[0].engine_record().tokens == 2);
+    drop(stream);
+    wait_until("the engine's stream is cancelled", || {
+        fleet.engines[0].engine_record().cancelled == 1
+    });
+    assert_eq!(fleet.engines[0].engine_record().started.len(), 1);
+}
+
+#[test]
+fn many_slow_callers() {
+    let fleet = start();
+    let caller = fleet.hosts[0].caller;
+    let slow: Vec<_> = (0..50)
+        .map(|number| {
+            thread::spawn(move || {
+                let mut stream = connect(caller);
+                let text = order(&format!("slow-{number}"), 100, 10);
+                stream.write_all(&text.as_bytes()[..text.len() / 2]).unwrap();
+                rest(&stream)
+            })
+        })
+        .collect();
+    assert_eq!(caller.order("order-1", "40 kg").unwrap().status, 200);
+    for slow in slow {
+        assert!(slow.join().unwrap().starts_with("HTTP/1.1 408"));
+    }
+    assert_eq!(fleet.runs().len(), 1);
+}
