--- a/src/link/outgoing/mod.rs
+++ b/src/link/outgoing/mod.rs
@@ -250,8 +250,9 @@
         if self.cancelled.load(Ordering::Acquire) {
             return Error::Cancelled;
         }
-        match err.kind() {
-            io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock => Error::Silent,
+        let cause = err.get_ref().and_then(|it| it.downcast_ref::<ureq::Error>());
+        match cause {
+            Some(ureq::Error::Timeout(_)) => Error::Silent,
             _ => Error::Broken(err.to_string()),
         }
     }
@@ -304,6 +305,11 @@
         Canceller(self.line.clone())
     }
 
+    /// Closes the connection; the other end sees that the rest of the answer is not wanted.
+    pub fn close(&self) {
+        self.line.agent.clone().shutdown();
+    }
+
     /// Reads some bytes of the body; 0 means that it is whole.
     ///
     /// # Errors
@@ -348,8 +354,7 @@
 impl Drop for Incoming {
     fn drop(&mut self) {
         if !self.ended {
-            // The rest of the answer is not wanted: the other end sees the connection close.
-            self.line.agent.clone().shutdown();
+            self.close();
             return;
         }
         if self.reuse == Reuse::WhenWhole && !self.line.cancelled.load(Ordering::Acquire) {
--- a/src/target/stream.rs
+++ b/src/target/stream.rs
@@ -14,8 +14,8 @@
 
 /// Pieces of an answer, checked to be in order and without gaps.
 ///
-/// The end is given out only when the engine has also closed the answer. Dropping the stream earlier
-/// closes the connection, which cancels the generation.
+/// The end is given out only when the engine has also closed the answer. A failure, and dropping the
+/// stream earlier, close the connection, which cancels the generation.
 #[derive(Debug)]
 pub struct Stream {
     incoming: Incoming,
@@ -115,6 +115,7 @@
         let result = self.advance();
         if result.is_err() {
             self.state = State::Ended;
+            self.incoming.close();
         }
         Some(result)
     }
