--- a/src/link/front/mod.rs
+++ b/src/link/front/mod.rs
@@ -293,7 +293,7 @@
     }
 
     async fn read_body(&self, body: Incoming) -> Result<Bytes, Reason> {
-        if self.bounds.body_bytes as u64 < body.size_hint().lower() {
+        if (self.bounds.body_bytes as u64) < body.size_hint().lower() {
             return Err(Reason::BodyTooLarge);
         }
         let limited = Limited::new(body, self.bounds.body_bytes);
--- a/tests/front.rs
+++ b/tests/front.rs
@@ -19,6 +19,11 @@
 /// Time after which a test counts as hung.
 const HANG: Duration = Duration::from_secs(30);
 
+/// Pieces that fill every queue on the way to a caller.
+const MANY: usize = 64;
+/// Bytes of such a piece.
+const LARGE: usize = 1 << 20;
+
 /// Streams pieces as the test releases them, and reports when a caller went away.
 struct Held {
     release: Mutex<Receiver<&'static str>>,
@@ -36,6 +41,11 @@
                 }
                 stream.finish();
             }
+            "/many" => {
+                let mut stream = reply.stream(Head::new(200));
+                (0..MANY).for_each(|_| stream.send(vec![b'x'; LARGE]).unwrap());
+                stream.finish();
+            }
             "/cut" => {
                 let mut stream = reply.stream(Head::new(200));
                 stream.send("part").unwrap();
@@ -115,6 +125,16 @@
     assert!(lines.any(|it| it == "0"), "the stream must carry its end mark");
 }
 
+#[test]
+fn slow_reader_awaited() {
+    let port = Port::start(Bounds::default());
+    let stream = port.connect();
+    send(&stream, "GET /many HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
+    let text = rest(&stream);
+    assert_eq!(text.matches('x').count(), MANY * LARGE);
+    assert!(text.ends_with("0\r\n\r\n"), "the stream must carry its end mark");
+}
+
 #[test]
 fn unfinished_cut() {
     let port = Port::start(Bounds::default());
