fix(link): send on a full stream from a thread outside the runtime

Cause: the timeout was created before block_on entered the runtime, which panics on a thread that is not the runtime's. The stand-in engine's thread died of it under load, and its streams hung. Change: the timeout is created inside the future. Seen: the panic ended engines in a load run at about 50 requests a second; it needs a full channel.

--- a/src/link/front/reply.rs
+++ b/src/link/front/reply.rs
@@ -167,7 +167,8 @@
             Err(mpsc::error::TrySendError::Closed(_)) => return Err(Gone),
             Err(mpsc::error::TrySendError::Full(it)) => it,
         };
-        let sent = runtime::handle().block_on(timeout(self.stall_time, self.pieces.send(part)));
+        let sent = runtime::handle()
+            .block_on(async { timeout(self.stall_time, self.pieces.send(part)).await });
         match sent {
             Ok(Ok(())) => Ok(()),
             Ok(Err(_)) | Err(_) => Err(Gone),
