fix(standin): an idle engine saves up no time

Cause: after idling, the engine's clock was up to 100 ms behind, so that its next steps took no time; a prompt of 6,000 tokens was read at once, and learned prefill rates rose to four times the real one. Change: the clock starts anew when there is work again.

--- a/src/standin/engine/scheduler.rs
+++ b/src/standin/engine/scheduler.rs
@@ -60,6 +60,8 @@
             crash(core, &mut batch);
         } else if is_idle {
             wait(core);
+            // Time without work is not made up for later.
+            due = Instant::now();
         }
     }
 }
