feat(load): load tool with plans, phases, disturbances, bound and plot

Cause: decisions must be measured against real daemons and stand-in engines. Change: fuchsiaknot load as a library: scenarios in INI, open-loop arrivals from a seed, policies one after another, checks of whole answers and single runs, percentiles, an upper bound. The planner sees the whole model's demand and engines elsewhere, and groups change in turns. Prefill rates are a high quantile, since unseen waiting only makes them look low.

--- a/src/cost/mod.rs
+++ b/src/cost/mod.rs
@@ -7,7 +7,12 @@
 
 use std::time::Duration;
 
-pub use self::{average::Average, lengths::Lengths, rate::Rate, rates::Rates};
+pub use self::{
+    average::{Average, Quantile},
+    lengths::Lengths,
+    rate::Rate,
+    rates::Rates,
+};
 
 /// Rates and lengths assumed until some are learned.
 #[derive(Debug, Clone)]
@@ -22,6 +27,10 @@
     pub output_tokens: u32,
     /// Part by which one observation moves an average.
     pub gain: f64,
+    /// Part of the observed prefill rates that lies below the one that is used.
+    ///
+    /// Waiting that this host cannot see makes a prefill look slow, never fast.
+    pub prefill_quantile: f64,
     /// Largest factor by which one observation may differ from the average; more is cut off.
     pub outlier: f64,
     /// Plans and models whose lengths are remembered.
@@ -36,6 +45,7 @@
             step_slope: Duration::from_micros(300),
             output_tokens: 200,
             gain: 0.05,
+            prefill_quantile: 0.8,
             outlier: 3.0,
             lengths: 1_024,
         }
--- a/src/cost/rates.rs
+++ b/src/cost/rates.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
-use crate::cost::{Average, Config};
+use crate::cost::{Config, Quantile};
 
 /// Batch sizes below which the effect of the batch cannot be told from noise.
 const LEAST_SPREAD: f64 = 4.0;
+/// Prompt tokens from which the fixed time of a request no longer counts.
+const FULL_WEIGHT: f64 = 4_000.0;
 /// Part of the memory that each observed step keeps.
 const MEMORY: f64 = 0.995;
 
@@ -13,8 +15,9 @@
 #[derive(Debug, Clone)]
 pub struct Rates {
     config: Config,
-    prefill: Average,
+    prefill: Quantile,
     steps: Line,
+    steps_seen: u32,
 }
 
 /// A line fitted to (batch size, step time in seconds) with exponential forgetting.
@@ -31,9 +34,9 @@
 impl Rates {
     /// Creates rates that start from the assumed ones.
     pub fn new(config: Config) -> Rates {
-        let prefill = Average::assumed(config.prefill_rate);
+        let prefill = Quantile::assumed(config.prefill_rate, config.prefill_quantile);
         let steps = Line::assumed(config.step_base.as_secs_f64(), config.step_slope.as_secs_f64());
-        Rates { config, prefill, steps }
+        Rates { config, prefill, steps, steps_seen: 0 }
     }
 
     /// Returns the prompt tokens that an engine reads in a second.
@@ -46,10 +49,16 @@
         self.prefill.seen()
     }
 
+    /// Returns how many generations were observed.
+    pub fn steps_seen(&self) -> u32 {
+        self.steps_seen
+    }
+
     /// Takes in a prefill of `tokens` that took `time` without waiting for others.
     pub fn observe_prefill(&mut self, tokens: u32, time: Duration) {
         let rate = f64::from(tokens) / time.as_secs_f64().max(1e-6);
-        self.prefill.observe(rate, self.config.gain, self.config.outlier);
+        let weight = (f64::from(tokens) / FULL_WEIGHT).min(1.0);
+        self.prefill.observe(rate, self.config.gain * weight);
     }
 
     /// Takes in the mean step time of a generation that ran in batches of about `batch` requests.
@@ -60,6 +69,7 @@
         if !batch.is_finite() || step <= 0.0 {
             return;
         }
+        self.steps_seen = self.steps_seen.saturating_add(1);
         self.steps.observe(batch, step.clamp(expected / outlier, expected * outlier));
     }
 
@@ -78,12 +88,6 @@
     pub fn prefill(&self, tokens: f64) -> Duration {
         Duration::from_secs_f64(tokens.max(0.0) / self.prefill_rate())
     }
-
-    /// Returns the engine time of one request: its prefill and its part of the decode steps.
-    pub fn engine_time(&self, prompt: f64, output: u32, batch: f64) -> Duration {
-        let batch = batch.max(1.0);
-        self.prefill(prompt) + self.step(batch).mul_f64(f64::from(output) / batch)
-    }
 }
 
 impl Line {
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -11,11 +11,11 @@
 };
 
 use crate::{
-    admit::{self, Admission},
+    admit::Admission,
     claim::{self, Claimant},
     clock,
     contract::store::Store,
-    cost::{self, Lengths},
+    cost::Lengths,
     crash, event,
     event::Event,
     id,
@@ -23,7 +23,7 @@
     metric::Metrics,
     platform::{self, HostList, Kind, Machine, State},
     refresh::{NoPeers, Refresh},
-    route::{self, Router},
+    route::Router,
     serve::{self, Callers, Context, Departure, Fleet, Gate, Hosts, Peers, Retries, Watch},
     settings::Settings,
     timer::Timer,
@@ -158,7 +158,7 @@
     };
     let store = Store::new(platform.clone(), platform.clone());
     let refresh = Refresh::new(store, NoPeers, settings.host.configuration_bound);
-    let router = Router::new(route::Config::default(), rand::random());
+    let router = Router::new(settings.decisions.route(), rand::random());
     let claimant = Claimant { host: settings.host.name.clone(), incarnation };
     let config = claim::Config { claimant };
     let claims = serve::Claims::start(config, platform.clone(), platform.clone(), Peers)?;
@@ -166,9 +166,9 @@
     Ok(Context {
         fleet: Fleet::new(router, settings.targets.clone()),
         hosts: Hosts::new(settings.host.name.clone()),
-        gate: Gate::new(Admission::new(admit::Config::default())),
+        gate: Gate::new(Admission::new(settings.decisions.admit())),
         watch: Watch::default(),
-        lengths: Mutex::new(Lengths::new(cost::Config::default())),
+        lengths: Mutex::new(Lengths::new(settings.decisions.cost())),
         retries: Retries::default(),
         departure: Departure::default(),
         settings,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod id;
 pub mod lease;
 pub mod link;
+pub mod load;
 pub mod metric;
 pub mod operate;
 pub mod order;
--- a/src/role/mod.rs
+++ b/src/role/mod.rs
@@ -53,8 +53,27 @@
 pub struct View {
     /// Engines of the group.
     pub engines: Vec<Engine>,
-    /// Part of the model's work that falls to this group.
+    /// Work asked of the model in all groups.
     pub demand: Demand,
+    /// Engines of the model in the other groups, which share its work.
+    pub elsewhere: Supply,
+    /// Place of the group among those of the model.
+    pub turn: Turn,
+}
+
+/// Place of a group among those that serve the same model; they change in turns.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Turn {
+    /// Place, from 0.
+    pub place: u32,
+    /// Number of groups.
+    pub groups: u32,
+}
+
+impl Default for Turn {
+    fn default() -> Turn {
+        Turn { place: 0, groups: 1 }
+    }
 }
 
 /// Why a change is wanted. Each has a counter `role.<code>`.
--- a/src/role/planner.rs
+++ b/src/role/planner.rs
@@ -70,10 +70,18 @@
     /// Returns whether another engine of the group may begin a change.
     fn may_change(&self, view: &View, now: Moment) -> bool {
         let seen = self.history.covers(self.config.slow / 2, now);
+        let turn = self.is_turn(view, now);
         let rested = self.last_change.is_none_or(|it| it + self.config.pause <= now);
         let changing = view.engines.iter().filter(|it| it.changing).count();
         let most = ((view.engines.len() as f64 * self.config.changing) as usize).max(1);
-        seen && rested && changing < most
+        seen && turn && rested && changing < most
+    }
+
+    /// Returns whether it is the group's turn, so that groups do not answer one shift all at once.
+    fn is_turn(&self, view: &View, now: Moment) -> bool {
+        let length = self.config.pause.as_nanos().max(1);
+        let turn = now.as_nanos() / length % u128::from(view.turn.groups.max(1));
+        turn == u128::from(view.turn.place)
     }
 
     /// Returns whether an announced departure is near enough to be prepared.
@@ -83,18 +91,19 @@
 
     fn supply(&self, view: &View, now: Moment) -> Supply {
         let staying = view.engines.iter().filter(|it| it.serving && !self.departing(it, now));
-        staying.fold(Supply::default(), |supply, it| supply.with(it.role, 1.0))
+        staying.fold(view.elsewhere, |supply, it| supply.with(it.role, 1.0))
     }
 
     /// Returns the change of one engine that gains most, if any pays.
     fn best(&self, view: &View, now: Moment) -> Option<Candidate> {
         let supply = self.supply(view, now);
-        let staying = view.engines.iter().filter(|it| it.serving && !self.departing(it, now));
-        let reserve = part_of(staying.count(), self.config.reserve) as f64;
+        let all = supply.prefill + supply.decode + supply.mixed;
+        let reserve = part_of(all as usize, self.config.reserve) as f64;
         let mut best: Option<Candidate> = None;
         for from in ROLES {
             let least = if from == Role::Mixed { reserve } else { 0.0 };
-            if supply.of(from) < least + 1.0 {
+            let here = view.engines.iter().any(|it| it.role == from);
+            if !here || supply.of(from) < least + 1.0 {
                 continue;
             }
             for to in ROLES.into_iter().filter(|it| *it != from) {
--- a/src/route/choice.rs
+++ b/src/route/choice.rs
@@ -111,10 +111,10 @@
         best.or_else(|| self.last_resort(scene))
     }
 
-    /// Lets one engine do both stages when no engine is there for one of them.
+    /// Lets an engine for decode read the prompt when no engine is there for prefill.
     fn last_resort(&self, scene: &Scene<'_>) -> Option<(Route, Course)> {
         let mut best = None;
-        for target in self.prefill.iter().chain(&self.decode) {
+        for target in &self.decode {
             scene.consider(&mut best, Route { prefill: None, target: *target });
         }
         best
@@ -201,10 +201,8 @@
         let (wait, tokens, reading) = self.reading(replica);
         let (slot, generating, crowding) = self.generating(replica);
         let first_token = wait + slot + reading + self.distance(replica);
-        self.sum(
-            replica,
-            Sum { wait: wait + slot, tokens, reading, first_token, generating, crowding },
-        )
+        let crowding = crowding + replica.load.running() * self.pool.reading(tokens);
+        self.sum(replica, Sum { wait: wait + slot, tokens, first_token, generating, crowding })
     }
 
     /// Returns the course on an engine that reads and another that generates.
@@ -219,7 +217,7 @@
             + slot
             + self.distance(reader)
             + self.distance(replica);
-        self.sum(replica, Sum { wait, tokens, reading, first_token, generating, crowding })
+        self.sum(replica, Sum { wait, tokens, first_token, generating, crowding })
     }
 
     /// Returns the time to move the prompt's KV cache between two engines.
@@ -236,13 +234,13 @@
         let batch = (replica.load.running() + 1.0).min(f64::from(replica.load.slots));
         let finish = sum.first_token + sum.generating;
         let output = f64::from(self.demand.output_tokens);
-        let decoding = self.pool.decoding(output, replica.role, self.config);
+        let work = self.pool.reading(sum.tokens) + self.pool.decoding(output, self.config);
         Course {
             wait: sum.wait,
             tokens: sum.tokens,
             first_token: sum.first_token,
             finish,
-            engine_time: sum.reading + decoding,
+            engine_time: work,
             batch,
             score: finish + sum.crowding,
         }
@@ -272,7 +270,6 @@
 struct Sum {
     wait: f64,
     tokens: f64,
-    reading: f64,
     first_token: f64,
     generating: f64,
     crowding: f64,
--- a/src/route/fleet.rs
+++ b/src/route/fleet.rs
@@ -19,7 +19,9 @@
 /// Part by which one report moves the learned part of this host.
 const PART_GAIN: f64 = 0.1;
 /// Most requests of all hosts that one of this host stands for.
-const MOST_WEIGHT: f64 = 16.0;
+const MOST_WEIGHT: f64 = 1.0;
+/// Observations from which an engine with one role tells the cost of its stage.
+const LEAST_SEEN: u32 = 8;
 /// Window of the rates of work asked for.
 const ASKED_WINDOW: Duration = Duration::from_secs(1);
 
@@ -177,16 +179,25 @@
     }
 
     /// Returns the largest batch in which tokens still come in time.
-    pub(super) fn full_batch(&self, role: Role, config: &Config) -> f64 {
-        let most = self.rates(role).batch_within(config.between_tokens);
+    pub(super) fn full_batch(&self, rates: &Rates, config: &Config) -> f64 {
+        let most = rates.batch_within(config.between_tokens);
         let slots = if self.slots == 0 { f64::INFINITY } else { f64::from(self.slots) };
         most.min(slots)
     }
 
-    /// Returns the engine seconds to generate `output` tokens in a full batch.
-    pub(super) fn decoding(&self, output: f64, role: Role, config: &Config) -> f64 {
-        let batch = self.full_batch(role, config);
-        output * self.rates(role).step(batch).as_secs_f64() / batch
+    /// Returns the engine seconds to read prompts, where nothing else shares the engine.
+    pub(super) fn reading(&self, tokens: f64) -> f64 {
+        let seen = LEAST_SEEN <= self.prefill.prefills_seen();
+        let rates = if seen { &self.prefill } else { &self.mixed };
+        tokens / rates.prefill_rate()
+    }
+
+    /// Returns the engine seconds to generate in a full batch, where nothing else shares the engine.
+    pub(super) fn decoding(&self, output: f64, config: &Config) -> f64 {
+        let seen = LEAST_SEEN <= self.decode.steps_seen();
+        let rates = if seen { &self.decode } else { &self.mixed };
+        let batch = self.full_batch(rates, config);
+        output * rates.step(batch).as_secs_f64() / batch
     }
 
     /// Returns the rates learned for engines in a role.
--- a/src/route/learn.rs
+++ b/src/route/learn.rs
@@ -30,9 +30,8 @@
     /// Counts the work of a request that was offered, with the prompt tokens to read.
     pub(super) fn offered(&mut self, demand: &Demand, tokens: f64, config: &Config, now: Moment) {
         let Some(pool) = self.pool_mut(&demand.model_or_service) else { return };
-        let reading = tokens / pool.rates(Role::Mixed).prefill_rate();
-        let output = f64::from(demand.output_tokens);
-        let decoding = pool.decoding(output, Role::Mixed, config);
+        let reading = pool.reading(tokens);
+        let decoding = pool.decoding(f64::from(demand.output_tokens), config);
         pool.asked.prefill.add(reading, now);
         pool.asked.decode.add(decoding, now);
     }
@@ -233,13 +232,12 @@
 
     /// Returns the requests that fit into an engine's batch while tokens come in time.
     fn slots_room(&self, replica: &Replica, config: &Config) -> Room {
-        replica.slots_room(self.full_batch(replica.role, config))
+        replica.slots_room(self.full_batch(self.rates(replica.role), config))
     }
 
     /// Returns the mean engine time of a request, in seconds.
     fn mean_cost(&self, config: &Config) -> f64 {
-        let reading = self.mean.prompt / self.rates(Role::Mixed).prefill_rate();
-        reading + self.decoding(self.mean.output, Role::Mixed, config)
+        self.reading(self.mean.prompt) + self.decoding(self.mean.output, config)
     }
 }
 
--- a/src/serve/job.rs
+++ b/src/serve/job.rs
@@ -148,7 +148,11 @@
     /// Waits for admission.
     fn enter(&self) -> Result<Permit<'a>, Stop> {
         let now = clock::now();
-        let estimate = self.ctx.fleet.route().estimate(&self.demand, now);
+        let estimate = {
+            let mut router = self.ctx.fleet.route();
+            router.offered(&self.demand, now);
+            router.estimate(&self.demand, now)
+        };
         let Some(estimate) = estimate else { return Err(self.no_target().into()) };
         let due = match self.demand.kind {
             Kind::Engine => self.started + self.caller.limits.first_token,
