--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -12,7 +12,7 @@
 mod scenario;
 mod timeline;
 
-use std::{io, path::PathBuf};
+use std::{io, path::PathBuf, process::ExitCode};
 
 use clap::Args as ClapArgs;
 
@@ -74,6 +74,17 @@
     lines.join("\n")
 }
 
+/// Runs the subcommand and returns its exit code: 0, or 1 when a run failed or broke a promise.
+pub fn main(args: &Args) -> ExitCode {
+    match run(args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            log::error!("{err}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 /// Runs a scenario for each seed and policy and prints the reports.
 ///
 /// # Errors
--- a/tests/role.rs
+++ b/tests/role.rs
@@ -5,7 +5,8 @@
 use fuchsiaknot::{
     clock::Moment,
     role::{
-        Cause, Change, Config, Demand, Engine, Model, Placement, Planner, Policy, Supply, View,
+        Cause, Change, Config, Demand, Engine, Model, Placement, Planner, Policy, Supply, Turn,
+        View,
     },
     target::{Action, Role},
 };
