--- /dev/null
+++ b/src/lease/wire.rs
@@ -0,0 +1,88 @@
+//! Stored form of a lease's row.
+
+use serde::{Deserialize, Serialize};
+
+use super::{Malformed, Owner};
+use crate::id;
+
+/// One run of an entry host, as stored.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holder {
+    /// Name of the host.
+    pub host: id::Host,
+    /// Run of its process.
+    pub incarnation: id::Incarnation,
+}
+
+/// A lease's row, as stored.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// Present holder; absent after it gave the lease back.
+    pub holder: Option<Holder>,
+    /// Fencing number.
+    pub epoch: id::Epoch,
+    /// Renewals since the lease was taken.
+    pub renewal: u64,
+    /// Token of the write.
+    pub token: id::Token,
+}
+
+impl Record {
+    /// Reads the text of a row.
+    ///
+    /// # Errors
+    /// Fails when the text is not the expected JSON.
+    pub fn parse(text: &str) -> Result<Record, Malformed> {
+        Ok(serde_json::from_str(text)?)
+    }
+
+    /// Returns the text of a row.
+    pub fn text(&self) -> String {
+        serde_json::to_string(self).expect("a record has only plain fields")
+    }
+}
+
+impl From<&Owner> for Holder {
+    fn from(owner: &Owner) -> Holder {
+        Holder { host: owner.host.clone(), incarnation: owner.incarnation }
+    }
+}
+
+impl TryFrom<Holder> for Owner {
+    type Error = Malformed;
+
+    fn try_from(holder: Holder) -> Result<Owner, Malformed> {
+        if holder.host.is_empty() {
+            return Err(Malformed::Field("host"));
+        }
+        Ok(Owner { host: holder.host, incarnation: holder.incarnation })
+    }
+}
+
+impl From<&super::Record> for Record {
+    fn from(record: &super::Record) -> Record {
+        Record {
+            holder: record.owner.as_ref().map(Holder::from),
+            epoch: record.epoch,
+            renewal: record.renewal,
+            token: record.token,
+        }
+    }
+}
+
+impl TryFrom<Record> for super::Record {
+    type Error = Malformed;
+
+    fn try_from(record: Record) -> Result<super::Record, Malformed> {
+        if record.epoch == 0 {
+            return Err(Malformed::Field("epoch"));
+        }
+        let owner = record.holder.map(Owner::try_from).transpose()?;
+        Ok(super::Record {
+            owner,
+            epoch: record.epoch,
+            renewal: record.renewal,
+            token: record.token,
+        })
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod clock;
 pub mod contract;
 pub mod data_centre;
+pub mod drain;
 pub mod event;
 pub mod host;
 pub mod id;
--- /dev/null
+++ b/src/order/machine.rs
@@ -0,0 +1,455 @@
+//! One holder's tenure of a group: what to write and what to send.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::{
+    Config, Delivery, Entry, FLOOR_SEQUENCE, Facts, Group, Outcome, Pending,
+    slot::{Ended, Slot},
+};
+use crate::{
+    clock::Moment,
+    drain::{Barrier, Drain, Purpose},
+    id,
+    lease::Owner,
+    target::{Action, Fence, Order},
+};
+
+/// A holder and the epoch under which it holds a group.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Tenure {
+    /// Run of the holder.
+    pub owner: Owner,
+    /// Epoch of its lease.
+    pub epoch: id::Epoch,
+}
+
+/// A compare-and-set on the group's row.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Write {
+    /// Version that the row must have.
+    pub expected: id::Version,
+    /// New contents.
+    pub group: Group,
+}
+
+/// What the holder should do next.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub enum Step {
+    /// Read the group's row.
+    Read,
+    /// Write the group's row.
+    Write(Write),
+    /// Send an order, if the lease still holds right before its last byte.
+    Send(id::Target, Order),
+    /// Ask a run of a host whether it has stopped ordering in this group.
+    AskStopped(Owner),
+    /// Ask a host whether it has seen a drain and has nothing at the target.
+    AskDrained(id::Host, id::Target, id::Version),
+    /// Give the tenure up: a later holder has taken the group over.
+    Resign,
+}
+
+/// State of one tenure.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Machine {
+    tenure: Tenure,
+    config: Config,
+    row: Option<Stored>,
+    open: Option<Write>,
+    deposed: bool,
+    slots: BTreeMap<id::Target, Slot>,
+    stopped: BTreeMap<Owner, Moment>,
+    requests: BTreeMap<id::Target, Request>,
+    settled: Vec<(id::Target, Fence, Outcome)>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Stored {
+    version: id::Version,
+    group: Group,
+    received: Moment,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+enum Request {
+    Change(Action),
+    Drain(Purpose),
+    EndDrain,
+}
+
+impl Machine {
+    /// Starts a tenure.
+    pub fn new(tenure: Tenure, config: Config) -> Machine {
+        Machine {
+            tenure,
+            config,
+            row: None,
+            open: None,
+            deposed: false,
+            slots: BTreeMap::new(),
+            stopped: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            settled: Vec::new(),
+        }
+    }
+
+    /// Returns the epoch of the tenure.
+    pub fn epoch(&self) -> id::Epoch {
+        self.tenure.epoch
+    }
+
+    /// Returns the group's row as last known.
+    pub fn group(&self) -> Option<&Group> {
+        self.row.as_ref().map(|it| &it.group)
+    }
+
+    /// Returns whether the group's row carries the tenure's epoch.
+    pub fn is_open(&self) -> bool {
+        self.group().is_some_and(|it| it.epoch == self.tenure.epoch)
+    }
+
+    /// Takes the orders settled since the last call.
+    pub fn settled(&mut self) -> Vec<(id::Target, Fence, Outcome)> {
+        std::mem::take(&mut self.settled)
+    }
+
+    /// Asks for a change of a target.
+    pub fn request(&mut self, target: &id::Target, action: Action) {
+        self.requests.insert(target.clone(), Request::Change(action));
+    }
+
+    /// Asks for a drain that no order ends.
+    pub fn begin_drain(&mut self, target: &id::Target, purpose: Purpose) {
+        self.requests.insert(target.clone(), Request::Drain(purpose));
+    }
+
+    /// Asks to end a drain that no order ends.
+    pub fn end_drain(&mut self, target: &id::Target) {
+        self.requests.insert(target.clone(), Request::EndDrain);
+    }
+
+    /// Notes the row as read or as a conflict showed it; `received` is when the answer arrived.
+    pub fn observe(&mut self, version: id::Version, group: Group, received: Moment) {
+        if self.row.as_ref().is_some_and(|it| version <= it.version && it.version != 0) {
+            return;
+        }
+        if group.epoch > self.tenure.epoch {
+            self.deposed = true;
+        }
+        let settled = self.open.take_if(|it| it.expected < version);
+        if let Some(write) = settled
+            && write.group.token == group.token
+        {
+            self.note_write(&group);
+        }
+        self.store(version, group, received);
+    }
+
+    /// Notes that a write took effect as `version`; `received` is when the answer arrived.
+    pub fn committed(&mut self, write: &Write, version: id::Version, received: Moment) {
+        if self.open.as_ref() != Some(write) {
+            return;
+        }
+        self.open = None;
+        self.note_write(&write.group);
+        self.store(version, write.group.clone(), received);
+    }
+
+    /// Notes that a write was refused before it had any effect.
+    pub fn refused(&mut self, write: &Write) {
+        self.open.take_if(|it| it == write);
+    }
+
+    /// Notes a target's report.
+    pub fn reported(&mut self, target: &id::Target, facts: Facts) {
+        let slot = self.slots.entry(target.clone()).or_default();
+        let known = slot.facts.as_ref().map(|it| it.load.taken_at);
+        if known.is_none_or(|it| it <= facts.load.taken_at) {
+            slot.facts = Some(facts);
+        }
+    }
+
+    /// Notes that the sending of an order ended.
+    pub fn sent(&mut self, target: &id::Target, fence: Fence, delivery: Delivery, at: Moment) {
+        self.slots.entry(target.clone()).or_default().end(fence, delivery, at);
+    }
+
+    /// Notes that a run of a host can begin no more orders under an earlier epoch.
+    pub fn stopped(&mut self, owner: &Owner, at: Moment) {
+        self.stopped.entry(owner.clone()).or_insert(at);
+    }
+
+    /// Notes that a host has seen a drain and has nothing at the target.
+    pub fn drained(
+        &mut self,
+        host: &id::Host,
+        target: &id::Target,
+        revision: id::Version,
+        received: Moment,
+    ) {
+        let current = self.group().and_then(|it| it.drain(target)).map(|it| it.revision);
+        if current != Some(revision) {
+            return;
+        }
+        if let Some(barrier) = self.slots.entry(target.clone()).or_default().barrier.as_mut() {
+            barrier.answered(host, received);
+        }
+    }
+
+    /// Returns whether an order is being sent.
+    pub fn is_sending(&self) -> bool {
+        self.slots.values().any(|it| it.sending.is_some())
+    }
+
+    /// Returns whether a change, a drain or an order is under way.
+    pub fn is_busy(&self) -> bool {
+        let recorded = self.group().is_none_or(|it| !it.targets.is_empty());
+        recorded || !self.requests.is_empty() || self.open.is_some() || self.is_sending()
+    }
+
+    /// Returns whether a drained target has nothing left to run.
+    pub fn is_drained(&self, target: &str, now: Moment) -> bool {
+        self.slots.get(target).is_some_and(|it| self.is_clear(it, now))
+    }
+
+    /// Returns what to do now; `hosts` are the entry hosts that the host list names.
+    ///
+    /// Call it only while the lease holds. A write whose answer was lost is returned again with the
+    /// same contents until a read of the row or a conflict settles it.
+    pub fn next(&mut self, now: Moment, hosts: &BTreeSet<id::Host>, token: id::Token) -> Vec<Step> {
+        if self.deposed {
+            return vec![Step::Resign];
+        }
+        if self.row.is_none() {
+            return vec![Step::Read];
+        }
+        self.track_barriers(hosts);
+        let mut steps = Vec::new();
+        if self.open.is_none() {
+            self.open = self.propose(now, token);
+        }
+        steps.extend(self.open.clone().map(Step::Write));
+        if self.is_open() {
+            self.send_floors(now, &mut steps);
+            self.send_pending(now, &mut steps);
+            self.ask(&mut steps);
+        }
+        steps
+    }
+
+    fn store(&mut self, version: id::Version, group: Group, received: Moment) {
+        for (target, entry) in &group.targets {
+            let slot = self.slots.entry(target.clone()).or_default();
+            let released = entry.pending.as_ref().is_some_and(|it| it.released);
+            slot.released = released.then_some(slot.released.unwrap_or(received));
+        }
+        self.row = Some(Stored { version, group, received });
+    }
+
+    /// Drops the requests that a write has recorded and lists the orders that it settled.
+    fn note_write(&mut self, written: &Group) {
+        let Some(before) = self.row.as_ref().map(|it| it.group.clone()) else { return };
+        for (target, entry) in &before.targets {
+            let Some(pending) = &entry.pending else { continue };
+            let now = written.targets.get(target).and_then(|it| it.pending.as_ref());
+            if now.is_some_and(|it| it.fence == pending.fence) {
+                continue;
+            }
+            let outcome = self.slot_outcome(target, pending).unwrap_or(Outcome::Void);
+            self.settled.push((target.clone(), pending.fence, outcome));
+        }
+        let recorded = |target: &id::Target, request: &Request| {
+            let entry = written.targets.get(target);
+            match request {
+                Request::Change(action) => {
+                    entry.is_some_and(|it| it.wanted.as_ref() == Some(action))
+                }
+                Request::Drain(purpose) => entry
+                    .and_then(|it| it.drain.as_ref())
+                    .is_some_and(|it| it.purpose == *purpose),
+                Request::EndDrain => entry
+                    .and_then(|it| it.drain.as_ref())
+                    .is_none_or(|it| it.purpose == Purpose::Order),
+            }
+        };
+        self.requests.retain(|target, request| !recorded(target, request));
+    }
+
+    fn track_barriers(&mut self, hosts: &BTreeSet<id::Host>) {
+        let Some(row) = &self.row else { return };
+        for (target, slot) in &mut self.slots {
+            if row.group.drain(target).is_none() {
+                slot.barrier = None;
+                continue;
+            }
+            let barrier = slot.barrier.get_or_insert_with(|| Barrier::new(row.received));
+            barrier.expect(hosts);
+        }
+    }
+
+    fn propose(&self, now: Moment, token: id::Token) -> Option<Write> {
+        let row = self.row.as_ref()?;
+        let mut group = row.group.clone();
+        group.revision += 1;
+        group.token = token;
+        if group.epoch < self.tenure.epoch {
+            group.epoch = self.tenure.epoch;
+            group.sequence = FLOOR_SEQUENCE;
+            return Some(Write { expected: row.version, group });
+        }
+        let targets: BTreeSet<&id::Target> =
+            row.group.targets.keys().chain(self.requests.keys()).collect();
+        for target in targets {
+            self.advance(target, &mut group, now);
+        }
+        group.tidy();
+        let changed = group.targets != row.group.targets;
+        changed.then_some(Write { expected: row.version, group })
+    }
+
+    /// Moves one target's entry on by at most one stage.
+    fn advance(&self, target: &id::Target, group: &mut Group, now: Moment) {
+        let idle = Slot::default();
+        let slot = self.slots.get(target).unwrap_or(&idle);
+        let revision = group.revision;
+        let mut entry = group.targets.remove(target).unwrap_or_default();
+        match &entry.pending {
+            Some(pending) => {
+                let Some(outcome) = self.slot_outcome(target, pending) else {
+                    group.targets.insert(target.clone(), entry);
+                    return;
+                };
+                entry.pending = None;
+                if outcome != Outcome::Void {
+                    Self::finish(&mut entry);
+                }
+            }
+            None => {
+                if let Some(request) = self.requests.get(target) {
+                    Self::record(&mut entry, request, revision);
+                }
+                self.advance_wanted(slot, &mut entry, group, now);
+            }
+        }
+        group.targets.insert(target.clone(), entry);
+    }
+
+    fn record(entry: &mut Entry, request: &Request, revision: id::Version) {
+        match request {
+            Request::Change(action) => entry.wanted = Some(action.clone()),
+            Request::Drain(purpose) => {
+                let revision = entry.drain.as_ref().map_or(revision, |it| it.revision);
+                entry.drain = Some(Drain { revision, purpose: *purpose });
+            }
+            Request::EndDrain => {
+                if entry.wanted.is_none() {
+                    entry.drain = None;
+                } else if let Some(drain) = &mut entry.drain {
+                    drain.purpose = Purpose::Order;
+                }
+            }
+        }
+    }
+
+    fn advance_wanted(&self, slot: &Slot, entry: &mut Entry, group: &mut Group, now: Moment) {
+        let Some(action) = entry.wanted.clone() else { return };
+        let Some(facts) = &slot.facts else { return };
+        if facts.satisfies(&action) {
+            Self::finish(entry);
+            return;
+        }
+        if entry.drain.is_none() {
+            entry.drain = Some(Drain { revision: group.revision, purpose: Purpose::Order });
+            return;
+        }
+        let ready = !facts.checks_fence || slot.is_floor_raised();
+        let idle = slot.sending.is_none();
+        if ready && idle && self.is_clear(slot, now) {
+            group.sequence += 1;
+            let fence = Fence { epoch: self.tenure.epoch, sequence: group.sequence };
+            let sender = self.tenure.owner.clone();
+            entry.pending = Some(Pending { fence, action, sender, released: false });
+        }
+    }
+
+    fn finish(entry: &mut Entry) {
+        entry.wanted = None;
+        entry.drain.take_if(|it| it.purpose == Purpose::Order);
+    }
+
+    fn is_clear(&self, slot: &Slot, now: Moment) -> bool {
+        let (Some(barrier), Some(facts)) = (&slot.barrier, &slot.facts) else { return false };
+        barrier.complete(now, &self.config.drain, facts.load)
+    }
+
+    fn slot_outcome(&self, target: &id::Target, pending: &Pending) -> Option<Outcome> {
+        let stopped = self.stopped.get(&pending.sender).copied();
+        self.slots.get(target)?.outcome(pending, self.tenure.epoch, stopped, &self.config)
+    }
+
+    fn send_floors(&mut self, now: Moment, steps: &mut Vec<Step>) {
+        let fence = Fence { epoch: self.tenure.epoch, sequence: FLOOR_SEQUENCE };
+        let order = Order {
+            fence,
+            holder: self.tenure.owner.host.clone(),
+            action: Action::Nothing,
+        };
+        for (target, slot) in &mut self.slots {
+            let checks = slot.facts.as_ref().is_some_and(|it| it.checks_fence);
+            if !checks || slot.is_floor_raised() || slot.sending.is_some() {
+                continue;
+            }
+            if may_repeat(slot.ended.as_ref(), fence, now, &self.config) {
+                slot.begin(fence);
+                steps.push(Step::Send(target.clone(), order.clone()));
+            }
+        }
+    }
+
+    fn send_pending(&mut self, now: Moment, steps: &mut Vec<Step>) {
+        let Some(row) = &self.row else { return };
+        for (target, entry) in &row.group.targets {
+            let Some(pending) = &entry.pending else { continue };
+            let slot = self.slots.entry(target.clone()).or_default();
+            let Some(facts) = &slot.facts else { continue };
+            if pending.fence.epoch != self.tenure.epoch || slot.sending.is_some() {
+                continue;
+            }
+            let ended = slot.ended.as_ref().filter(|it| it.fence == pending.fence);
+            let due = match ended {
+                None => true,
+                Some(ended) => {
+                    let lost = ended.delivery == Delivery::Unknown && facts.checks_fence;
+                    lost && may_repeat(Some(ended), pending.fence, now, &self.config)
+                }
+            };
+            if due {
+                slot.begin(pending.fence);
+                let holder = self.tenure.owner.host.clone();
+                let (fence, action) = (pending.fence, pending.action.clone());
+                steps.push(Step::Send(target.clone(), Order { fence, holder, action }));
+            }
+        }
+    }
+
+    fn ask(&self, steps: &mut Vec<Step>) {
+        let Some(row) = &self.row else { return };
+        for (target, entry) in &row.group.targets {
+            let earlier = entry.pending.as_ref().filter(|it| it.fence.epoch < self.tenure.epoch);
+            let unknown = earlier.filter(|it| !self.stopped.contains_key(&it.sender));
+            if let Some(pending) = unknown {
+                steps.push(Step::AskStopped(pending.sender.clone()));
+            }
+            let Some(drain) = &entry.drain else { continue };
+            let barrier = self.slots.get(target).and_then(|it| it.barrier.as_ref());
+            for host in barrier.iter().flat_map(|it| it.waiting()) {
+                steps.push(Step::AskDrained(host.clone(), target.clone(), drain.revision));
+            }
+        }
+    }
+}
+
+fn may_repeat(ended: Option<&Ended>, fence: Fence, now: Moment, config: &Config) -> bool {
+    let last = ended.filter(|it| it.fence == fence);
+    last.is_none_or(|it| it.at + config.repeat_every <= now)
+}
