--- a/src/lease/machine.rs
+++ b/src/lease/machine.rs
@@ -154,12 +154,8 @@
 
     fn propose(&self, now: Moment, wish: Wish, token: id::Token) -> Option<Attempt> {
         let seen = self.seen.as_ref()?;
-        let attempt = |purpose, record| Attempt {
-            purpose,
-            expected: seen.version,
-            record,
-            sent: now,
-        };
+        let attempt =
+            |purpose, record| Attempt { purpose, expected: seen.version, record, sent: now };
         let Some(held) = &self.held else {
             let Wish::Hold { rank } = wish else { return None };
             return self.may_take(seen, now, rank).then(|| {
--- a/src/order/machine.rs
+++ b/src/order/machine.rs
@@ -59,7 +59,8 @@
     deposed: bool,
     slots: BTreeMap<id::Target, Slot>,
     stopped: BTreeMap<Owner, Moment>,
-    requests: BTreeMap<id::Target, Request>,
+    changes: BTreeMap<id::Target, Action>,
+    drains: BTreeMap<id::Target, Option<Purpose>>,
     settled: Vec<(id::Target, Fence, Outcome)>,
 }
 
@@ -70,13 +71,6 @@
     received: Moment,
 }
 
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-enum Request {
-    Change(Action),
-    Drain(Purpose),
-    EndDrain,
-}
-
 impl Machine {
     /// Starts a tenure.
     pub fn new(tenure: Tenure, config: Config) -> Machine {
@@ -88,7 +82,8 @@
             deposed: false,
             slots: BTreeMap::new(),
             stopped: BTreeMap::new(),
-            requests: BTreeMap::new(),
+            changes: BTreeMap::new(),
+            drains: BTreeMap::new(),
             settled: Vec::new(),
         }
     }
@@ -115,17 +110,17 @@
 
     /// Asks for a change of a target.
     pub fn request(&mut self, target: &id::Target, action: Action) {
-        self.requests.insert(target.clone(), Request::Change(action));
+        self.changes.insert(target.clone(), action);
     }
 
     /// Asks for a drain that no order ends.
     pub fn begin_drain(&mut self, target: &id::Target, purpose: Purpose) {
-        self.requests.insert(target.clone(), Request::Drain(purpose));
+        self.drains.insert(target.clone(), Some(purpose));
     }
 
     /// Asks to end a drain that no order ends.
     pub fn end_drain(&mut self, target: &id::Target) {
-        self.requests.insert(target.clone(), Request::EndDrain);
+        self.drains.insert(target.clone(), None);
     }
 
     /// Notes the row as read or as a conflict showed it; `received` is when the answer arrived.
@@ -204,7 +199,8 @@
     /// Returns whether a change, a drain or an order is under way.
     pub fn is_busy(&self) -> bool {
         let recorded = self.group().is_none_or(|it| !it.targets.is_empty());
-        recorded || !self.requests.is_empty() || self.open.is_some() || self.is_sending()
+        let requested = !self.changes.is_empty() || !self.drains.is_empty();
+        recorded || requested || self.open.is_some() || self.is_sending()
     }
 
     /// Returns whether a drained target has nothing left to run.
@@ -226,6 +222,7 @@
         self.track_barriers(hosts);
         let mut steps = Vec::new();
         if self.open.is_none() {
+            self.drop_idle_requests();
             self.open = self.propose(now, token);
         }
         steps.extend(self.open.clone().map(Step::Write));
@@ -258,21 +255,27 @@
             let outcome = self.slot_outcome(target, pending).unwrap_or(Outcome::Void);
             self.settled.push((target.clone(), pending.fence, outcome));
         }
-        let recorded = |target: &id::Target, request: &Request| {
-            let entry = written.targets.get(target);
-            match request {
-                Request::Change(action) => {
-                    entry.is_some_and(|it| it.wanted.as_ref() == Some(action))
-                }
-                Request::Drain(purpose) => entry
-                    .and_then(|it| it.drain.as_ref())
-                    .is_some_and(|it| it.purpose == *purpose),
-                Request::EndDrain => entry
-                    .and_then(|it| it.drain.as_ref())
-                    .is_none_or(|it| it.purpose == Purpose::Order),
-            }
-        };
-        self.requests.retain(|target, request| !recorded(target, request));
+        self.changes.retain(|target, action| {
+            let wanted = written.targets.get(target).and_then(|it| it.wanted.as_ref());
+            wanted != Some(action)
+        });
+        self.drains.retain(|target, purpose| !is_recorded(written, target, *purpose));
+    }
+
+    /// Drops requests that ask for what already is.
+    fn drop_idle_requests(&mut self) {
+        let Some(row) = &self.row else { return };
+        let slots = &self.slots;
+        self.changes.retain(|target, action| {
+            let open = row
+                .group
+                .targets
+                .get(target)
+                .is_some_and(|it| it.wanted.is_some() || it.pending.is_some());
+            let facts = slots.get(target).and_then(|it| it.facts.as_ref());
+            open || !facts.is_some_and(|it| it.satisfies(action))
+        });
+        self.drains.retain(|target, purpose| !is_recorded(&row.group, target, *purpose));
     }
 
     fn track_barriers(&mut self, hosts: &BTreeSet<id::Host>) {
@@ -297,8 +300,9 @@
             group.sequence = FLOOR_SEQUENCE;
             return Some(Write { expected: row.version, group });
         }
+        let recorded = row.group.targets.keys();
         let targets: BTreeSet<&id::Target> =
-            row.group.targets.keys().chain(self.requests.keys()).collect();
+            recorded.chain(self.changes.keys()).chain(self.drains.keys()).collect();
         for target in targets {
             self.advance(target, &mut group, now);
         }
@@ -313,20 +317,21 @@
         let slot = self.slots.get(target).unwrap_or(&idle);
         let revision = group.revision;
         let mut entry = group.targets.remove(target).unwrap_or_default();
-        match &entry.pending {
-            Some(pending) => {
-                let Some(outcome) = self.slot_outcome(target, pending) else {
-                    group.targets.insert(target.clone(), entry);
-                    return;
-                };
+        if let Some(purpose) = self.drains.get(target) {
+            record_drain(&mut entry, *purpose, revision);
+        }
+        let outcome = entry.pending.as_ref().map(|it| self.slot_outcome(target, it));
+        match outcome {
+            Some(None) => {}
+            Some(Some(outcome)) => {
                 entry.pending = None;
                 if outcome != Outcome::Void {
-                    Self::finish(&mut entry);
+                    finish(&mut entry);
                 }
             }
             None => {
-                if let Some(request) = self.requests.get(target) {
-                    Self::record(&mut entry, request, revision);
+                if let Some(action) = self.changes.get(target) {
+                    entry.wanted = Some(action.clone());
                 }
                 self.advance_wanted(slot, &mut entry, group, now);
             }
@@ -334,28 +339,11 @@
         group.targets.insert(target.clone(), entry);
     }
 
-    fn record(entry: &mut Entry, request: &Request, revision: id::Version) {
-        match request {
-            Request::Change(action) => entry.wanted = Some(action.clone()),
-            Request::Drain(purpose) => {
-                let revision = entry.drain.as_ref().map_or(revision, |it| it.revision);
-                entry.drain = Some(Drain { revision, purpose: *purpose });
-            }
-            Request::EndDrain => {
-                if entry.wanted.is_none() {
-                    entry.drain = None;
-                } else if let Some(drain) = &mut entry.drain {
-                    drain.purpose = Purpose::Order;
-                }
-            }
-        }
-    }
-
     fn advance_wanted(&self, slot: &Slot, entry: &mut Entry, group: &mut Group, now: Moment) {
         let Some(action) = entry.wanted.clone() else { return };
         let Some(facts) = &slot.facts else { return };
         if facts.satisfies(&action) {
-            Self::finish(entry);
+            finish(entry);
             return;
         }
         if entry.drain.is_none() {
@@ -372,11 +360,6 @@
         }
     }
 
-    fn finish(entry: &mut Entry) {
-        entry.wanted = None;
-        entry.drain.take_if(|it| it.purpose == Purpose::Order);
-    }
-
     fn is_clear(&self, slot: &Slot, now: Moment) -> bool {
         let (Some(barrier), Some(facts)) = (&slot.barrier, &slot.facts) else { return false };
         barrier.complete(now, &self.config.drain, facts.load)
@@ -389,11 +372,8 @@
 
     fn send_floors(&mut self, now: Moment, steps: &mut Vec<Step>) {
         let fence = Fence { epoch: self.tenure.epoch, sequence: FLOOR_SEQUENCE };
-        let order = Order {
-            fence,
-            holder: self.tenure.owner.host.clone(),
-            action: Action::Nothing,
-        };
+        let order =
+            Order { fence, holder: self.tenure.owner.host.clone(), action: Action::Nothing };
         for (target, slot) in &mut self.slots {
             let checks = slot.facts.as_ref().is_some_and(|it| it.checks_fence);
             if !checks || slot.is_floor_raised() || slot.sending.is_some() {
@@ -453,3 +433,31 @@
     let last = ended.filter(|it| it.fence == fence);
     last.is_none_or(|it| it.at + config.repeat_every <= now)
 }
+
+/// Ends the change that an order was for.
+fn finish(entry: &mut Entry) {
+    entry.wanted = None;
+    entry.drain.take_if(|it| it.purpose == Purpose::Order);
+}
+
+/// Begins a drain with a purpose, or ends the one that no order ends.
+fn record_drain(entry: &mut Entry, purpose: Option<Purpose>, revision: id::Version) {
+    let changing = entry.wanted.is_some() || entry.pending.is_some();
+    match purpose {
+        Some(purpose) => {
+            let revision = entry.drain.as_ref().map_or(revision, |it| it.revision);
+            entry.drain = Some(Drain { revision, purpose });
+        }
+        None if changing => {
+            entry.drain.iter_mut().for_each(|it| it.purpose = Purpose::Order);
+        }
+        None => entry.drain = None,
+    }
+}
+
+fn is_recorded(group: &Group, target: &str, purpose: Option<Purpose>) -> bool {
+    match (group.drain(target).map(|it| it.purpose), purpose) {
+        (present, Some(purpose)) => present == Some(purpose),
+        (present, None) => present.is_none_or(|it| it == Purpose::Order),
+    }
+}
--- a/src/order/slot.rs
+++ b/src/order/slot.rs
@@ -185,9 +185,7 @@
             Delivery::WithoutEffect => Some(ended.at),
             // A target that checks is asked again, unless it restarted since it took the order.
             Delivery::Unknown if facts.checks_fence => None,
-            Delivery::Unknown | Delivery::Accepted => {
-                Some(ended.at + config.drain.send_window)
-            }
+            Delivery::Unknown | Delivery::Accepted => Some(ended.at + config.drain.send_window),
         }
     }
 
