--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -1,4 +1,6 @@
 //! Connections to callers, peers and targets.
 
 pub mod front;
+pub mod outgoing;
+pub mod peer;
 pub mod runtime;
