--- /dev/null
+++ b/src/authority/answers.rs
@@ -0,0 +1,88 @@
+//! What this host answers its peers, and what it tells its own parts.
+
+use std::collections::BTreeSet;
+
+use super::{Authority, Fleet, GroupView, Peers, View, view};
+use crate::{
+    clock, id,
+    link::peer::wire::{DrainQuestion, DrainStatus, StopQuestion, StopStatus},
+    order::Group,
+    platform::Table,
+};
+
+impl<T: Table, F: Fleet, P: Peers> Authority<T, F, P> {
+    /// Answers whether this run has stopped ordering under an earlier lease.
+    pub fn stop_status(&self, question: &StopQuestion) -> StopStatus {
+        if question.incarnation != self.owner().incarnation {
+            return StopStatus::Unknown;
+        }
+        let state = self.state();
+        let lease = state.groups.get(&question.group).map(|it| &it.lease);
+        let holds = lease.and_then(|it| it.epoch(clock::now())) == Some(question.epoch);
+        if holds || state.is_sending(&question.group, question.epoch) {
+            return StopStatus::Holding;
+        }
+        StopStatus::Stopped
+    }
+
+    /// Answers whether this host has seen a drain and has nothing left at the target.
+    pub fn drain_status(&self, question: &DrainQuestion) -> DrainStatus {
+        let seen = {
+            let mut state = self.state();
+            let group = state.groups.get(&question.group).and_then(|it| it.group());
+            let revision = group.map_or(0, |it| it.revision);
+            let seen = question.revision <= revision;
+            state.read_now |= !seen;
+            seen
+        };
+        if !seen {
+            return DrainStatus::Unseen;
+        }
+        self.publish_drains();
+        if self.fleet().has_requests(&question.target) {
+            return DrainStatus::Busy;
+        }
+        DrainStatus::Drained
+    }
+
+    /// Returns the targets that get no new work, as this host last read the groups' rows.
+    pub fn drained_targets(&self) -> BTreeSet<id::Target> {
+        let state = self.state();
+        let groups = state.groups.values().filter_map(|it| it.group());
+        groups.flat_map(drained).collect()
+    }
+
+    /// Returns the host that holds a group, as this host last read its lease.
+    pub fn holder(&self, group: &str) -> Option<id::Host> {
+        let state = self.state();
+        let owner = state.groups.get(group)?.lease.record()?.owner.as_ref()?;
+        Some(owner.host.clone())
+    }
+
+    /// Returns all groups as this host last read them.
+    pub fn view(&self) -> View {
+        let now = clock::now();
+        let state = self.state();
+        let groups = state.groups.iter().map(|(name, held)| {
+            let empty = Group::default();
+            let group = held.group().unwrap_or(&empty);
+            let record = held.lease.record();
+            let is_complete =
+                |target: &str| held.tenure.as_ref().is_some_and(|it| it.is_drained(target, now));
+            GroupView {
+                group: name.clone(),
+                holder: record.and_then(|it| it.owner.as_ref()).map(|it| it.host.clone()),
+                epoch: record.map_or(0, |it| it.epoch),
+                held_here: held.lease.epoch(now).is_some(),
+                revision: group.revision,
+                drains: view::drains(group, is_complete),
+                orders: view::orders(group),
+            }
+        });
+        View { groups: groups.collect() }
+    }
+}
+
+fn drained(group: &Group) -> impl Iterator<Item = id::Target> + '_ {
+    group.targets.iter().filter(|(_, it)| it.drain.is_some()).map(|(target, _)| target.clone())
+}
--- /dev/null
+++ b/src/authority/orders.rs
@@ -0,0 +1,290 @@
+//! Orders and drains of the groups that this host holds.
+
+use std::collections::BTreeSet;
+
+use super::{
+    Authority, Fleet, Peers,
+    lists::Lists,
+    runner::note_row,
+    state::{Question, State},
+    table,
+};
+use crate::{
+    clock,
+    clock::Moment,
+    event,
+    event::Event,
+    id,
+    link::{
+        peer::wire::{DrainQuestion, DrainStatus, StopQuestion, StopStatus},
+        runtime,
+    },
+    order::{self, Delivery, Facts, Outcome, Step, Tenure},
+    platform::{Commit, Fault, Table},
+    target::{Control, Order},
+};
+
+/// Rounds of one group in one look, so that a next stage need not wait.
+const ROUNDS: usize = 4;
+
+/// Whether another round may follow at once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Round {
+    Again,
+    Over,
+}
+
+impl<T: Table, F: Fleet, P: Peers> Authority<T, F, P> {
+    pub(super) fn advance_orders(&self, lists: &Lists) {
+        let groups: Vec<id::Group> = self.state().groups.keys().cloned().collect();
+        for group in groups {
+            for _ in 0..ROUNDS {
+                if self.advance_group(&group, lists) == Round::Over {
+                    break;
+                }
+            }
+        }
+    }
+
+    fn advance_group(&self, group: &id::Group, lists: &Lists) -> Round {
+        let Some((epoch, steps)) = self.steps(group, lists) else { return Round::Over };
+        let mut round = Round::Over;
+        for step in steps {
+            match step {
+                Step::Read => round = self.read_group(group),
+                Step::Write(write) => round = self.write_group(group, epoch, &write),
+                Step::Send(target, order) => self.send(group, target, order),
+                Step::AskStopped(earlier) => self.ask_stopped(group, epoch, earlier, lists),
+                Step::AskDrained(host, target, revision) => {
+                    let group = group.clone();
+                    self.ask_drained(epoch, host, DrainQuestion { group, target, revision });
+                }
+                Step::Resign => {}
+            }
+        }
+        round
+    }
+
+    /// Returns the steps of a group that this host holds, with its epoch.
+    fn steps(&self, group: &id::Group, lists: &Lists) -> Option<(id::Epoch, Vec<Step>)> {
+        let now = clock::now();
+        let mut state = self.state();
+        let state = &mut *state;
+        let held = state.groups.get_mut(group)?;
+        let Some(epoch) = held.lease.epoch(now) else {
+            held.tenure = None;
+            return None;
+        };
+        let config = &self.inner.config.order;
+        if held.tenure_of(epoch).is_none() {
+            let tenure = Tenure { owner: self.owner().clone(), epoch };
+            held.tenure = Some(order::Machine::new(tenure, config.clone()));
+            held.asked.clear();
+        }
+        let tenure = held.tenure.as_mut()?;
+        let steps = tenure.next(now, &lists.hosts, rand::random());
+        for (target, _, outcome) in tenure.settled() {
+            self.note_outcome(&target, outcome);
+        }
+        // Counted under the same lock, so that no answer to a peer falls in between.
+        for _ in steps.iter().filter(|it| matches!(it, Step::Send(..))) {
+            state.begin_send(group, epoch);
+        }
+        Some((epoch, steps))
+    }
+
+    fn note_outcome(&self, target: &str, outcome: Outcome) {
+        let (counter, text) = match outcome {
+            Outcome::Done => ("order.done", "carried out"),
+            Outcome::Failed => ("order.failed", "failed"),
+            Outcome::Void => ("order.void", "without effect"),
+        };
+        self.inner.metrics.add(counter, 1);
+        event!(Event::OrderSettled, "the order to {target} is settled: {text}");
+    }
+
+    fn read_group(&self, group: &id::Group) -> Round {
+        let key = order::row(group);
+        match self.inner.table.read(std::slice::from_ref(&key)) {
+            Ok(rows) => {
+                let received = clock::now();
+                let mut state = self.state();
+                rows.iter().for_each(|it| note_row(&mut state, it, received));
+                Round::Again
+            }
+            Err(fault) => {
+                log::debug!("the row of the group {group} cannot be read: {fault}");
+                Round::Over
+            }
+        }
+    }
+
+    fn write_group(&self, group: &id::Group, epoch: id::Epoch, write: &order::Write) -> Round {
+        let outcome = self.inner.table.commit(&[table::group_write(group, write)]);
+        let received = clock::now();
+        let round = {
+            let mut state = self.state();
+            match outcome {
+                Ok(Commit::Conflict(rows)) => {
+                    rows.iter().for_each(|it| note_row(&mut state, it, received));
+                    Round::Again
+                }
+                Ok(Commit::Done(versions)) => {
+                    let tenure = state.groups.get_mut(group).and_then(|it| it.tenure_of(epoch));
+                    if let (Some(tenure), Some(version)) = (tenure, versions.first()) {
+                        tenure.committed(write, *version, received);
+                    }
+                    Round::Again
+                }
+                Err(Fault::Refused(_)) => {
+                    if let Some(it) = state.groups.get_mut(group).and_then(|it| it.tenure_of(epoch))
+                    {
+                        it.refused(write);
+                    }
+                    Round::Over
+                }
+                // The same write is made again; a conflict shows whether this one took effect.
+                Err(Fault::Lost(_)) => Round::Over,
+            }
+        };
+        self.publish_drains();
+        round
+    }
+
+    fn send(&self, group: &id::Group, target: id::Target, order: Order) {
+        let it = self.clone();
+        let group = group.clone();
+        runtime::handle().spawn_blocking(move || {
+            let fence = order.fence;
+            let delivery = it.deliver(&group, &target, &order);
+            let at = clock::now();
+            let mut state = it.state();
+            state.end_send(&group, fence.epoch);
+            let tenure = state.groups.get_mut(&group).and_then(|it| it.tenure_of(fence.epoch));
+            if let Some(tenure) = tenure {
+                tenure.sent(&target, fence, delivery, at);
+            }
+        });
+    }
+
+    fn deliver(&self, group: &id::Group, target: &id::Target, order: &Order) -> Delivery {
+        let Some(control) = self.inner.fleet.control(target) else {
+            return Delivery::WithoutEffect;
+        };
+        let epoch = order.fence.epoch;
+        let confirm = || {
+            let state = self.state();
+            let lease = state.groups.get(group).map(|it| &it.lease);
+            lease.and_then(|it| it.epoch(clock::now())) == Some(epoch)
+        };
+        self.inner.metrics.add("order.sent", 1);
+        let result = control.order(order, confirm);
+        let (number, action) = (order.fence.sequence, &order.action);
+        event!(Event::OrderSent, "order {epoch}.{number} to {target}, {action:?}: {result:?}");
+        Delivery::from(&result)
+    }
+
+    fn ask_stopped(&self, group: &id::Group, epoch: id::Epoch, earlier: Tenure, lists: &Lists) {
+        let it = self.clone();
+        let group = group.clone();
+        if earlier.owner == *self.owner() {
+            let incarnation = earlier.owner.incarnation;
+            let question = StopQuestion { group: group.clone(), incarnation, epoch: earlier.epoch };
+            if self.stop_status(&question) == StopStatus::Stopped {
+                self.note(&group, epoch, |it, now| it.stopped(&earlier, now));
+            }
+            return;
+        }
+        let absent = self.state().absences.since(&earlier.owner, lists);
+        if absent.is_some_and(|it| it + self.inner.config.gone_after <= lists.read_at) {
+            self.note(&group, epoch, |it, now| it.stopped(&earlier, now));
+            return;
+        }
+        let question = Question::Stopped(group.clone(), earlier.clone());
+        self.ask(question, move || {
+            if it.inner.peers.has_stopped(&group, &earlier) == Some(true) {
+                it.note(&group, epoch, |it, now| it.stopped(&earlier, now));
+            }
+        });
+    }
+
+    fn ask_drained(&self, epoch: id::Epoch, host: id::Host, question: DrainQuestion) {
+        let it = self.clone();
+        self.ask(Question::Drained(host.clone(), question.target.clone()), move || {
+            let DrainQuestion { group, target, revision } = &question;
+            let drained = if host == it.owner().host {
+                it.drain_status(&question) == DrainStatus::Drained
+            } else {
+                it.inner.peers.has_drained(&host, group, target, *revision) == Some(true)
+            };
+            if drained {
+                it.note(group, epoch, |it, now| it.drained(&host, target, *revision, now));
+            }
+        });
+    }
+
+    /// Asks the targets of the groups that this host holds for their reports.
+    pub(super) fn ask_reports(&self, lists: &Lists) {
+        let now = clock::now();
+        let mut due = Vec::new();
+        {
+            let mut state = self.state();
+            for (group, held) in &mut state.groups {
+                let Some(epoch) = held.lease.epoch(now) else { continue };
+                let changing: BTreeSet<id::Target> =
+                    held.group().map(|it| it.targets.keys().cloned().collect()).unwrap_or_default();
+                for target in lists.groups.get(group).into_iter().flat_map(|it| it.keys()) {
+                    let last = held.asked.get(target);
+                    let soon = changing.contains(target)
+                        || last.is_none_or(|it| *it + self.inner.config.report_every <= now);
+                    if soon {
+                        held.asked.insert(target.clone(), now);
+                        due.push((group.clone(), epoch, target.clone()));
+                    }
+                }
+            }
+        }
+        for (group, epoch, target) in due {
+            let it = self.clone();
+            self.ask(Question::Report(target.clone()), move || it.report(&group, epoch, &target));
+        }
+    }
+
+    fn report(&self, group: &id::Group, epoch: id::Epoch, target: &id::Target) {
+        let Some(control) = self.inner.fleet.control(target) else { return };
+        let asked = clock::now();
+        match control.report() {
+            Ok(report) => {
+                self.note(group, epoch, |it, _| it.reported(target, Facts::new(&report, asked)));
+            }
+            Err(failure) => log::debug!("no report from the target {target}: {failure}"),
+        }
+    }
+
+    /// Asks a question on a thread of its own, unless the same one is open.
+    fn ask(&self, question: Question, ask: impl FnOnce() + Send + 'static) {
+        if !self.state().questions.insert(question.clone()) {
+            return;
+        }
+        let it = self.clone();
+        runtime::handle().spawn_blocking(move || {
+            ask();
+            it.state().questions.remove(&question);
+        });
+    }
+
+    /// Notes something in the tenure of an epoch, unless it has ended.
+    fn note(
+        &self,
+        group: &id::Group,
+        epoch: id::Epoch,
+        note: impl FnOnce(&mut order::Machine, Moment),
+    ) {
+        let now = clock::now();
+        let mut state = self.state();
+        let state: &mut State = &mut state;
+        if let Some(tenure) = state.groups.get_mut(group).and_then(|it| it.tenure_of(epoch)) {
+            note(tenure, now);
+        }
+    }
+}
--- a/src/event.rs
+++ b/src/event.rs
@@ -63,6 +63,18 @@
     ConfigUnreadable = (4004, Error);
     /// The table names an older configuration than the one in force; the newer one stays.
     ConfigWentBack = (4005, Error);
+    /// This host holds a group's lease.
+    LeaseTaken = (5001, Info);
+    /// This host holds a group's lease no more.
+    LeaseEnded = (5002, Info);
+    /// An order to a target was sent, or sending it failed.
+    OrderSent = (5003, Info);
+    /// An order is settled: carried out, failed or without effect.
+    OrderSettled = (5004, Info);
+    /// An operator vouches that a target's pending order can be sent no more.
+    TargetReleased = (5005, Warn);
+    /// The row of a lease or group has contents that no host writes.
+    RowUnusable = (5006, Error);
     /// A connection to the peers' port did not prove the shared key.
     PeerRefused = (6001, Warn);
     /// An entry host is heard for the first time, or again.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! modules run them.
 
 pub mod admit;
+pub mod authority;
 pub mod claim;
 pub mod clock;
 pub mod contract;
--- a/src/order/group.rs
+++ b/src/order/group.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use super::Tenure;
 use crate::{
     drain::Drain,
     id,
@@ -48,6 +49,13 @@
     pub released: bool,
 }
 
+impl Pending {
+    /// Returns the tenure under which the order was given.
+    pub fn tenure(&self) -> Tenure {
+        Tenure { owner: self.sender.clone(), epoch: self.fence.epoch }
+    }
+}
+
 impl Group {
     /// Returns the drain of a target, if any.
     pub fn drain(&self, target: &str) -> Option<&Drain> {
--- a/src/order/machine.rs
+++ b/src/order/machine.rs
@@ -2,10 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::{
-    Config, Delivery, Entry, FLOOR_SEQUENCE, Facts, Group, Outcome, Pending,
-    slot::{Ended, Slot},
-};
+use super::{Config, Delivery, Entry, FLOOR_SEQUENCE, Facts, Group, Outcome, Pending, slot::Slot};
 use crate::{
     clock::Moment,
     drain::{Barrier, Drain, Purpose},
@@ -15,7 +12,7 @@
 };
 
 /// A holder and the epoch under which it holds a group.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Tenure {
     /// Run of the holder.
     pub owner: Owner,
@@ -41,8 +38,8 @@
     Write(Write),
     /// Send an order, if the lease still holds right before its last byte.
     Send(id::Target, Order),
-    /// Ask a run of a host whether it has stopped ordering in this group.
-    AskStopped(Owner),
+    /// Ask an earlier holder whether it has stopped ordering in this group under its epoch.
+    AskStopped(Tenure),
     /// Ask a host whether it has seen a drain and has nothing at the target.
     AskDrained(id::Host, id::Target, id::Version),
     /// Give the tenure up: a later holder has taken the group over.
@@ -52,22 +49,22 @@
 /// State of one tenure.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Machine {
-    tenure: Tenure,
-    config: Config,
-    row: Option<Stored>,
+    pub(super) tenure: Tenure,
+    pub(super) config: Config,
+    pub(super) row: Option<Stored>,
     open: Option<Write>,
     deposed: bool,
-    slots: BTreeMap<id::Target, Slot>,
-    stopped: BTreeMap<Owner, Moment>,
+    pub(super) slots: BTreeMap<id::Target, Slot>,
+    pub(super) stopped: BTreeMap<Tenure, Moment>,
     changes: BTreeMap<id::Target, Action>,
     drains: BTreeMap<id::Target, Option<Purpose>>,
     settled: Vec<(id::Target, Fence, Outcome)>,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
-struct Stored {
+pub(super) struct Stored {
     version: id::Version,
-    group: Group,
+    pub(super) group: Group,
     received: Moment,
 }
 
@@ -169,9 +166,9 @@
         self.slots.entry(target.clone()).or_default().end(fence, delivery, at);
     }
 
-    /// Notes that a run of a host can begin no more orders under an earlier epoch.
-    pub fn stopped(&mut self, owner: &Owner, at: Moment) {
-        self.stopped.entry(owner.clone()).or_insert(at);
+    /// Notes that an earlier holder can begin no more orders under its epoch.
+    pub fn stopped(&mut self, earlier: &Tenure, at: Moment) {
+        self.stopped.entry(earlier.clone()).or_insert(at);
     }
 
     /// Notes that a host has seen a drain and has nothing at the target.
@@ -366,72 +363,9 @@
     }
 
     fn slot_outcome(&self, target: &id::Target, pending: &Pending) -> Option<Outcome> {
-        let stopped = self.stopped.get(&pending.sender).copied();
+        let stopped = self.stopped.get(&pending.tenure()).copied();
         self.slots.get(target)?.outcome(pending, self.tenure.epoch, stopped, &self.config)
     }
-
-    fn send_floors(&mut self, now: Moment, steps: &mut Vec<Step>) {
-        let fence = Fence { epoch: self.tenure.epoch, sequence: FLOOR_SEQUENCE };
-        let order =
-            Order { fence, holder: self.tenure.owner.host.clone(), action: Action::Nothing };
-        for (target, slot) in &mut self.slots {
-            let checks = slot.facts.as_ref().is_some_and(|it| it.checks_fence);
-            if !checks || slot.is_floor_raised() || slot.sending.is_some() {
-                continue;
-            }
-            if may_repeat(slot.ended.as_ref(), fence, now, &self.config) {
-                slot.begin(fence);
-                steps.push(Step::Send(target.clone(), order.clone()));
-            }
-        }
-    }
-
-    fn send_pending(&mut self, now: Moment, steps: &mut Vec<Step>) {
-        let Some(row) = &self.row else { return };
-        for (target, entry) in &row.group.targets {
-            let Some(pending) = &entry.pending else { continue };
-            let slot = self.slots.entry(target.clone()).or_default();
-            let Some(facts) = &slot.facts else { continue };
-            if pending.fence.epoch != self.tenure.epoch || slot.sending.is_some() {
-                continue;
-            }
-            let ended = slot.ended.as_ref().filter(|it| it.fence == pending.fence);
-            let due = match ended {
-                None => true,
-                Some(ended) => {
-                    let lost = ended.delivery == Delivery::Unknown && facts.checks_fence;
-                    lost && may_repeat(Some(ended), pending.fence, now, &self.config)
-                }
-            };
-            if due {
-                slot.begin(pending.fence);
-                let holder = self.tenure.owner.host.clone();
-                let (fence, action) = (pending.fence, pending.action.clone());
-                steps.push(Step::Send(target.clone(), Order { fence, holder, action }));
-            }
-        }
-    }
-
-    fn ask(&self, steps: &mut Vec<Step>) {
-        let Some(row) = &self.row else { return };
-        for (target, entry) in &row.group.targets {
-            let earlier = entry.pending.as_ref().filter(|it| it.fence.epoch < self.tenure.epoch);
-            let unknown = earlier.filter(|it| !self.stopped.contains_key(&it.sender));
-            if let Some(pending) = unknown {
-                steps.push(Step::AskStopped(pending.sender.clone()));
-            }
-            let Some(drain) = &entry.drain else { continue };
-            let barrier = self.slots.get(target).and_then(|it| it.barrier.as_ref());
-            for host in barrier.iter().flat_map(|it| it.waiting()) {
-                steps.push(Step::AskDrained(host.clone(), target.clone(), drain.revision));
-            }
-        }
-    }
-}
-
-fn may_repeat(ended: Option<&Ended>, fence: Fence, now: Moment, config: &Config) -> bool {
-    let last = ended.filter(|it| it.fence == fence);
-    last.is_none_or(|it| it.at + config.repeat_every <= now)
 }
 
 /// Ends the change that an order was for.
--- a/src/order/mod.rs
+++ b/src/order/mod.rs
@@ -15,6 +15,7 @@
 
 mod group;
 mod machine;
+mod sends;
 mod slot;
 pub mod wire;
 
--- a/src/order/slot.rs
+++ b/src/order/slot.rs
@@ -2,7 +2,7 @@
 
 use smol_str::SmolStr;
 
-use super::{Config, Pending};
+use super::{Config, FLOOR_SEQUENCE, Pending};
 use crate::{
     clock::Moment,
     drain::{Barrier, Load},
@@ -102,6 +102,7 @@
     pub(super) floor: Option<Floor>,
     pub(super) sending: Option<Sending>,
     pub(super) ended: Option<Ended>,
+    pub(super) floor_ended: Option<Ended>,
     pub(super) released: Option<Moment>,
 }
 
@@ -138,6 +139,10 @@
         {
             self.floor = Some(Floor { incarnation, raised: at });
         }
+        if fence.sequence == FLOOR_SEQUENCE {
+            self.floor_ended = Some(Ended { fence, delivery, at });
+            return;
+        }
         let earlier = self.ended.as_ref().filter(|it| it.fence == fence).map(|it| it.delivery);
         // A later try without effect says nothing of an earlier one that may have had it.
         let delivery = match (earlier, delivery) {
