feat(daemon): authority, shares and planner wired into the entry host

Cause: nobody held groups in the daemon; orders, drains, shares and role plans ran only in tests and the load tool. Change: authority runs on every host; requests are counted at a target in the same step in which it is chosen, so that a drain's barrier sees them; shares and total work go through the holder of the first group; each holder plans roles and models and begins announced drains; the operators' port shows and releases.

--- a/src/authority/view.rs
+++ b/src/authority/view.rs
@@ -42,6 +42,13 @@
     pub complete: bool,
 }
 
+impl DrainView {
+    /// Returns whether an announcement began the drain.
+    pub fn is_announced(&self) -> bool {
+        self.purpose == purpose(drain::Purpose::Announced)
+    }
+}
+
 /// A change wanted of a target.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct OrderView {
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -2,7 +2,10 @@
 
 mod operate;
 mod peer;
+mod planner;
 pub mod process;
+mod shares;
+mod site;
 
 use std::{
     collections::HashSet,
@@ -12,9 +15,15 @@
     time::Duration,
 };
 
-use self::peer::Peer;
+use self::{
+    peer::Peer,
+    planner::Plans,
+    shares::Exchange,
+    site::{Authority, Site},
+};
 use crate::{
     admit::Admission,
+    authority,
     claim::{self, Claimant},
     clock,
     contract::store::Store,
@@ -22,7 +31,7 @@
     crash, event,
     event::Event,
     host::Own,
-    id, link,
+    id, lease, link,
     link::{
         front::Front,
         peer::{
@@ -49,6 +58,10 @@
 const PEER_IDLE: Duration = Duration::from_secs(10);
 /// Time between two looks at what waits for admission.
 const ADMIT_EVERY: Duration = Duration::from_millis(20);
+/// Time between two rounds of shares and plans.
+const PLAN_EVERY: Duration = Duration::from_millis(500);
+/// Shortest time between two rounds, in experiments whose time runs faster.
+const SHORTEST_PERIOD: Duration = Duration::from_millis(100);
 /// Time between two looks at what a leaving host still runs.
 const LEAVE_CHECK: Duration = Duration::from_millis(20);
 /// Time that the last claims may take to be stored at the end.
@@ -80,6 +93,7 @@
 #[derive(Debug)]
 pub struct Daemon {
     ctx: Arc<Context>,
+    authority: Authority,
     front: Front,
     peers: Listener,
     operators: Port,
@@ -103,18 +117,26 @@
             state: State::Live,
         };
         let ctx = Arc::new(context(settings, own)?);
-        let timer = Timer::new();
-        let peers =
-            link::peer::listen(peers, peer_config(&ctx), Arc::new(Peer::new(Arc::clone(&ctx))))?;
+        let authority = authority(&ctx);
+        let exchange = Arc::new(Exchange::new(Arc::clone(&ctx), authority.clone()));
+        let peer = Peer {
+            ctx: Arc::clone(&ctx),
+            authority: authority.clone(),
+            exchange: Arc::clone(&exchange),
+        };
+        let peers = link::peer::listen(peers, peer_config(&ctx), Arc::new(peer))?;
         let bounds = (&ctx.settings.callers).into();
         let handler = Arc::new(Callers::new(Arc::clone(&ctx)));
         let front = Front::start(callers, bounds, handler, ctx.metrics.clone())?;
-        let operators = operate::open(&ctx, ctx.settings.host.operators_address)?;
-        subscribe(&ctx, &front);
+        let address = ctx.settings.host.operators_address;
+        let operators = operate::open(&ctx, &authority, address)?;
+        let timer = Timer::new();
+        subscribe(&ctx, &front, &authority);
         schedule(&ctx, &timer);
+        schedule_authority(&ctx, &timer, &authority, &exchange);
         let name = &ctx.settings.host.name;
         event!(Event::Started, "host {name} serves callers on {}", front.address());
-        Ok(Daemon { ctx, front, peers, operators, timer })
+        Ok(Daemon { ctx, authority, front, peers, operators, timer })
     }
 
     /// Returns the callers' address.
@@ -144,6 +166,7 @@
         event!(Event::ShutdownBegun, "host {} leaves", host.name);
         self.ctx.departure.begin(clock::now() + host.leave_after);
         self.ctx.members.leave();
+        self.authority.leave();
         while !self.ctx.departure.refuses(clock::now()) || 0 < self.ctx.departure.open() {
             std::thread::sleep(LEAVE_CHECK);
         }
@@ -156,11 +179,22 @@
                 "the last answers are not stored; their callers hear that they may have run"
             );
         }
+        let until = clock::now() + FLUSH_TIME;
+        while !self.authority.has_left() && clock::now() < until {
+            std::thread::sleep(LEAVE_CHECK);
+        }
         self.timer.stop();
         event!(Event::ShutdownDone, "host {} has left", host.name);
     }
 }
 
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        self.timer.stop();
+        self.ctx.refresh.unsubscribe_all();
+    }
+}
+
 fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
     TcpListener::bind(address).map_err(|source| Error::Listen { address, source })
 }
@@ -215,8 +249,26 @@
     }
 }
 
-/// Passes news of the configuration, the host list and the own state on.
-fn subscribe(ctx: &Arc<Context>, front: &Front) {
+/// Creates this host's authority over groups.
+fn authority(ctx: &Arc<Context>) -> Authority {
+    let settings = &ctx.settings;
+    let own = ctx.members.own();
+    let owner = lease::Owner { host: own.host, incarnation: own.incarnation };
+    let mut config = authority::Config::default();
+    config.order.drain.freshness = settings.host.configuration_bound;
+    config.order.drain.send_window = settings.targets.send_window;
+    let platform = platform::Client::new(&settings.platform);
+    let site = Site::new(Arc::clone(ctx));
+    let peers = site::Peers(ctx.members.clone());
+    Authority::new(owner, config, platform, site, peers, ctx.metrics.clone())
+}
+
+/// Passes news of the configuration, the host list, the groups' rows and the own state on.
+fn subscribe(ctx: &Arc<Context>, front: &Front, authority: &Authority) {
+    let it = authority.clone();
+    ctx.refresh.watch(move || it.rows());
+    let it = authority.clone();
+    ctx.refresh.subscribe_rows(move |snapshot| it.note_rows(snapshot));
     let weak = Arc::downgrade(ctx);
     ctx.refresh.subscribe(move |contract| {
         if let Some(ctx) = weak.upgrade() {
@@ -263,6 +315,22 @@
     timer.every("reports", ctx.settings.targets.report_every, move |_| observe(&it, &busy));
 }
 
+/// Subscribes the parts that hold groups, split shares and plan.
+fn schedule_authority(
+    ctx: &Arc<Context>,
+    timer: &Timer,
+    authority: &Authority,
+    exchange: &Arc<Exchange>,
+) {
+    authority.start(timer);
+    let period = PLAN_EVERY.div_f64(ctx.settings.decisions.time_scale.max(1.0));
+    let period = period.max(SHORTEST_PERIOD);
+    let it = Arc::clone(exchange);
+    timer.every("shares", period, move |_| it.run());
+    let plans = Plans::new(Arc::clone(ctx), authority.clone(), Arc::clone(exchange));
+    timer.every("planner", period, move |now| plans.run(now));
+}
+
 /// Asks each target for its report, unless the last question to it is still open.
 fn observe(ctx: &Arc<Context>, busy: &Arc<Mutex<HashSet<id::Target>>>) {
     for (machine, _) in ctx.fleet.targets() {
--- a/src/daemon/operate.rs
+++ b/src/daemon/operate.rs
@@ -4,11 +4,13 @@
 
 use smol_str::{SmolStr, format_smolstr};
 
+use super::site::Authority;
 use crate::{
+    authority::{DrainView, GroupView, OrderView, group_of},
     clock,
     operate::{
         self, Access, Control, Editor, Port, Service,
-        wire::{Group, Released, Request, Target},
+        wire::{Drain, Group, Order, Released, Request, Target},
     },
     platform::{Kind, Machine, State},
     serve::{Context, Entry},
@@ -19,13 +21,17 @@
 ///
 /// # Errors
 /// Fails when the address cannot be listened on.
-pub(super) fn open(ctx: &Arc<Context>, address: SocketAddr) -> Result<Port, operate::Unavailable> {
+pub(super) fn open(
+    ctx: &Arc<Context>,
+    authority: &Authority,
+    address: SocketAddr,
+) -> Result<Port, operate::Unavailable> {
     let settings = &ctx.settings;
     let bound = settings.host.configuration_bound;
     let (refresh, membership) = (ctx.refresh.clone(), ctx.members.clone());
     let editor = Editor::new(refresh.clone(), membership.clone(), bound, settings.peers.silence);
     let access = Access::from(settings.host.operators_key_hash.clone());
-    let control = Host { ctx: Arc::clone(ctx) };
+    let control = Host { ctx: Arc::clone(ctx), authority: authority.clone() };
     let metrics = ctx.metrics.clone();
     operate::serve(address, Service { access, editor, refresh, membership, control, metrics })
 }
@@ -34,11 +40,12 @@
 #[derive(Debug)]
 struct Host {
     ctx: Arc<Context>,
+    authority: Authority,
 }
 
 impl Control for Host {
     fn groups(&self) -> Vec<Group> {
-        Vec::new()
+        self.authority.view().groups.into_iter().map(Group::from).collect()
     }
 
     fn targets(&self) -> Vec<Target> {
@@ -52,8 +59,45 @@
         self.ctx.register.list().iter().map(Request::from).collect()
     }
 
-    fn release(&self, _target: &str, _author: &SmolStr) -> Released {
-        Released::NothingToRelease
+    fn release(&self, target: &str, author: &SmolStr) -> Released {
+        let targets = self.ctx.fleet.targets();
+        let machine = targets.iter().map(|(it, _)| it).find(|it| it.name == target);
+        let Some(group) = machine.and_then(group_of) else { return Released::NothingToRelease };
+        match self.authority.release(&group, target) {
+            Ok(true) => {
+                log::info!("{author} released {target}");
+                Released::Recorded
+            }
+            Ok(false) => Released::NothingToRelease,
+            Err(fault) => Released::Failed { message: fault.to_string() },
+        }
+    }
+}
+
+impl From<GroupView> for Group {
+    fn from(it: GroupView) -> Group {
+        let held_back = it.orders.iter().filter(|it| it.pending && !it.released);
+        let held_back = held_back.filter(|order| order.sender != it.holder);
+        let held_back = held_back.map(|it| it.target.clone()).collect();
+        let order = |order: OrderView| Order {
+            target: order.target,
+            action: format_smolstr!("{:?}", order.action),
+            epoch: it.epoch,
+        };
+        let drain = |it: DrainView| Drain {
+            target: it.target,
+            purpose: SmolStr::new_static(it.purpose),
+            waiting: Vec::new(),
+        };
+        Group {
+            group: it.group,
+            holder: it.holder,
+            epoch: it.epoch,
+            revision: it.revision,
+            pending: it.orders.into_iter().filter(|it| it.pending).map(order).collect(),
+            drains: it.drains.into_iter().map(drain).collect(),
+            held_back,
+        }
     }
 }
 
--- a/src/daemon/peer.rs
+++ b/src/daemon/peer.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use super::{shares::Exchange, site::Authority};
 use crate::{
     claim,
     crash::{Crash, Record},
@@ -16,16 +17,12 @@
     serve::Context,
 };
 
-/// Answers peers from what the requests of this host share.
+/// Answers peers from the parts of this host.
 #[derive(Debug)]
 pub(super) struct Peer {
-    ctx: Arc<Context>,
-}
-
-impl Peer {
-    pub(super) fn new(ctx: Arc<Context>) -> Peer {
-        Peer { ctx }
-    }
+    pub(super) ctx: Arc<Context>,
+    pub(super) authority: Authority,
+    pub(super) exchange: Arc<Exchange>,
 }
 
 impl Handler for Peer {
@@ -53,16 +50,16 @@
         self.ctx.claims.status(&claim::Question::from(&question)).into()
     }
 
-    fn drain_status(&self, _question: DrainQuestion) -> DrainStatus {
-        DrainStatus::Unseen
+    fn drain_status(&self, question: DrainQuestion) -> DrainStatus {
+        self.authority.drain_status(&question)
     }
 
-    fn stop_status(&self, _question: StopQuestion) -> StopStatus {
-        StopStatus::Unknown
+    fn stop_status(&self, question: StopQuestion) -> StopStatus {
+        self.authority.stop_status(&question)
     }
 
-    fn shares(&self, _demands: Demands) -> Option<Shares> {
-        None
+    fn shares(&self, demands: Demands) -> Option<Shares> {
+        self.exchange.answer(demands)
     }
 
     fn crash(&self, notice: CrashNotice) {
--- /dev/null
+++ b/src/daemon/planner.rs
@@ -0,0 +1,234 @@
+//! Plans the engines of the groups that this host holds, and begins and ends announced drains.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+    sync::{Arc, Mutex, MutexGuard},
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use super::{shares::Exchange, site::Authority};
+use crate::{
+    authority::{ENGINES, GroupView, group_of},
+    clock::Moment,
+    contract::Announcement,
+    drain::Purpose,
+    event,
+    event::Event,
+    id,
+    platform::{Kind, Machine, State},
+    role::{self, Change, Engine, Placement, Planner, Supply, Turn},
+    serve::Context,
+    target::{Action, Report},
+};
+
+/// Plans for one host.
+pub(super) struct Plans {
+    ctx: Arc<Context>,
+    authority: Authority,
+    exchange: Arc<Exchange>,
+    memory: Mutex<Memory>,
+}
+
+/// What is remembered between two rounds; forgotten with the lease.
+#[derive(Debug, Default)]
+struct Memory {
+    planners: BTreeMap<Pool, Planner>,
+    placements: BTreeMap<id::Group, Placement>,
+}
+
+/// The engines of one group that serve one model.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct Pool {
+    group: id::Group,
+    model: id::Model,
+}
+
+impl fmt::Debug for Plans {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Plans").finish_non_exhaustive()
+    }
+}
+
+impl Plans {
+    pub(super) fn new(ctx: Arc<Context>, authority: Authority, exchange: Arc<Exchange>) -> Plans {
+        Plans { ctx, authority, exchange, memory: Mutex::default() }
+    }
+
+    /// Does one round for all groups that are held here.
+    pub(super) fn run(&self, now: Moment) {
+        let groups = self.authority.view().groups;
+        let targets = self.ctx.fleet.targets();
+        for group in groups.iter().filter(|it| it.held_here) {
+            self.drain_announced(group, &targets);
+        }
+        let pools = self.pools(&groups, &targets, now);
+        let held: BTreeSet<&id::Group> =
+            groups.iter().filter(|it| it.held_here).map(|it| &it.group).collect();
+        self.forget(&held);
+        for group in held.into_iter().filter(|it| it.ends_with(ENGINES)) {
+            self.plan_roles(group, &pools, now);
+            self.plan_models(group, &pools, now);
+        }
+    }
+
+    /// Begins the drains whose time has come and ends those whose announcement is gone.
+    fn drain_announced(&self, group: &GroupView, targets: &[(Machine, Option<Report>)]) {
+        let members = targets.iter().map(|(it, _)| it);
+        for machine in members.filter(|it| group_of(it).as_ref() == Some(&group.group)) {
+            let is_due = self.due_in(machine).is_some_and(|it| it.is_zero());
+            let drain = group.drains.iter().find(|it| it.target == machine.name);
+            let result = match drain {
+                None if is_due => {
+                    self.authority.begin_drain(&group.group, &machine.name, Purpose::Announced)
+                }
+                Some(it) if !is_due && it.is_announced() => {
+                    self.authority.end_drain(&group.group, &machine.name)
+                }
+                _ => Ok(()),
+            };
+            if let Err(err) = result {
+                log::debug!("the drain of {} is left to the holder: {err}", machine.name);
+            }
+        }
+    }
+
+    /// Returns the time left until an announced change of a target.
+    fn due_in(&self, machine: &Machine) -> Option<Duration> {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let contract = self.ctx.contract();
+        let concerns = |it: &&Announcement| it.concerns(&machine.name, &machine.data_centre);
+        contract.announcements.iter().filter(concerns).map(|it| it.due_in(wall)).min()
+    }
+
+    /// Returns the engines of all groups by group and model.
+    fn pools(
+        &self,
+        groups: &[GroupView],
+        targets: &[(Machine, Option<Report>)],
+        now: Moment,
+    ) -> BTreeMap<Pool, Vec<Engine>> {
+        let mut pools: BTreeMap<Pool, Vec<Engine>> = BTreeMap::new();
+        for (machine, report) in targets {
+            let (Kind::Engine(_), Some(name)) = (&machine.kind, group_of(machine)) else {
+                continue;
+            };
+            let Some(report) = report else { continue };
+            let group = groups.iter().find(|it| it.group == name);
+            let Some(engine) = self.engine(machine, report, group, now) else { continue };
+            let pool = Pool { group: name, model: report.serves.clone() };
+            pools.entry(pool).or_default().push(engine);
+        }
+        pools
+    }
+
+    fn engine(
+        &self,
+        machine: &Machine,
+        report: &Report,
+        group: Option<&GroupView>,
+        now: Moment,
+    ) -> Option<Engine> {
+        let order = group.and_then(|it| it.orders.iter().find(|it| it.target == machine.name));
+        let drained = group.is_some_and(|it| it.drains.iter().any(|it| it.target == machine.name));
+        let ordered = match order.map(|it| &it.action) {
+            Some(Action::Role(role)) => Some(*role),
+            _ => None,
+        };
+        let leaves = match machine.state {
+            State::Leaving => Some(now),
+            State::Live => self.due_in(machine).map(|it| now + it),
+        };
+        Some(Engine {
+            target: machine.name.clone(),
+            role: ordered.or(report.role)?,
+            changing: drained || order.is_some(),
+            serving: report.serving || order.is_some(),
+            leaves,
+            running: report.running + report.queued,
+        })
+    }
+
+    fn plan_roles(&self, group: &id::Group, pools: &BTreeMap<Pool, Vec<Engine>>, now: Moment) {
+        for (pool, engines) in pools.iter().filter(|(pool, _)| pool.group == *group) {
+            let view = role::View {
+                engines: engines.clone(),
+                demand: self.exchange.work(&pool.model),
+                elsewhere: elsewhere(pool, pools),
+                turn: turn(pool, pools),
+            };
+            let config = || Planner::new(self.ctx.settings.decisions.role());
+            let mut memory = self.memory();
+            let planner = memory.planners.entry(pool.clone()).or_insert_with(config);
+            let changes = planner.plan(&view, now);
+            drop(memory);
+            for change in changes {
+                self.request(group, &change);
+            }
+        }
+    }
+
+    /// Moves an engine to another model where demand has moved.
+    fn plan_models(&self, group: &id::Group, pools: &BTreeMap<Pool, Vec<Engine>>, now: Moment) {
+        let models: Vec<role::Model> = pools
+            .iter()
+            .filter(|(pool, _)| pool.group == *group)
+            .map(|(pool, engines)| role::Model {
+                model: pool.model.clone(),
+                engines: engines.clone(),
+                demand: self.exchange.work(&pool.model),
+                loading: engines.iter().filter(|it| it.changing).count(),
+            })
+            .collect();
+        if models.len() < 2 {
+            return;
+        }
+        let config = || Placement::new(self.ctx.settings.decisions.role());
+        let mut memory = self.memory();
+        let placement = memory.placements.entry(group.clone()).or_insert_with(config);
+        let change = placement.plan(&models, now);
+        drop(memory);
+        if let Some(change) = change {
+            self.request(group, &change);
+        }
+    }
+
+    fn request(&self, group: &id::Group, change: &Change) {
+        let Change { target, action, cause } = change;
+        match self.authority.request(group, target, action.clone()) {
+            Ok(()) => {
+                self.ctx.metrics.add(&format!("role.{}", cause.code()), 1);
+                event!(
+                    Event::ChangePlanned,
+                    "{target} of {group} changes to {action:?}: {cause:?}"
+                );
+            }
+            Err(err) => log::debug!("the change of {target} is left to the holder: {err}"),
+        }
+    }
+
+    fn forget(&self, held: &BTreeSet<&id::Group>) {
+        let mut memory = self.memory();
+        memory.planners.retain(|pool, _| held.contains(&pool.group));
+        memory.placements.retain(|group, _| held.contains(group));
+    }
+
+    fn memory(&self) -> MutexGuard<'_, Memory> {
+        self.memory.lock().expect("plan lock poisoned")
+    }
+}
+
+/// Returns the engines of a model in the other groups.
+fn elsewhere(own: &Pool, pools: &BTreeMap<Pool, Vec<Engine>>) -> Supply {
+    let others = pools.iter().filter(|(it, _)| it.model == own.model && it.group != own.group);
+    let engines = others.flat_map(|(_, engines)| engines).filter(|it| it.serving);
+    engines.fold(Supply::default(), |sum, it| sum.with(it.role, 1.0))
+}
+
+/// Returns the place of a pool among those of its model.
+fn turn(own: &Pool, pools: &BTreeMap<Pool, Vec<Engine>>) -> Turn {
+    let same: Vec<&Pool> = pools.keys().filter(|it| it.model == own.model).collect();
+    let place = same.iter().position(|it| *it == own).unwrap_or_default();
+    let count = |it: usize| u32::try_from(it).unwrap_or(u32::MAX);
+    Turn { place: count(place), groups: count(same.len().max(1)) }
+}
--- /dev/null
+++ b/src/daemon/site.rs
@@ -0,0 +1,98 @@
+//! The fleet and the peers as authority sees them.
+
+use std::{
+    collections::BTreeSet,
+    sync::{Arc, Mutex},
+};
+
+use crate::{
+    authority::{self, Listing},
+    id,
+    link::peer::wire::{DrainQuestion, DrainStatus, StopQuestion, StopStatus},
+    order, platform,
+    serve::{Context, Members},
+    target,
+};
+
+/// Authority of one host.
+pub(super) type Authority = authority::Authority<platform::Client, Site, Peers>;
+
+/// The fleet of one host.
+#[derive(Debug)]
+pub(super) struct Site {
+    ctx: Arc<Context>,
+    drained: Mutex<BTreeSet<id::Target>>,
+}
+
+impl Site {
+    pub(super) fn new(ctx: Arc<Context>) -> Site {
+        Site { ctx, drained: Mutex::default() }
+    }
+}
+
+impl authority::Fleet for Site {
+    type Control = target::Client;
+
+    fn listing(&self) -> Listing {
+        let listed = self.ctx.members.listed();
+        Listing { machines: listed.machines, read_at: listed.read_at }
+    }
+
+    fn control(&self, target: &str) -> Option<target::Client> {
+        self.ctx.fleet.client(target)
+    }
+
+    fn set_drained(&self, targets: &BTreeSet<id::Target>) {
+        let mut drained = self.drained.lock().expect("drain lock poisoned");
+        let mut router = self.ctx.fleet.route();
+        for ended in drained.difference(targets) {
+            router.drain(ended, false);
+        }
+        // Again for those that are not new, since a target may have been listed since.
+        for target in targets {
+            router.drain(target, true);
+        }
+        drained.clone_from(targets);
+    }
+
+    fn has_requests(&self, target: &str) -> bool {
+        self.ctx.fleet.has_requests(target)
+    }
+}
+
+/// The other entry hosts, for authority.
+#[derive(Debug)]
+pub(super) struct Peers(pub(super) Members);
+
+impl authority::Peers for Peers {
+    fn has_stopped(&self, group: &id::Group, earlier: &order::Tenure) -> Option<bool> {
+        let owner = &earlier.owner;
+        let address = self.0.run_address(&owner.host, owner.incarnation)?;
+        let question = StopQuestion {
+            group: group.clone(),
+            incarnation: owner.incarnation,
+            epoch: earlier.epoch,
+        };
+        match self.0.links().stop_status(address, question).ok()? {
+            StopStatus::Stopped => Some(true),
+            StopStatus::Holding => Some(false),
+            StopStatus::Unknown => None,
+        }
+    }
+
+    fn has_drained(
+        &self,
+        host: &id::Host,
+        group: &id::Group,
+        target: &id::Target,
+        revision: id::Version,
+    ) -> Option<bool> {
+        let address = self.0.address(host)?;
+        let question = DrainQuestion { group: group.clone(), target: target.clone(), revision };
+        match self.0.links().drain_status(address, question).ok()? {
+            DrainStatus::Drained => Some(true),
+            DrainStatus::Busy => Some(false),
+            DrainStatus::Unseen => None,
+        }
+    }
+}
--- a/src/demo/fleet.rs
+++ b/src/demo/fleet.rs
@@ -64,6 +64,14 @@
             .ok_or_else(|| Error::Step("no entry host runs".to_owned()))
     }
 
+    /// Returns the operators' address of the first host.
+    pub(super) fn operators(&self) -> Result<SocketAddr, Error> {
+        let daemon = self.daemons.first();
+        daemon
+            .map(Daemon::operators_address)
+            .ok_or_else(|| Error::Step("no entry host runs".to_owned()))
+    }
+
     pub(super) fn addresses_text(&self) -> String {
         let addresses = self.daemons.iter().map(|it| it.callers_address().to_string());
         addresses.collect::<Vec<_>>().join(", ")
--- a/src/demo/mod.rs
+++ b/src/demo/mod.rs
@@ -5,6 +5,7 @@
 
 use std::{
     io::{self, Write},
+    net::SocketAddr,
     process::ExitCode,
     time::Duration,
 };
@@ -84,7 +85,7 @@
     println!("\n   {tokens} tokens, end mark seen");
     place_twice(&fleet, &first, &second)?;
     if afterwards == Afterwards::Keep {
-        keep(first.address());
+        keep(first.address(), fleet.operators()?);
     }
     Ok(())
 }
@@ -112,8 +113,9 @@
 }
 
 /// Goes on serving; an interrupt ends the process.
-fn keep(address: std::net::SocketAddr) {
+fn keep(address: SocketAddr, operators: SocketAddr) {
     println!("serving until interrupted; try:");
+    println!("fuchsiaknot --host {operators} fleet show");
     println!(
         "curl -N http://{address}/v1/chat/completions -H 'authorization: Bearer {KEY}' \
          -d '{{\"model\":\"{MODEL}\",\"stream\":true,\"messages\":[{{\"role\":\"user\",\
--- a/src/event.rs
+++ b/src/event.rs
@@ -83,6 +83,8 @@
     PeerDown = (6003, Warn);
     /// The host list does not answer.
     HostListDown = (6004, Warn);
+    /// A change of an engine's role or model is planned.
+    ChangePlanned = (7001, Info);
 }
 
 /// Logs an event with its number in front.
--- a/src/host/membership.rs
+++ b/src/host/membership.rs
@@ -31,6 +31,15 @@
 /// Reports of this host for each read of the host list.
 const REPORTS_PER_READ: u32 = 2;
 
+/// The host list as it was last read.
+#[derive(Debug, Clone, Default)]
+pub struct Listed {
+    /// All machines.
+    pub machines: Arc<Vec<Machine>>,
+    /// When the read that gave them was sent.
+    pub read_at: Moment,
+}
+
 /// What this host says of itself in a heartbeat.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Own {
@@ -56,7 +65,7 @@
     links: Links,
     roster: Mutex<Roster>,
     describe: OnceLock<Describe>,
-    machines: RwLock<Arc<Vec<Machine>>>,
+    machines: RwLock<Listed>,
     subscribers: RwLock<Vec<MachineSubscriber>>,
 }
 
@@ -155,7 +164,12 @@
 
     /// Returns all machines of the host list as last read.
     pub fn machines(&self) -> Arc<Vec<Machine>> {
-        Arc::clone(&self.inner.machines.read().expect("machine lock poisoned"))
+        self.listed().machines
+    }
+
+    /// Returns the host list as last read.
+    pub fn listed(&self) -> Listed {
+        self.inner.machines.read().expect("machine lock poisoned").clone()
     }
 
     /// Returns the other entry hosts as they appear now.
@@ -281,6 +295,7 @@
     }
 
     fn read_list(&self, before: Answers) -> Answers {
+        let read_at = clock::now();
         let machines = match self.inner.list.machines() {
             Ok(machines) => machines,
             Err(err) => {
@@ -295,7 +310,8 @@
         self.roster().list(&members, clock::now());
         self.inner.links.retain(&self.addresses());
         let machines = Arc::new(machines);
-        *self.inner.machines.write().expect("machine lock poisoned") = Arc::clone(&machines);
+        let listed = Listed { machines: Arc::clone(&machines), read_at };
+        *self.inner.machines.write().expect("machine lock poisoned") = listed;
         for it in self.inner.subscribers.read().expect("subscriber lock poisoned").iter() {
             it(&machines);
         }
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -6,6 +6,6 @@
 
 pub use self::{
     choice::{Candidate, Choice, Pick, choose},
-    membership::{Membership, NotEntry, Own},
+    membership::{Listed, Membership, NotEntry, Own},
     roster::{Change, Roster, Said, Status, View},
 };
--- a/src/link/peer/wire.rs
+++ b/src/link/peer/wire.rs
@@ -182,6 +182,19 @@
     pub group: id::Group,
     /// Demand of each plan.
     pub plans: Vec<Demand>,
+    /// Work asked of each model.
+    pub work: Vec<Work>,
+}
+
+/// Work asked of one model, in engine seconds a second.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Work {
+    /// The model.
+    pub model: id::Model,
+    /// Reading prompts.
+    pub prefill: f64,
+    /// Generating tokens.
+    pub decode: f64,
 }
 
 /// Demand of one plan.
@@ -198,6 +211,8 @@
 pub struct Shares {
     /// Share of each plan.
     pub plans: Vec<Share>,
+    /// Work that all hosts together are asked for.
+    pub work: Vec<Work>,
 }
 
 /// Share of one plan.
--- a/src/refresh/mod.rs
+++ b/src/refresh/mod.rs
@@ -136,6 +136,13 @@
         all.push(Box::new(subscriber));
     }
 
+    /// Forgets all subscribers and watched rows, so that they can be dropped with their host.
+    pub fn unsubscribe_all(&self) {
+        self.inner.subscribers.write().expect("subscriber lock poisoned").clear();
+        self.inner.snapshots.write().expect("subscriber lock poisoned").clear();
+        self.inner.watches.write().expect("watch lock poisoned").clear();
+    }
+
     /// Starts the refresh on the timer service.
     pub fn start(&self, timer: &Timer, period: Duration) {
         let it = self.clone();
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -146,6 +146,23 @@
         self.fleet.capacity(name, &self.config, now)
     }
 
+    /// Chooses where a request is sent and counts it there at once, so that a drain which begins
+    /// later finds it.
+    ///
+    /// # Errors
+    /// As [`Router::choose`].
+    pub fn assign(&mut self, demand: &Demand, now: Moment) -> Result<(Path, Ticket), Reason> {
+        let path = self.choose(demand, now)?;
+        let ticket = self.sent(&path, demand, now);
+        Ok((path, ticket))
+    }
+
+    /// Returns whether a request in flight uses a target.
+    pub fn uses(&self, name: &str) -> bool {
+        let Some(key) = self.fleet.key(name) else { return false };
+        self.flights.values().any(|it| it.target == key || it.prefill == Some(key))
+    }
+
     /// Notes that a request was sent.
     pub fn sent(&mut self, path: &Path, demand: &Demand, now: Moment) -> Ticket {
         let target = self.fleet.key(&path.target).unwrap_or_default();
--- a/src/serve/fleet.rs
+++ b/src/serve/fleet.rs
@@ -8,9 +8,11 @@
 use smol_str::SmolStr;
 
 use crate::{
-    clock, id,
+    clock,
+    clock::Moment,
+    id,
     platform::{Kind, Machine, State},
-    route::{self, Router},
+    route::{self, Outcome, Path, Router, Ticket},
     settings, target,
     target::{Control, Engine, Report},
 };
@@ -21,6 +23,8 @@
     router: Mutex<Router>,
     targets: RwLock<HashMap<id::Target, Entry>>,
     settings: settings::Targets,
+    /// Until when a request whose connection was dropped may still arrive, by target.
+    lingering: Mutex<HashMap<id::Target, Moment>>,
 }
 
 #[derive(Debug, Clone)]
@@ -35,7 +39,12 @@
 impl Fleet {
     /// Creates a fleet without targets.
     pub fn new(router: Router, settings: settings::Targets) -> Fleet {
-        Fleet { router: Mutex::new(router), targets: RwLock::default(), settings }
+        Fleet {
+            router: Mutex::new(router),
+            targets: RwLock::default(),
+            settings,
+            lingering: Mutex::default(),
+        }
     }
 
     /// Returns the router.
@@ -94,6 +103,32 @@
         }
     }
 
+    /// Notes the end of an attempt.
+    ///
+    /// One that broke off may still be on its way to its targets for the send window.
+    pub fn finished(&self, path: &Path, ticket: Ticket, outcome: Outcome) {
+        let now = clock::now();
+        match outcome {
+            Outcome::Done { .. } | Outcome::Refused => {}
+            Outcome::Failed | Outcome::Silent | Outcome::Cancelled => {
+                let until = now + self.settings.send_window;
+                let mut lingering = self.lingering.lock().expect("linger lock poisoned");
+                lingering.retain(|_, until| now < *until);
+                for target in path.prefill.iter().chain([&path.target]) {
+                    lingering.insert(target.clone(), until);
+                }
+            }
+        }
+        self.route().finished(ticket, outcome, now);
+    }
+
+    /// Returns whether a request of this host is at a target, or may still arrive there.
+    pub fn has_requests(&self, target: &str) -> bool {
+        let lingering = self.lingering.lock().expect("linger lock poisoned");
+        let lingers = lingering.get(target).is_some_and(|until| clock::now() < *until);
+        lingers || self.route().uses(target)
+    }
+
     /// Returns the client of a target.
     pub fn client(&self, name: &str) -> Option<target::Client> {
         self.read(name, |it| it.client.clone())
--- a/src/serve/job.rs
+++ b/src/serve/job.rs
@@ -88,6 +88,14 @@
     registered: Registered<'a>,
 }
 
+/// Where an attempt goes.
+struct Choice {
+    path: Path,
+    ticket: Ticket,
+    /// Sole right to the target, for a suspect.
+    trial: Option<Trial>,
+}
+
 /// One run of a target that an attempt goes to.
 struct Run {
     client: target::Client,
@@ -228,12 +236,13 @@
         mut grant: Option<&mut Grant>,
     ) -> Result<W::End, Stop> {
         loop {
-            let (path, _trial) = self.choose(work.tokens())?;
-            if let Some(grant) = grant.as_deref_mut() {
-                grant.send().map_err(Refusal::from)?;
+            let Choice { path, ticket, trial: _trial } = self.choose(work.tokens())?;
+            if let Some(Err(refusal)) = grant.as_deref_mut().map(Grant::send) {
+                self.ctx.fleet.finished(&path, ticket, Outcome::Refused);
+                return Err(Refusal::from(refusal).into());
             }
             let runs = self.runs(&path);
-            let failure = match self.attempt(work, &path) {
+            let failure = match self.attempt(work, &path, ticket) {
                 Ok(end) => return Ok(end),
                 Err(Broken::Target(it)) => it,
                 Err(Broken::Gone) => return Err(Stop::Gone),
@@ -244,10 +253,14 @@
     }
 
     /// Runs one attempt and tells the router what came of it.
-    fn attempt<W: Work>(&self, work: &mut W, path: &Path) -> Result<W::End, Broken> {
+    fn attempt<W: Work>(
+        &self,
+        work: &mut W,
+        path: &Path,
+        ticket: Ticket,
+    ) -> Result<W::End, Broken> {
         let fleet = &self.ctx.fleet;
         self.registered.attempt(&path.target);
-        let ticket = fleet.route().sent(path, &self.demand, clock::now());
         let result = work.attempt(self, path, ticket);
         let outcome = match &result {
             Ok(end) => work.outcome(end),
@@ -256,7 +269,7 @@
             Err(Broken::Target(Failure::Silent)) => Outcome::Silent,
             Err(Broken::Target(Failure::Cancelled) | Broken::Gone) => Outcome::Cancelled,
         };
-        fleet.route().finished(ticket, outcome, clock::now());
+        fleet.finished(path, ticket, outcome);
         self.ctx.gate.advance(fleet.router());
         result
     }
@@ -265,12 +278,12 @@
     ///
     /// A request that the caller has part of waits for a target until its deadline, and one whose
     /// last target has just failed waits a short time, since targets are set aside after a failure.
-    fn choose(&mut self, tokens: u32) -> Result<(Path, Option<Trial>), Stop> {
+    fn choose(&mut self, tokens: u32) -> Result<Choice, Stop> {
         let began = clock::now();
         loop {
             let suspicion = self.check_suspicion()?;
             let choice = match suspicion {
-                Suspicion::Clear => self.pick(&self.demand).map(|it| (it, None)),
+                Suspicion::Clear => self.pick(&self.demand),
                 Suspicion::Suspect | Suspicion::Refused { .. } => self.pick_trial(),
             };
             if let Some(choice) = choice {
@@ -289,16 +302,22 @@
         }
     }
 
-    fn pick(&self, demand: &Demand) -> Option<Path> {
-        self.ctx.fleet.route().choose(demand, clock::now()).ok()
+    fn pick(&self, demand: &Demand) -> Option<Choice> {
+        let (path, ticket) = self.ctx.fleet.route().assign(demand, clock::now()).ok()?;
+        Some(Choice { path, ticket, trial: None })
     }
 
-    fn pick_trial(&self) -> Option<(Path, Option<Trial>)> {
+    fn pick_trial(&self) -> Option<Choice> {
         let mut demand = self.demand.clone();
         demand.exclude.extend(self.ctx.crashes.taken(self.fingerprint));
-        let path = self.pick(&demand)?;
-        let trial = self.ctx.crashes.trial(self.fingerprint, &path.target)?;
-        Some((path, Some(trial)))
+        let choice = self.pick(&demand)?;
+        match self.ctx.crashes.trial(self.fingerprint, &choice.path.target) {
+            Some(trial) => Some(Choice { trial: Some(trial), ..choice }),
+            None => {
+                self.ctx.fleet.finished(&choice.path, choice.ticket, Outcome::Refused);
+                None
+            }
+        }
     }
 
     /// Waits a little, unless the caller has gone or the deadline comes first.
