--- a/src/link/peer/client.rs
+++ b/src/link/peer/client.rs
@@ -120,19 +120,34 @@
         }
     }
 
-    /// Sends a crash notice to several peers at once, without waiting for them.
+    /// Sends a crash notice to several peers at once and waits until each has answered or is late.
     pub fn crashes(&self, addresses: Vec<SocketAddr>, notice: &CrashNotice) {
-        for address in addresses {
-            let links = self.clone();
-            let notice = notice.clone();
-            runtime::handle().spawn(async move {
+        runtime::handle().block_on(async {
+            let mut calls = JoinSet::new();
+            for address in addresses {
+                let links = self.clone();
+                let notice = notice.clone();
                 let call = move |it: PeerClient, context| {
                     let notice = notice.clone();
                     async move { it.crash(context, notice).await }
                 };
-                let _ = links.call(address, call).await;
-            });
-        }
+                calls.spawn(async move { links.call(address, call).await.is_ok() });
+            }
+            calls.join_all().await;
+        });
+    }
+
+    /// Asks several peers at once for the entry hosts that they know.
+    pub fn all_members(&self, addresses: Vec<SocketAddr>) -> Vec<Member> {
+        runtime::handle().block_on(async {
+            let mut calls = JoinSet::new();
+            for address in addresses {
+                let links = self.clone();
+                let call = |it: PeerClient, context| async move { it.members(context).await };
+                calls.spawn(async move { links.call(address, call).await.unwrap_or_default() });
+            }
+            calls.join_all().await.into_iter().flatten().collect()
+        })
     }
 
     /// Asks a peer for the entry hosts that it knows.
--- a/src/serve/job.rs
+++ b/src/serve/job.rs
@@ -18,6 +18,8 @@
         Context, Refusal, Stop,
         gate::Permit,
         options::{Caller, Options},
+        peers,
+        register::{Entry, Registered},
     },
     target::{self, Failure},
     verdict::{Reason, Verdict},
@@ -27,6 +29,8 @@
 const NO_TARGET_RETRY: Duration = Duration::from_secs(1);
 /// Time between two looks for a target that can go on with a request.
 const CHOICE_PAUSE: Duration = Duration::from_millis(50);
+/// Time that a request whose attempt failed waits for another target.
+const RETARGET_TIME: Duration = Duration::from_secs(2);
 
 /// How an attempt ended without the whole answer.
 #[derive(Debug)]
@@ -81,6 +85,13 @@
     started: Moment,
     fingerprint: id::Fingerprint,
     tries: Tries,
+    registered: Registered<'a>,
+}
+
+/// One run of a target that an attempt goes to.
+struct Run {
+    client: target::Client,
+    crash: Crash,
 }
 
 impl<'a> Job<'a> {
@@ -97,13 +108,37 @@
         let started = clock::now();
         let expires = started + options.time.unwrap_or(ctx.settings.callers.request_time);
         let tries = Tries::new(repeat, expires);
-        Job { ctx, caller, options, presence, expires, repeat, demand, started, fingerprint, tries }
+        let registered = ctx.register.enter(Entry {
+            request: options.request.clone(),
+            customer: caller.customer.clone(),
+            plan: caller.plan.clone(),
+            asks: demand.model_or_service.clone(),
+            target: None,
+            attempts: 0,
+            arrived: started,
+        });
+        Job {
+            ctx,
+            caller,
+            options,
+            presence,
+            expires,
+            repeat,
+            demand,
+            started,
+            fingerprint,
+            tries,
+            registered,
+        }
     }
 
     /// Runs the request to its answer; one that may not repeat and has a key is claimed first.
     pub(super) fn run<W: Work>(&mut self, work: &mut W) -> Result<W::End, Stop> {
         self.caller.may_use(&self.demand.model_or_service)?;
         self.check_suspicion()?;
+        if self.repeat == Repeat::Forbidden {
+            self.ctx.admits_unrepeatable()?;
+        }
         let Some(key) = self.options.key.clone().filter(|_| self.repeat == Repeat::Forbidden)
         else {
             return self.admitted(work, None);
@@ -148,7 +183,11 @@
     /// Waits for admission.
     fn enter(&self) -> Result<Permit<'a>, Stop> {
         let now = clock::now();
-        let estimate = self.ctx.fleet.route().estimate(&self.demand, now);
+        let estimate = {
+            let mut router = self.ctx.fleet.route();
+            router.offered(&self.demand, now);
+            router.estimate(&self.demand, now)
+        };
         let Some(estimate) = estimate else { return Err(self.no_target().into()) };
         let due = match self.demand.kind {
             Kind::Engine => self.started + self.caller.limits.first_token,
@@ -193,12 +232,13 @@
             if let Some(grant) = grant.as_deref_mut() {
                 grant.send().map_err(Refusal::from)?;
             }
+            let runs = self.runs(&path);
             let failure = match self.attempt(work, &path) {
                 Ok(end) => return Ok(end),
                 Err(Broken::Target(it)) => it,
                 Err(Broken::Gone) => return Err(Stop::Gone),
             };
-            self.failed(&path, &failure, work.tokens())?;
+            self.failed(&path, &runs, &failure, work.tokens())?;
             work.restart();
         }
     }
@@ -206,6 +246,7 @@
     /// Runs one attempt and tells the router what came of it.
     fn attempt<W: Work>(&self, work: &mut W, path: &Path) -> Result<W::End, Broken> {
         let fleet = &self.ctx.fleet;
+        self.registered.attempt(&path.target);
         let ticket = fleet.route().sent(path, &self.demand, clock::now());
         let result = work.attempt(self, path, ticket);
         let outcome = match &result {
@@ -222,8 +263,10 @@
 
     /// Chooses a target; a suspect runs only where this host tries no other suspect.
     ///
-    /// A request that the caller has part of waits for a target until its deadline.
+    /// A request that the caller has part of waits for a target until its deadline, and one whose
+    /// last target has just failed waits a short time, since targets are set aside after a failure.
     fn choose(&mut self, tokens: u32) -> Result<(Path, Option<Trial>), Stop> {
+        let began = clock::now();
         loop {
             let suspicion = self.check_suspicion()?;
             let choice = match suspicion {
@@ -233,7 +276,10 @@
             if let Some(choice) = choice {
                 return Ok(choice);
             }
-            if self.demand.exclude.is_empty() && tokens == 0 && suspicion == Suspicion::Clear {
+            let is_retry = 1 < self.tries.attempt();
+            let may_wait = is_retry && clock::now() < began + RETARGET_TIME;
+            let must_wait = 0 < tokens || suspicion != Suspicion::Clear;
+            if self.demand.exclude.is_empty() && !may_wait && !must_wait {
                 return Err(self.give_up(Reason::NoTarget).into());
             }
             if self.demand.exclude.is_empty() {
@@ -289,7 +335,13 @@
     }
 
     /// Decides after a failed attempt; returns once another one may start.
-    fn failed(&mut self, path: &Path, failure: &Failure, tokens: u32) -> Result<(), Stop> {
+    fn failed(
+        &mut self,
+        path: &Path,
+        runs: &[Run],
+        failure: &Failure,
+        tokens: u32,
+    ) -> Result<(), Stop> {
         let now = clock::now();
         let decision = self.ctx.decide(&self.caller.plan, &mut self.tries, failure, now);
         if self.is_abandoned() {
@@ -298,7 +350,7 @@
         if self.expires <= now && self.tries.verdict() == Verdict::MayHaveRun {
             return Err(self.refusal(Reason::DeadlineExceeded).into());
         }
-        self.note_crash(path, failure)?;
+        self.note_crashes(runs, failure)?;
         let (after, reason) = match decision {
             Decision::Again { after, reason } => (after, reason),
             Decision::GiveUp(reason) => return Err(self.refusal(reason).into()),
@@ -323,22 +375,34 @@
             .with_verdict(self.tries.verdict()))
     }
 
-    /// Notes the death of the target under this request.
-    fn note_crash(&self, path: &Path, failure: &Failure) -> Result<(), Refusal> {
+    /// Returns the runs of the targets that an attempt goes to, as they are before it.
+    fn runs(&self, path: &Path) -> Vec<Run> {
+        let names = [Some(&path.target), path.prefill.as_ref()];
+        names.into_iter().flatten().filter_map(|it| self.run_of(it)).collect()
+    }
+
+    fn run_of(&self, name: &id::Target) -> Option<Run> {
+        let client = self.ctx.fleet.client(name)?;
+        let incarnation = self.ctx.fleet.incarnation(name)?;
+        Some(Run { client, crash: Crash { target: name.clone(), incarnation } })
+    }
+
+    /// Notes the death of any target under this request.
+    fn note_crashes(&self, runs: &[Run], failure: &Failure) -> Result<(), Refusal> {
         if failure.verdict() == Verdict::NotRun {
             return Ok(());
         }
-        let fleet = &self.ctx.fleet;
-        let (client, incarnation) =
-            match (fleet.client(&path.target), fleet.incarnation(&path.target)) {
-                (Some(client), Some(incarnation)) => (client, incarnation),
-                _ => return Ok(()),
-            };
-        if crash::confirm(&client, incarnation) != Finding::Died {
-            return Ok(());
+        for run in runs {
+            if crash::confirm(&run.client, run.crash.incarnation) == Finding::Died {
+                let suspicion = self.ctx.crashes.crashed(self.fingerprint, run.crash.clone());
+                if let Suspicion::Refused { .. } = suspicion {
+                    let record = self.ctx.crashes.record(self.fingerprint);
+                    peers::tell_crashes(&self.ctx.members, self.fingerprint, record);
+                }
+                self.unless_refused(suspicion)?;
+            }
         }
-        let crash = Crash { target: path.target.clone(), incarnation };
-        self.unless_refused(self.ctx.crashes.crashed(self.fingerprint, crash)).map(drop)
+        Ok(())
     }
 
     /// Returns the client of a target.
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -6,12 +6,12 @@
 mod fleet;
 mod gate;
 mod generate;
-mod hosts;
 mod job;
 mod options;
 mod output;
 mod peers;
 mod refusal;
+mod register;
 mod watch;
 
 use std::sync::Arc;
@@ -25,10 +25,10 @@
     context::{Claims, Configuration, Context, Departure, Retries},
     fleet::Fleet,
     gate::{Gate, Permit},
-    hosts::Hosts,
     options::{Caller, KEY_HEADER, MARK_HEADER, Mark, Options, REQUEST_HEADER, TIME_HEADER},
-    peers::Peers,
+    peers::{Members, Peers},
     refusal::Refusal,
+    register::{Entry, Register, Registered},
     watch::{CHECK_EVERY, Watch},
 };
 use crate::{
@@ -125,7 +125,7 @@
         match (&request.method, path.as_str()) {
             (&Method::GET, "/health/live") => reply.whole(Answer::new(200, "live\n")),
             (&Method::GET, "/health/ready") => reply.whole(ready(ctx)),
-            (&Method::GET, "/v1/hosts") => reply.whole(Answer::json(200, &ctx.hosts.answer())),
+            (&Method::GET, "/v1/hosts") => reply.whole(hosts(ctx, &request)),
             (&Method::GET, "/v1/models") => self.serve(Route::Models, &request, reply),
             (&Method::POST, "/v1/chat/completions") => {
                 self.serve(Route::Generate(Style::Chat), &request, reply);
@@ -157,6 +157,13 @@
     }
 }
 
+/// Answers which hosts to use; the query may name the caller's data centre.
+fn hosts(ctx: &Context, request: &Request) -> Answer {
+    let query = request.query.as_deref().unwrap_or_default();
+    let data_centre = query.split('&').find_map(|it| it.strip_prefix("data_centre="));
+    Answer::json(200, &ctx.members.choose(data_centre, rand::random()))
+}
+
 fn models(ctx: &Context, caller: &Caller) -> Answer {
     #[derive(Serialize)]
     struct Models {
