--- a/src/claim/answer.rs
+++ b/src/claim/answer.rs
@@ -7,7 +7,7 @@
 const INLINE_BYTES: usize = 4 << 10;
 
 /// A header of an answer.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Header {
     /// Name of the header.
     pub name: SmolStr,
@@ -16,7 +16,7 @@
 }
 
 /// The whole answer of a request that ran.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Answer {
     /// HTTP status.
     pub status: u16,
@@ -27,7 +27,7 @@
 }
 
 /// An answer as its row refers to it.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Stored {
     /// HTTP status.
     pub status: u16,
@@ -38,7 +38,7 @@
 }
 
 /// Where the body of a stored answer is.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Body {
     /// In the row.
     Inline(String),
--- a/src/claim/attempt.rs
+++ b/src/claim/attempt.rs
@@ -15,7 +15,7 @@
 const MAX_ROUNDS: u32 = 8;
 
 /// A row as it was found.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Found {
     /// There is no such row.
     Absent,
@@ -31,7 +31,7 @@
 }
 
 /// What an attempt learns.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Input {
     /// The write took effect and the row has this version.
     Committed(id::Version),
@@ -52,7 +52,7 @@
 }
 
 /// What an attempt asks its runner to do.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Action {
     /// Write the record if the row still has this version.
     Commit {
@@ -89,7 +89,7 @@
 }
 
 /// An attempt to claim a request under one token.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Attempt {
     request: Request,
     me: Claimant,
--- a/src/claim/ledger.rs
+++ b/src/claim/ledger.rs
@@ -3,7 +3,7 @@
 //! The ledger decides whether a byte may be sent under a token. A token that is abandoned here is
 //! never sent under, even when its write takes effect later.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 use smol_str::SmolStr;
 
@@ -19,7 +19,7 @@
 const ANSWER_BYTES: usize = 8 << 20;
 
 /// How far a token has come on this host.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 enum Progress {
     /// Its write is under way.
     Committing,
@@ -35,7 +35,7 @@
     Unknown,
 }
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Entry {
     row: SmolStr,
     fingerprint: id::Fingerprint,
@@ -43,7 +43,7 @@
 }
 
 /// What this host itself knows of a customer's key.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Local {
     /// Nothing that stands in the way of a claim.
     Free,
@@ -56,11 +56,11 @@
 }
 
 /// The tokens of this host's run.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Default)]
 pub struct Ledger {
-    entries: HashMap<id::Token, Entry>,
+    entries: BTreeMap<id::Token, Entry>,
     /// The token of each row that was last used and is not abandoned.
-    rows: HashMap<SmolStr, id::Token>,
+    rows: BTreeMap<SmolStr, id::Token>,
     /// Abandoned and unknown tokens, oldest first.
     settled: VecDeque<id::Token>,
     /// Bytes of the answers that wait to be stored.
--- a/src/claim/mod.rs
+++ b/src/claim/mod.rs
@@ -60,7 +60,7 @@
 }
 
 /// What the claimant says of a claim.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Status {
     /// The claim was given up before a byte was sent. Final: nothing is ever sent under its token.
     Abandoned,
--- a/src/claim/record.rs
+++ b/src/claim/record.rs
@@ -13,7 +13,7 @@
 const OBJECT_PREFIX: &str = "answer";
 
 /// How far the request of a claim has come, as its row tells.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum State {
     /// The claimant may have sent the request.
     Claimed,
@@ -24,7 +24,7 @@
 }
 
 /// The checked contents of a claim's row.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Record {
     /// Random token of the claim.
     pub token: id::Token,
--- a/tests/model/mod.rs
+++ b/tests/model/mod.rs
@@ -172,6 +172,11 @@
         self.broken
     }
 
+    /// Returns whether a later holder than the first has changed a target.
+    pub(crate) fn has_later_change(&self) -> bool {
+        self.targets.iter().any(|it| 1 < it.changed_in())
+    }
+
     /// Returns every state that can come next.
     pub(crate) fn successors(&self) -> Vec<World> {
         if self.broken.is_some() {
--- a/tests/model/target.rs
+++ b/tests/model/target.rs
@@ -48,6 +48,11 @@
         self.pending.is_some()
     }
 
+    /// Returns the epoch of the change under way.
+    pub(super) fn changed_in(&self) -> u64 {
+        if self.is_changing() { self.highest.epoch } else { 0 }
+    }
+
     pub(super) fn finish(&mut self) {
         let Some(role) = self.pending.take() else { return };
         self.role = role;
