--- a/src/authority/answers.rs
+++ b/src/authority/answers.rs
@@ -52,6 +52,14 @@
         groups.flat_map(drained).collect()
     }
 
+    /// Returns whether this host has read the rows of all groups that it knows.
+    ///
+    /// Until then it may route to a drained target, so it must send no work that may not repeat.
+    pub fn is_informed(&self) -> bool {
+        let state = self.state();
+        state.rows_read_at.is_some() && state.groups.values().all(|it| it.group().is_some())
+    }
+
     /// Returns the host that holds a group, as this host last read its lease.
     pub fn holder(&self, group: &str) -> Option<id::Host> {
         let state = self.state();
