--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admit;
 pub mod claim;
 pub mod clock;
+pub mod command;
 pub mod contract;
 pub mod cost;
 pub mod crash;
@@ -21,6 +22,7 @@
 pub mod metric;
 pub mod operate;
 pub mod order;
+pub mod overhead;
 pub mod platform;
 pub mod refresh;
 pub mod retry;
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -1,7 +1,7 @@
 //! Orders that must not run twice, through real processes that fail.
 
 mod common;
-mod fleet;
+mod deployment;
 
 use std::{
     collections::BTreeMap,
@@ -10,7 +10,7 @@
 };
 
 use common::{http::Answer, wait_until};
-use fleet::{Caller, Fleet, SERVICE, Shape};
+use deployment::{Caller, Fleet, SERVICE, Shape};
 use fuchsiaknot::standin::{platform, service};
 
 /// Keys that are sent to two hosts at once.
