fix(crash): an unreachable target is not a crashed one

Cause: a connection that could not be opened in time counted as the death of the target, so that a lost switch or data centre would have made suspects of all requests there.

--- a/src/crash/confirm.rs
+++ b/src/crash/confirm.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     id,
-    target::{Control, Failure},
+    target::{Client, Control, Failure},
 };
 
 /// Questions to a target before its state counts as unclear.
@@ -24,12 +24,13 @@
 }
 
 /// Asks a target, on a new connection, whether a run of it is still there.
-pub fn confirm(control: &impl Control, incarnation: id::Incarnation) -> Finding {
+pub fn confirm(client: &Client, incarnation: id::Incarnation) -> Finding {
     for _ in 0..TRIES {
-        match control.report() {
+        match client.report() {
             Ok(report) if report.incarnation == incarnation => return Finding::Alive,
-            Ok(_) | Err(Failure::Connect(_)) => return Finding::Died,
-            Err(Failure::Silent) => return Finding::Unclear,
+            Ok(_) => return Finding::Died,
+            Err(Failure::Connect(_)) if client.refuses_connections() => return Finding::Died,
+            Err(Failure::Silent | Failure::Connect(_)) => return Finding::Unclear,
             Err(_) => thread::sleep(PAUSE),
         }
     }
--- a/src/target/client.rs
+++ b/src/target/client.rs
@@ -3,7 +3,7 @@
 use std::{
     cell::Cell,
     io::{self, Read},
-    net::SocketAddr,
+    net::{SocketAddr, TcpStream},
     time::Duration,
 };
 
@@ -56,6 +56,14 @@
         self.pool.address()
     }
 
+    /// Returns whether the target's machine refuses connections, so that no process listens there.
+    ///
+    /// A machine that does not answer at all may only be cut off, and refuses nothing.
+    pub fn refuses_connections(&self) -> bool {
+        let connected = TcpStream::connect_timeout(&self.address(), self.connect_time);
+        connected.is_err_and(|it| it.kind() == io::ErrorKind::ConnectionRefused)
+    }
+
     /// Returns the bounds of a call in which the target shows progress.
     fn progress_bounds(&self) -> Bounds {
         Bounds { connect_time: self.connect_time, silence: Some(self.silence), total: None }
--- a/tests/crash.rs
+++ b/tests/crash.rs
@@ -1,15 +1,22 @@
 //! Requests that crash the targets that run them.
 
 use std::{
+    net::{SocketAddr, TcpStream},
     thread,
     time::{Duration, Instant},
 };
 
 use fuchsiaknot::{
-    crash::{Config, Crash, Suspects, Suspicion, Watch},
+    crash::{Config, Crash, Finding, Suspects, Suspicion, Watch, confirm},
     platform::{Client, Table},
     settings,
-    standin::platform::{Config as PlatformConfig, Faults, Platform},
+    standin::{
+        Service,
+        platform::{Config as PlatformConfig, Faults, Platform},
+        service,
+    },
+    target::{self, Control},
+    utils,
 };
 
 /// Ends a test that hangs.
@@ -156,3 +163,35 @@
     let _alone = first.trial(POISON, &target).expect("a trial without the store");
     assert!(first.trial(INNOCENT, &target).is_none(), "one host keeps its suspects apart");
 }
+
+fn target(address: SocketAddr) -> target::Client {
+    let bound = Duration::from_millis(200);
+    let settings =
+        settings::Targets { connect_time: bound, silence: bound, ..settings::Targets::default() };
+    target::Client::new(address, &settings)
+}
+
+#[test]
+fn death_confirmed() {
+    let service = Service::start(service::Config::default()).expect("a service");
+    let client = target(service.address());
+    let incarnation = client.report().expect("a report").incarnation;
+    assert_eq!(confirm(&client, incarnation), Finding::Alive);
+    assert_eq!(confirm(&client, incarnation + 1), Finding::Died, "another run answers");
+    drop(service);
+    assert_eq!(confirm(&client, incarnation), Finding::Died);
+}
+
+#[test]
+fn silence_unclear() {
+    let (listener, address) = utils::free_listener().expect("a listener");
+    // The system accepts connections, but nobody answers on them.
+    assert_eq!(confirm(&target(address), 1), Finding::Unclear);
+    // With a full queue the system drops what asks for a connection.
+    let listener = socket2::Socket::from(listener);
+    listener.listen(0).expect("a short queue");
+    let bound = Duration::from_millis(50);
+    let connect = |_| TcpStream::connect_timeout(&address, bound).ok();
+    let _queued: Vec<_> = (0..8).map_while(connect).collect();
+    assert_eq!(confirm(&target(address), 1), Finding::Unclear);
+}
