--- a/tests/poison.rs
+++ b/tests/poison.rs
@@ -1,12 +1,12 @@
 //! A request that crashes engines, sent again by its caller through every host.
 
 mod common;
-mod fleet;
+mod deployment;
 
 use std::thread;
 
 use common::wait_until;
-use fleet::{Fleet, Shape};
+use deployment::{Fleet, Shape};
 use fuchsiaknot::{platform::Table, standin::engine::Faults};
 
 const POISON: &str = "poison in the contract";
