fix(standin): an engine that was idle gets no steps for free

Change: the planned time starts anew when the engine was idle. Tests for lagged reports and events, and for the time that prompts and batches take, by lower bounds only.

--- a/src/standin/engine/scheduler.rs
+++ b/src/standin/engine/scheduler.rs
@@ -34,18 +34,22 @@
 /// Runs the engine until it is stopped.
 pub(super) fn run(core: &Arc<Core>) {
     let mut batch = Batch::default();
-    let mut due = Instant::now();
+    // End of the last step, until the engine is idle.
+    let mut due = None;
     while !core.is_stopped() {
         let turn = begin(core, &mut batch);
         if turn.faults.freeze {
             thread::sleep(IDLE);
             continue;
         }
+        let begun = Instant::now();
         let mut outcome = Outcome::default();
         let step = batch.plan(&core.config, turn.role, &turn.faults, &mut outcome);
         if let Some(step) = &step {
-            due = due.max(Instant::now() - MAX_LAG) + core.config.scaled(step.duration);
-            thread::sleep(due.saturating_duration_since(Instant::now()));
+            let planned = due.map_or(begun, |it: Instant| it.max(begun - MAX_LAG));
+            let end = planned + core.config.scaled(step.duration);
+            thread::sleep(end.saturating_duration_since(Instant::now()));
+            due = Some(end);
             batch.finish(&core.config, step, &turn.faults, &mut outcome);
         }
         if outcome.crashed {
@@ -60,6 +64,7 @@
             crash(core, &mut batch);
         } else if is_idle {
             wait(core);
+            due = None;
         }
     }
 }
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -319,6 +319,73 @@
     assert_eq!(events.events.keys().copied().collect::<Vec<_>>(), [1, 3]);
 }
 
+#[test]
+fn late_report() {
+    let engine = standin::Engine::start(Config {
+        report_lag: Duration::from_secs(3_600),
+        ..Config::default()
+    })
+    .unwrap();
+    let client = Client::new(engine.address(), &settings());
+    let mut first = None;
+    wait_until("there is a report", || {
+        first = client.report().ok();
+        first.is_some()
+    });
+    engine.fault(Faults { hold_after_tokens: Some(1), ..Faults::default() });
+    let mut stream = client.generate(&generation("unseen", 2)).unwrap();
+    stream.next().unwrap().unwrap();
+    let report = client.report().unwrap();
+    assert_eq!((report.number, report.running), (first.unwrap().number, 0));
+}
+
+#[test]
+fn late_events() {
+    let engine = standin::Engine::start(Config {
+        event_lag: Duration::from_secs(3_600),
+        ..Config::default()
+    })
+    .unwrap();
+    let client = Client::new(engine.address(), &settings());
+    whole(&client, &generation(&words(PIECE_TOKENS), 1));
+    assert_eq!(client.cache_events(0).unwrap().last, 0);
+}
+
+#[test]
+fn steps_take_time() {
+    let step = Duration::from_millis(20);
+    let it = Fixture::with(Config {
+        step_base: step,
+        step_per_request: step,
+        prefill_rate: 1_000.0,
+        ..Config::default()
+    });
+    let begun = Instant::now();
+    whole(&it.client, &generation(&words(100), 2));
+    // 100 tokens at 1,000 a second, and two steps for a batch of one.
+    assert!(Duration::from_millis(100) + 4 * step <= begun.elapsed());
+}
+
+#[test]
+fn batch_slows_steps() {
+    let step = Duration::from_millis(10);
+    let it = Fixture::with(Config {
+        step_base: Duration::ZERO,
+        step_per_request: step,
+        ..Config::default()
+    });
+    it.engine.fault(Faults { hold_after_tokens: Some(0), ..Faults::default() });
+    let streams: Vec<_> =
+        (0..8).map(|_| it.client.generate(&generation("batch", 2)).unwrap()).collect();
+    it.report_when("all run", |it| it.running == 8 && it.queued_tokens == 0);
+    let begun = Instant::now();
+    it.engine.fault(Faults::default());
+    for stream in streams {
+        assert_eq!(stream.map(Result::unwrap).count(), 3);
+    }
+    assert!(16 * step <= begun.elapsed());
+}
+
 #[test]
 fn priority_first() {
     let it = Fixture::with(Config { slots: 1, ..Config::default() });
