--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod route;
 pub mod serve;
 pub mod settings;
+pub mod slopes;
 pub mod standin;
 pub mod target;
 pub mod timer;
--- a/src/link/outgoing/mod.rs
+++ b/src/link/outgoing/mod.rs
@@ -19,9 +19,12 @@
 use ureq::{Agent, Body, BodyReader, SendBody, http};
 
 use self::socket::{Connector, Opening};
+pub use self::socket::{Traffic, traffic};
 
 /// Age after which an idle connection is not used again.
 const IDLE_AGE: Duration = Duration::from_secs(10);
+/// Buffer of a connection in each direction, in bytes; the head of an answer must fit.
+const BUFFER_BYTES: usize = 16 << 10;
 /// Idle connections kept for one address.
 const IDLE_CONNECTIONS: usize = 64;
 
@@ -201,6 +204,8 @@
         let config = Agent::config_builder()
             .http_status_as_error(false)
             .max_redirects(0)
+            .input_buffer_size(BUFFER_BYTES)
+            .output_buffer_size(BUFFER_BYTES)
             .max_idle_connections(1)
             .max_idle_connections_per_host(1)
             .proxy(None)
--- a/src/link/outgoing/socket.rs
+++ b/src/link/outgoing/socket.rs
@@ -5,7 +5,7 @@
     net::{Shutdown, TcpStream},
     sync::{
         Arc, Mutex, Weak,
-        atomic::{AtomicU8, Ordering},
+        atomic::{AtomicU8, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -19,6 +19,25 @@
     },
 };
 
+/// Bytes that all connections of this process have sent.
+static SENT: AtomicU64 = AtomicU64::new(0);
+/// Bytes that all connections of this process have received.
+static RECEIVED: AtomicU64 = AtomicU64::new(0);
+
+/// Bytes of all outgoing HTTP connections of this process since its start, without packet headers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Traffic {
+    /// Bytes written to sockets.
+    pub sent: u64,
+    /// Bytes read from sockets.
+    pub received: u64,
+}
+
+/// Returns the traffic so far.
+pub fn traffic() -> Traffic {
+    Traffic { sent: SENT.load(Ordering::Relaxed), received: RECEIVED.load(Ordering::Relaxed) }
+}
+
 /// Time between keepalive probes on an idle connection.
 const KEEPALIVE: Duration = Duration::from_secs(10);
 
@@ -135,7 +154,9 @@
             self.write_timeout = bound;
         }
         let output = &self.buffers.output()[..amount];
-        (&self.stream.0).write_all(output).map_err(|it| error(it, timeout))
+        (&self.stream.0).write_all(output).map_err(|it| error(it, timeout))?;
+        SENT.fetch_add(amount as u64, Ordering::Relaxed);
+        Ok(())
     }
 
     fn await_input(&mut self, timeout: NextTimeout) -> Result<bool, Error> {
@@ -147,6 +168,7 @@
         }
         let input = self.buffers.input_append_buf();
         let amount = read(&self.stream.0, input).map_err(|it| error(it, timeout))?;
+        RECEIVED.fetch_add(amount as u64, Ordering::Relaxed);
         self.buffers.input_appended(amount);
         Ok(0 < amount)
     }
