--- a/tests/front.rs
+++ b/tests/front.rs
@@ -19,6 +19,11 @@
 /// Time after which a test counts as hung.
 const HANG: Duration = Duration::from_secs(30);
 
+/// Pieces that fill every queue on the way to a caller.
+const MANY: usize = 192;
+/// Bytes of such a piece.
+const LARGE: usize = 128 << 10;
+
 /// Streams pieces as the test releases them, and reports when a caller went away.
 struct Held {
     release: Mutex<Receiver<&'static str>>,
@@ -36,6 +41,19 @@
                 }
                 stream.finish();
             }
+            "/many" => {
+                let mut stream = reply.stream(Head::new(200));
+                // A thread that the port's runtime does not know, like an engine's scheduler.
+                let event = self.event.clone();
+                let sender = std::thread::spawn(move || {
+                    for _ in 0..MANY {
+                        stream.send(vec![b'x'; LARGE]).unwrap();
+                        event.send("sent").unwrap();
+                    }
+                    stream.finish();
+                });
+                sender.join().unwrap();
+            }
             "/cut" => {
                 let mut stream = reply.stream(Head::new(200));
                 stream.send("part").unwrap();
@@ -115,6 +133,21 @@
     assert!(lines.any(|it| it == "0"), "the stream must carry its end mark");
 }
 
+#[test]
+fn slow_reader_awaited() {
+    let port = Port::start(Bounds::default());
+    let stream = port.connect();
+    send(&stream, "GET /many HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
+    // The caller reads once the sender has stopped for want of room.
+    let pause = Duration::from_millis(300);
+    assert_eq!(port.event.recv_timeout(HANG), Ok("sent"));
+    let sent = 1 + std::iter::from_fn(|| port.event.recv_timeout(pause).ok()).count();
+    assert!(sent < MANY, "the queues took the whole answer");
+    let text = rest(&stream);
+    assert_eq!(text.matches('x').count(), MANY * LARGE);
+    assert!(text.ends_with("0\r\n\r\n"), "the stream must carry its end mark");
+}
+
 #[test]
 fn unfinished_cut() {
     let port = Port::start(Bounds::default());
