feat(route,role): urgency at the engines, other hosts' inflow, headroom for first tokens

Change: within a plan's priority the shorter time to the first token goes first; a request waits only for what goes before it; queues shrink by what the other hosts are expected to send; the planner keeps half as much prefill again, trusts mixed engines less and bounds what a spike adds to the slow average. Ruled out: counting each request of this host for those of all hosts made queues look nine times longer.

--- a/src/role/config.rs
+++ b/src/role/config.rs
@@ -41,7 +41,9 @@
     pub reserve: f64,
     /// Useful part of a mixed engine's time, relative to an engine with one role.
     pub mixed_efficiency: f64,
-    /// Factor on demand for which capacity is planned.
+    /// Factor on prefill for which capacity is planned; queues before it make first tokens late.
+    pub prefill_headroom: f64,
+    /// Factor on decoding for which capacity is planned.
     pub headroom: f64,
     /// Time before an announced departure from which the engine is no longer counted on.
     pub prepare: Duration,
@@ -64,9 +66,10 @@
             dwell: Duration::from_secs(45),
             pause: Duration::from_secs(5),
             changing: 0.25,
-            reserve: 0.3,
-            mixed_efficiency: 0.85,
-            headroom: 1.1,
+            reserve: 0.2,
+            mixed_efficiency: 0.65,
+            prefill_headroom: 1.5,
+            headroom: 1.15,
             prepare: Duration::from_secs(20),
             load: Duration::from_secs(60),
             loads: 1,
--- a/src/role/history.rs
+++ b/src/role/history.rs
@@ -7,6 +7,11 @@
     role::{Demand, decay},
 };
 
+/// Factor above the slow average beyond which a demand counts no more, so that a spike stays short.
+const MOST_RISE: f64 = 2.0;
+/// Demand below which the slow average may rise freely, in engine seconds a second.
+const LEAST: f64 = 0.1;
+
 /// Two averages of a group's demand.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct History {
@@ -28,7 +33,7 @@
         let passed = now.saturating_sub(self.last);
         self.last = self.last.max(now);
         self.fast.approach(demand, decay(passed, fast));
-        self.slow.approach(demand, decay(passed, slow));
+        self.slow.approach(demand.at_most(self.slow.scaled(MOST_RISE)), decay(passed, slow));
     }
 
     /// Returns whether demand was observed for at least `time`.
@@ -43,6 +48,13 @@
         self.decode += (other.decode - self.decode) * part;
     }
 
+    fn at_most(self, most: Demand) -> Demand {
+        Demand {
+            prefill: self.prefill.min(most.prefill.max(LEAST)),
+            decode: self.decode.min(most.decode.max(LEAST)),
+        }
+    }
+
     /// Returns the demand multiplied by a factor.
     pub fn scaled(self, factor: f64) -> Demand {
         Demand { prefill: self.prefill * factor, decode: self.decode * factor }
--- a/src/role/planner.rs
+++ b/src/role/planner.rs
@@ -124,7 +124,10 @@
     }
 
     fn net_gain(&self, supply: Supply, from: Role, to: Role, demand: Demand) -> f64 {
-        let demand = demand.scaled(self.config.headroom);
+        let demand = Demand {
+            prefill: demand.prefill * self.config.prefill_headroom,
+            decode: demand.decode * self.config.headroom,
+        };
         let efficiency = self.config.mixed_efficiency;
         let without = supply.with(from, -1.0);
         let now = supply.served(demand, efficiency);
--- a/src/route/choice.rs
+++ b/src/route/choice.rs
@@ -15,6 +15,9 @@
 /// Factor on each step time beyond the bound between tokens.
 const LATE_FACTOR: f64 = 10.0;
 
+/// Weight of the time after the first token, which may vary up to the bound between tokens.
+const FINISH_WEIGHT: f64 = 0.25;
+
 /// A path by keys.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct Route {
@@ -58,6 +61,8 @@
     pub(super) pool: &'a Pool,
     pub(super) demand: &'a Demand,
     pub(super) now: Moment,
+    /// Part of each queue that goes before the request.
+    ahead: f64,
 }
 
 impl Candidates {
@@ -131,7 +136,18 @@
     drawn.into_iter().map(|it| keys[it])
 }
 
-impl Scene<'_> {
+impl<'a> Scene<'a> {
+    pub(super) fn new(
+        config: &'a Config,
+        fleet: &'a Fleet,
+        pool: &'a Pool,
+        demand: &'a Demand,
+        now: Moment,
+    ) -> Scene<'a> {
+        let ahead = pool.classes.ahead(demand.priority, now);
+        Scene { config, fleet, pool, demand, now, ahead }
+    }
+
     /// Returns whether a target may take the request.
     pub(super) fn eligible(&self, replica: &Replica) -> bool {
         replica.usable(self.now)
@@ -168,7 +184,9 @@
         let cached = replica.cache.expected(&self.demand.pieces, self.now);
         let prompt = f64::from(self.demand.prompt_tokens);
         let tokens = (prompt - cached * f64::from(PIECE_TOKENS)).max(1.0);
-        (replica.load.backlog(rate, self.now) / rate, tokens, tokens / rate)
+        let net = self.pool.net_rate(replica.role, self.now);
+        let wait = replica.load.backlog(net, self.now) / rate * self.ahead;
+        (wait, tokens, tokens / rate)
     }
 
     /// Returns the prompt tokens to read where most of the prompt is cached.
@@ -242,7 +260,7 @@
             finish,
             engine_time: work,
             batch,
-            score: finish + sum.crowding,
+            score: sum.first_token + FINISH_WEIGHT * (sum.generating + sum.crowding),
         }
     }
 
--- a/src/route/fleet.rs
+++ b/src/route/fleet.rs
@@ -1,6 +1,9 @@
 //! All targets by name and by what they serve.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
 
 use slotmap::SlotMap;
 use smol_str::SmolStr;
@@ -19,7 +22,17 @@
 /// Part by which one report moves the learned part of this host.
 const PART_GAIN: f64 = 0.1;
 /// Most requests of all hosts that one of this host stands for.
-const MOST_WEIGHT: f64 = 1.0;
+const MOST_WEIGHT: f64 = 16.0;
+/// Least part of an engine's rate at which its queue is taken to shrink.
+const LEAST_NET: f64 = 0.1;
+/// Priorities that are told apart.
+const MOST_CLASSES: usize = 16;
+/// Window of the prefill asked for by priority.
+const CLASS_WINDOW: Duration = Duration::from_secs(10);
+/// Least part of a queue that goes before a request, since a step under way is not interrupted.
+const LEAST_AHEAD: f64 = 0.1;
+/// Part of a mixed engine that reads prompts.
+const MIXED_READS: f64 = 0.5;
 /// Observations from which an engine with one role tells the cost of its stage.
 const LEAST_SEEN: u32 = 8;
 /// Window of the rates of work asked for.
@@ -42,11 +55,14 @@
     slots: u32,
     /// Part of all requests that this host sends.
     part: f64,
+    /// Engines that read prompts; mixed ones count in part.
+    readers: f64,
     prefill: Rates,
     decode: Rates,
     mixed: Rates,
     pub(super) mean: Mean,
     pub(super) asked: Asked,
+    pub(super) classes: Classes,
 }
 
 /// Work asked for, in engine seconds a second.
@@ -56,6 +72,12 @@
     pub(super) decode: Rate,
 }
 
+/// Prefill asked for by priority, so that a request waits only for what goes before it.
+#[derive(Debug, Default)]
+pub(super) struct Classes {
+    by_priority: BTreeMap<i32, Rate>,
+}
+
 /// Mean work of a request of the pool.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Mean {
@@ -129,7 +151,7 @@
         let Some(key) = self.key(name) else { return };
         let serves = self.replicas[key].serves.clone();
         let role = report.role.unwrap_or(Role::Mixed);
-        let rate = self.pools.get(&serves).map_or(1.0, |it| it.rates(role).prefill_rate());
+        let rate = self.pools.get(&serves).map_or(1.0, |it| it.net_rate(role, now));
         if !self.replicas[key].report(report, rate, now) {
             return;
         }
@@ -144,6 +166,9 @@
     fn learn_part(&mut self, serves: &str, report: &Report) {
         let Some(pool) = self.pools.get_mut(serves) else { return };
         pool.slots = report.slots;
+        let members = pool.members.iter().filter_map(|it| self.replicas.get(*it));
+        let readers: f64 = members.map(|it| reads(it.role)).sum();
+        pool.readers = readers.max(MIXED_READS);
         let replicas = pool.members.iter().filter_map(|it| self.replicas.get(*it));
         let (own, all) = replicas.fold((0.0, 0.0), |(own, all), it| {
             (own + f64::from(it.load.own), all + it.load.reported())
@@ -165,11 +190,13 @@
             next: 0,
             slots: 0,
             part: 1.0,
+            readers: 1.0,
             prefill: rates.clone(),
             decode: rates.clone(),
             mixed: rates,
             mean: Mean { prompt: output, output },
             asked: Asked { prefill: asked, decode: asked },
+            classes: Classes::default(),
         }
     }
 
@@ -200,6 +227,15 @@
         output * rates.step(batch).as_secs_f64() / batch
     }
 
+    /// Returns the prompt tokens a second by which an engine's queue shrinks.
+    ///
+    /// What the other hosts send meanwhile is estimated from what this host is asked for and from its
+    /// part of all requests.
+    pub(super) fn net_rate(&self, role: Role, now: Moment) -> f64 {
+        let others = self.asked.prefill.value(now) * (self.weight() - 1.0) / self.readers;
+        self.rates(role).prefill_rate() * (1.0 - others).max(LEAST_NET)
+    }
+
     /// Returns the rates learned for engines in a role.
     pub(super) fn rates(&self, role: Role) -> &Rates {
         match role {
@@ -218,6 +254,40 @@
     }
 }
 
+impl Classes {
+    /// Takes in prefill of a priority; priorities beyond the bound count as the nearest known one.
+    pub(super) fn add(&mut self, priority: i32, seconds: f64, now: Moment) {
+        let known = self.by_priority.contains_key(&priority);
+        let priority = if known || self.by_priority.len() < MOST_CLASSES {
+            priority
+        } else {
+            let below = self.by_priority.range(..=priority).next_back();
+            below.or(self.by_priority.iter().next()).map_or(priority, |it| *it.0)
+        };
+        let rate = self.by_priority.entry(priority).or_insert(Rate::new(CLASS_WINDOW, now));
+        rate.add(seconds, now);
+    }
+
+    /// Returns the part of a queue that goes before a request of this priority.
+    pub(super) fn ahead(&self, priority: i32, now: Moment) -> f64 {
+        let all: f64 = self.by_priority.values().map(|it| it.value(now)).sum();
+        if all <= 0.0 {
+            return 1.0;
+        }
+        let ahead: f64 = self.by_priority.range(priority..).map(|it| it.1.value(now)).sum();
+        (ahead / all).clamp(LEAST_AHEAD, 1.0)
+    }
+}
+
+/// Returns the part of an engine in a role that reads prompts.
+fn reads(role: Role) -> f64 {
+    match role {
+        Role::Prefill => 1.0,
+        Role::Mixed => MIXED_READS,
+        Role::Decode => 0.0,
+    }
+}
+
 impl Mean {
     /// Takes in one request.
     pub(super) fn observe(&mut self, prompt: f64, output: f64, gain: f64) {
--- a/src/route/learn.rs
+++ b/src/route/learn.rs
@@ -21,10 +21,10 @@
 const MOST_COMPARED: usize = 64;
 
 impl Fleet {
-    /// Returns the prefill rate that holds for a target.
-    fn rate(&self, key: ReplicaKey) -> f64 {
+    /// Returns the rate at which a target's queue shrinks.
+    fn rate(&self, key: ReplicaKey, now: Moment) -> f64 {
         let Some(replica) = self.replicas.get(key) else { return 1.0 };
-        self.pool(&replica.serves).map_or(1.0, |it| it.rates(replica.role).prefill_rate())
+        self.pool(&replica.serves).map_or(1.0, |it| it.net_rate(replica.role, now))
     }
 
     /// Counts the work of a request that was offered, with the prompt tokens to read.
@@ -32,17 +32,17 @@
         let Some(pool) = self.pool_mut(&demand.model_or_service) else { return };
         let reading = pool.reading(tokens);
         let decoding = pool.decoding(f64::from(demand.output_tokens), config);
+        pool.classes.add(demand.priority, reading, now);
         pool.asked.prefill.add(reading, now);
         pool.asked.decode.add(decoding, now);
     }
 
     /// Counts a request that was sent at its targets.
     pub(super) fn sent(&mut self, flight: &Flight, now: Moment) {
-        let weight = self.pool(&flight.name).map_or(1.0, Pool::weight);
         for (key, tokens) in flight.loads() {
-            let rate = self.rate(key);
+            let rate = self.rate(key, now);
             if let Some(replica) = self.replicas.get_mut(key) {
-                replica.load.sent(tokens, weight, rate, now);
+                replica.load.sent(tokens, rate, now);
                 replica.health.sent();
             }
         }
@@ -51,9 +51,8 @@
     /// Learns from the export of a prompt's KV cache, and releases the engine that read it.
     pub(super) fn prefilled(&mut self, flight: &Flight, now: Moment) {
         let Some(key) = flight.prefill else { return };
-        let weight = self.pool(&flight.name).map_or(1.0, Pool::weight);
         if let Some(replica) = self.replicas.get_mut(key) {
-            replica.load.finished(weight, now);
+            replica.load.finished(now);
             replica.health.succeeded();
         }
         self.read(key, flight, now);
@@ -86,10 +85,9 @@
         config: &Config,
         now: Moment,
     ) {
-        let weight = self.pool(&flight.name).map_or(1.0, Pool::weight);
         for (key, _) in flight.loads() {
             if let Some(replica) = self.replicas.get_mut(key) {
-                replica.load.finished(weight, now);
+                replica.load.finished(now);
             }
         }
         match outcome {
@@ -225,7 +223,7 @@
     fn reading_room(&self, replica: &Replica, config: &Config, now: Moment) -> Room {
         let rate = self.rates(replica.role).prefill_rate();
         let window = config.prefill_window.as_secs_f64();
-        let waiting = replica.load.backlog(rate, now) / rate;
+        let waiting = replica.load.backlog(self.net_rate(replica.role, now), now) / rate;
         let each = self.mean.prompt.max(1.0) / rate;
         Room { free: (window - waiting).max(0.0) / each, limit: window / each }
     }
--- a/src/route/replica/load.rs
+++ b/src/route/replica/load.rs
@@ -101,20 +101,17 @@
     }
 
     /// Notes a request of this host that was sent, with the prompt tokens to read.
-    ///
-    /// `weight` requests are assumed to have been sent by all hosts together.
-    pub(crate) fn sent(&mut self, tokens: f64, weight: f64, rate: f64, now: Moment) {
+    pub(crate) fn sent(&mut self, tokens: f64, rate: f64, now: Moment) {
         self.own += 1;
         self.advance(rate, now);
-        let tokens = tokens * weight;
         self.backlog += tokens;
-        self.change(Change { at: now, running: weight, tokens });
+        self.change(Change { at: now, running: 1.0, tokens });
     }
 
-    /// Notes the end of a request of this host, which stands for `weight` of all hosts.
-    pub(crate) fn finished(&mut self, weight: f64, now: Moment) {
+    /// Notes the end of a request of this host.
+    pub(crate) fn finished(&mut self, now: Moment) {
         self.own = self.own.saturating_sub(1);
-        self.change(Change { at: now, running: -weight, tokens: 0.0 });
+        self.change(Change { at: now, running: -1.0, tokens: 0.0 });
     }
 
     fn change(&mut self, change: Change) {
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -86,7 +86,7 @@
         let Some(pool) = self.fleet.pool(&demand.model_or_service) else {
             return Err(Reason::UnknownModel);
         };
-        let scene = Scene { config: &self.config, fleet: &self.fleet, pool, demand, now };
+        let scene = Scene::new(&self.config, &self.fleet, pool, demand, now);
         self.candidates.collect(&scene);
         let route = match self.config.policy {
             Policy::Expected => {
@@ -110,7 +110,7 @@
     /// Returns the expected course of a request that is sent now; `None` when no target can take it.
     pub fn estimate(&self, demand: &Demand, now: Moment) -> Option<Estimate> {
         let pool = self.fleet.pool(&demand.model_or_service)?;
-        let scene = Scene { config: &self.config, fleet: &self.fleet, pool, demand, now };
+        let scene = Scene::new(&self.config, &self.fleet, pool, demand, now);
         let mut candidates = Candidates::default();
         candidates.collect(&scene);
         let mut rng = self.rng.clone();
@@ -125,7 +125,7 @@
     /// Counts the work of a request that was offered, whether it is admitted or not.
     pub fn offered(&mut self, demand: &Demand, now: Moment) {
         let Some(pool) = self.fleet.pool(&demand.model_or_service) else { return };
-        let scene = Scene { config: &self.config, fleet: &self.fleet, pool, demand, now };
+        let scene = Scene::new(&self.config, &self.fleet, pool, demand, now);
         let tokens = scene.least_tokens();
         self.fleet.offered(demand, tokens, &self.config, now);
     }
@@ -174,7 +174,7 @@
         if !known(route.target) || !route.prefill.is_none_or(known) {
             return None;
         }
-        let scene = Scene { config: &self.config, fleet: &self.fleet, pool, demand, now };
+        let scene = Scene::new(&self.config, &self.fleet, pool, demand, now);
         Some(scene.course(route))
     }
 
--- a/src/serve/generate.rs
+++ b/src/serve/generate.rs
@@ -61,7 +61,7 @@
         prompt_tokens: prefix::tokens(&completion.prompt),
         pieces: prefix::pieces(&completion.model, &completion.prompt),
         output_tokens,
-        priority: caller.limits.priority,
+        priority: ctx.settings.decisions.priority(&caller.limits),
         exclude: Vec::new(),
     }
 }
--- a/src/settings/decisions.rs
+++ b/src/settings/decisions.rs
@@ -5,7 +5,7 @@
 use smol_str::SmolStr;
 
 use super::{Fault, Field, Place, Section, Slot, value};
-use crate::{admit, cost, role, route};
+use crate::{admit, contract::Limits, cost, role, route};
 
 /// Names of the policies, as the settings have them.
 const POLICIES: [(&str, Policy); 5] = [
@@ -88,6 +88,14 @@
         }
     }
 
+    /// Returns the priority at the engines of a plan's requests.
+    pub fn priority(&self, limits: &Limits) -> i32 {
+        match self.policy() {
+            Policy::Planned | Policy::Greedy => route::urgency(limits.priority, limits.first_token),
+            Policy::Thin | Policy::Static | Policy::Mixed => limits.priority,
+        }
+    }
+
     /// Returns the settings of the cost model.
     pub fn cost(&self) -> cost::Config {
         let it = cost::Config::default();
