--- a/src/bin/fuchsiaknotd.rs
+++ b/src/bin/fuchsiaknotd.rs
@@ -18,6 +18,7 @@
 }
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info,tarpc=warn"))
+        .init();
     process::run(&Args::parse().settings)
 }
--- a/src/host/roster.rs
+++ b/src/host/roster.rs
@@ -219,7 +219,7 @@
     /// Returns what the others say about the configuration.
     pub fn peers(&self, now: Moment) -> Peers {
         let mut peers = Peers { listed: self.listed, ..Peers::default() };
-        for entry in self.hosts() {
+        for entry in self.hosts().into_iter().filter(|it| !it.has_left(now, self.silence)) {
             peers.known += 1;
             let Some(heard) = entry.heard.filter(|_| entry.is_heard(now, self.silence)) else {
                 continue;
@@ -240,9 +240,8 @@
             version: it.heard.and_then(|it| it.version),
             heard: it.is_heard(now, self.silence),
         };
-        let left =
-            |it: &Entry| it.member.state == State::Leaving && !it.is_heard(now, self.silence);
-        self.runs.values().filter(|it| !left(it)).map(said).collect()
+        let runs = self.runs.values();
+        runs.filter(|it| !it.has_left(now, self.silence)).map(said).collect()
     }
 
     /// Returns one run of each host: the one heard last.
@@ -286,6 +285,11 @@
         self.heard.is_some_and(|it| now.saturating_sub(it.at) < silence)
     }
 
+    /// Returns whether the run has left and no longer runs; it admits nothing.
+    fn has_left(&self, now: Moment, silence: Duration) -> bool {
+        self.member.state == State::Leaving && !self.is_heard(now, silence)
+    }
+
     fn view(&self, now: Moment, silence: Duration) -> View {
         let freshness = self.heard.map_or(Freshness::Starting, |it| it.freshness);
         View {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,6 +3,7 @@
 // Each test file compiles this module for itself and uses a part of it.
 #![allow(dead_code)]
 
+pub(crate) mod fleet;
 pub(crate) mod http;
 pub(crate) mod process;
 pub(crate) mod proxy;
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -180,3 +180,13 @@
         (0..100).map(|seed| choose(&candidates, "near", seed).hosts[0].host.clone()).collect();
     assert_eq!(orders.len(), 3);
 }
+
+#[test]
+fn left_host_not_told() {
+    let mut roster = roster();
+    let leaving = Member { state: State::Leaving, ..member("a", 1) };
+    let own = member("b", OWN);
+    roster.list(&[leaving, own, member("c", 3)], at(1));
+    roster.hear(&beat("c", 3, 4), at(1));
+    assert_eq!((roster.peers(at(1)).known, roster.peers(at(1)).told), (1, 1));
+}
