--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -23,6 +23,7 @@
 use crate::{
     demo::{self, Afterwards},
     operate::Client,
+    overhead,
     settings::{self, value},
 };
 
@@ -125,6 +126,8 @@
         #[arg(long)]
         keep: bool,
     },
+    /// Measures what an entry host adds to a call, on loopback.
+    Overhead(overhead::Args),
     /// Prints the completions for a shell.
     Completions {
         /// The shell.
@@ -173,6 +176,7 @@
         Command::Demo { keep } => {
             return Ok(demo::run(if keep { Afterwards::Keep } else { Afterwards::Stop }));
         }
+        Command::Overhead(args) => return Ok(overhead::run(&args, options.json)),
         Command::Completions { shell } => completions(shell, printer)?,
         Command::Manual => manual(printer)?,
     }
