test(configuration): a paused host cut off from the platform; a host cut off alone

Cause: the paused host woke and refreshed before the first request came, so the test passed with the wait for silent hosts switched off too. Change: its platform is behind the silent proxy; one edit. Another test cuts a host off from the platform only. Two operators set values that differ in every round: equal ones gave a conflict without a difference, and the test failed. Seen: with the wait switched off paused_host_never_behind fails; whole suite green.

--- a/src/host/membership.rs
+++ b/src/host/membership.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use super::{Candidate, Change, Choice, Roster, Said, View, choose};
+use super::{Candidate, Change, Choice, Roster, Said, Status, View, choose};
 use crate::{
     clock::{self, Moment},
     contract::store::Edition,
@@ -221,8 +221,11 @@
 
     /// Sends a heartbeat to all other hosts now, those included that only other hosts know.
     pub fn survey(&self) {
-        let known = self.all_members();
-        let told = self.inner.links.all_members(self.addresses());
+        let views = self.views();
+        let known: Vec<Member> = views.iter().map(|it| it.member.clone()).collect();
+        let heard = views.iter().filter(|it| it.status != Status::Silent);
+        let addresses = heard.map(|it| it.member.peers_address).collect();
+        let told = self.inner.links.all_members(addresses);
         let own = self.own().host;
         let unknown = |it: &Member| it.host != own && !known.iter().any(|has| has.host == it.host);
         let mut members = known.clone();
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -73,6 +73,13 @@
         host(self.platform, name)
     }
 
+    /// Starts a host that reaches the platform through another address, and waits until it serves.
+    pub(crate) fn add_host_through(&mut self, name: &str, platform: SocketAddr) {
+        self.hosts.push(host(platform, name));
+        self.wait_known();
+        self.wait_serving();
+    }
+
     /// Switches faults of the platform.
     pub(crate) fn fault(&self, faults: &Faults) {
         assert_eq!(http::post(self.platform, "/faults", faults).status, 200);
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -6,7 +6,9 @@
 
 use common::{
     fleet::{Callers, Ended, Fleet, stream},
-    http, wait_until,
+    http,
+    proxy::{Mode, Proxy},
+    wait_until,
 };
 use fuchsiaknot::{
     operate::wire::{Edit, Edited},
@@ -30,7 +32,7 @@
         let outcomes: Vec<Edited> = thread::scope(|scope| {
             let edit = |host: usize| {
                 let client = fleet.client(host);
-                scope.spawn(move || client.edit(&limits(round, round * 2 + host as u64)).unwrap())
+                scope.spawn(move || client.edit(&limits(round, round * 10 + host as u64)).unwrap())
             };
             let both = [edit(0), edit(2)];
             both.map(|it| it.join().unwrap()).into()
@@ -83,21 +85,38 @@
 
 #[test]
 fn paused_host_never_behind() {
-    let fleet = Fleet::start(3, 1);
+    let mut fleet = Fleet::start(2, 1);
+    let proxy = Proxy::start(fleet.platform);
+    fleet.add_host_through("host-2", proxy.address());
     fleet.hosts[2].process.pause();
-    let output =
-        fleet.operate(0, &["limits", "edit", "plan gold", "weight=2", "--wait", "1 min"], "");
+    proxy.set(Mode::Silent);
+    let withdrawn = "[customer other]\nplan = gold\nkey = ".to_owned() + &"0".repeat(64);
+    let plans = ["plans", "apply", "-", "--from", "2", "--wait", "1 min"];
+    let output = fleet.operate(0, &plans, &withdrawn);
     assert!(output.status.success(), "{output:?}");
     assert!(String::from_utf8_lossy(&output.stderr).contains("waiting for host-2"), "{output:?}");
-    let withdrawn = "[customer other]\nplan = gold\nkey = ".to_owned() + &"0".repeat(64);
-    let plans = ["plans", "apply", "-", "--from", "3", "--wait", "1 min"];
-    assert!(fleet.operate(0, &plans, &withdrawn).status.success());
     fleet.hosts[2].process.resume();
     // The account is gone in the version that is in force, so no host may serve it.
-    for _ in 0..50 {
+    wait_until("the woken host has the version of its peers", || {
         assert_ne!(stream(fleet.hosts[2].callers, 1), Ended::Whole);
-    }
-    wait_until("the woken host has the version", || fleet.in_force(2) == 4);
+        http::get(fleet.hosts[2].operators, "/v1/fleet").body.contains("\"version\":3")
+    });
+}
+
+#[test]
+fn cut_off_host_follows_peers() {
+    let mut fleet = Fleet::start(2, 1);
+    let proxy = Proxy::start(fleet.platform);
+    fleet.add_host_through("host-2", proxy.address());
+    proxy.set(Mode::SilentToClient);
+    let output = fleet.operate(0, &["limits", "edit", "plan gold", "weight=2"], "");
+    assert!(output.status.success(), "{output:?}");
+    let page = || http::get(fleet.hosts[2].operators, "/v1/fleet").body;
+    assert!(page().contains("\"version\":3"), "{}", page());
+    wait_until("it is stale", || page().contains("\"freshness\":\"stale\""));
+    assert_eq!(stream(fleet.hosts[2].callers, 5), Ended::Whole);
+    proxy.set(Mode::Pass);
+    wait_until("it is fresh", || page().contains("\"freshness\":\"fresh\""));
 }
 
 #[test]
