--- a/tests/operate.rs
+++ b/tests/operate.rs
@@ -1,6 +1,6 @@
 //! The operators' port and the command line against it.
 
-mod hosts;
+mod members;
 
 use std::{
     fs,
@@ -24,7 +24,7 @@
 use rstest::rstest;
 use smol_str::SmolStr;
 
-use self::hosts::{BOUND, Host, fault, wait};
+use self::members::{BOUND, Host, fault, wait};
 
 const KEY: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
 
@@ -54,8 +54,8 @@
 
 impl Fixture {
     fn start(count: usize, access: &Access) -> Fixture {
-        let platform = hosts::platform();
-        let host = |it: usize| hosts::host(&platform, &format!("host-{it}"));
+        let platform = members::platform();
+        let host = |it: usize| members::host(&platform, &format!("host-{it}"));
         let hosts: Vec<Host> = (0..count).map(host).collect();
         wait("fresh", || hosts.iter().all(|it| it.refresh.freshness() == Freshness::Fresh));
         let ports = hosts.iter().map(|it| port(it, access.clone())).collect();
