--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -2,7 +2,10 @@
 
 mod common;
 
-use std::thread;
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
 
 use common::{
     fleet::{Callers, Ended, Fleet, stream},
@@ -12,7 +15,7 @@
 };
 use fuchsiaknot::{
     operate::wire::{Edit, Edited},
-    standin::platform::Faults,
+    standin::platform::{Faults, Stats},
 };
 
 fn limits(from: u64, weight: u64) -> Edit {
@@ -183,3 +186,70 @@
     assert!(edit.status.success(), "{edit:?}");
     assert_none_cut(&callers.stop());
 }
+
+/// Processor time that a process has used so far.
+fn processor_time(process: u32) -> Duration {
+    const TICKS_PER_SECOND: u64 = 100;
+    let stat = std::fs::read_to_string(format!("/proc/{process}/stat")).unwrap();
+    let fields: Vec<&str> = stat.rsplit(") ").next().unwrap().split(' ').collect();
+    let ticks: u64 = fields[11..13].iter().map(|it| it.parse::<u64>().unwrap()).sum();
+    Duration::from_millis(ticks * 1_000 / TICKS_PER_SECOND)
+}
+
+/// Calls a second of the platform and processor time a second of a host, over some seconds.
+fn rates(fleet: &Fleet, seconds: u32, mut during: impl FnMut()) -> String {
+    let stats = || http::get(fleet.platform, "/stats").json::<Stats>();
+    let hosts = fleet.hosts.len() as u32;
+    let used = || fleet.hosts.iter().map(|it| processor_time(it.process.id())).sum::<Duration>();
+    let (before, busy, start) = (stats(), used(), Instant::now());
+    while start.elapsed() < Duration::from_secs(seconds.into()) {
+        during();
+    }
+    let (after, busy, time) = (stats(), used() - busy, start.elapsed().as_secs_f64());
+    format!(
+        "table reads {:.1}/s, writes {:.2}/s, host list calls {:.1}/s, bodies {:.0} B/s a host, \
+         {:.2}% of a core a host",
+        (after.reads - before.reads) as f64 / time,
+        (after.writes - before.writes) as f64 / time,
+        (after.hosts - before.hosts) as f64 / time,
+        (after.bytes_in + after.bytes_out - before.bytes_in - before.bytes_out) as f64
+            / time
+            / f64::from(hosts),
+        busy.as_secs_f64() * 100.0 / time / f64::from(hosts),
+    )
+}
+
+/// Measures a change of the configuration on nine hosts; see docs/measurements.md.
+#[test]
+#[ignore = "a measurement"]
+fn measure_change() {
+    const EDITS: u64 = 40;
+    const SECONDS: u32 = 10;
+    let fleet = Fleet::start(9, 0);
+    println!("at rest: {}", rates(&fleet, SECONDS, || thread::sleep(Duration::from_millis(50))));
+    let client = fleet.client(0);
+    let mut version = 2;
+    let mut edit = || {
+        let start = Instant::now();
+        assert_eq!(
+            client.edit(&limits(version, version)).unwrap(),
+            Edited::Stored { version: version + 1 }
+        );
+        version += 1;
+        let stored = start.elapsed();
+        while !client.progress(version).unwrap().in_force {}
+        (stored, start.elapsed() - stored)
+    };
+    let mut times: Vec<_> = (0..EDITS).map(|_| edit()).collect();
+    times.sort_by_key(|it| it.1);
+    let (_, longest) = times[times.len() - 1];
+    let (_, median) = times[times.len() / 2];
+    let stored = times.iter().map(|it| it.0).max().unwrap();
+    println!("{EDITS} edits: stored to in force {median:?} median, {longest:?} longest");
+    println!("an edit stored within {stored:?}");
+    let change = || {
+        edit();
+        thread::sleep(Duration::from_secs(1));
+    };
+    println!("an edit a second: {}", rates(&fleet, SECONDS, change));
+}
