--- a/tests/authority.rs
+++ b/tests/authority.rs
@@ -229,6 +229,15 @@
     }
 }
 
+#[test]
+fn silent_peers_outwaited() {
+    let site = Site::start(3, &quick(), LONG);
+    let engine = engine(&site, "e", false);
+    site.cut_peers();
+    order(&site, &engine, &DECODE, |_| true, &[DECODE]);
+    wait_settled(&site);
+}
+
 #[test]
 fn withdrawn_stays_drained() {
     let site = Site::start(2, &quick(), LONG);
--- a/tests/hosts/mod.rs
+++ b/tests/hosts/mod.rs
@@ -153,7 +153,10 @@
 
 /// Questions between the hosts of one test; paused hosts do not answer.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct Network(Arc<Mutex<BTreeMap<id::Host, Node>>>);
+pub(crate) struct Network {
+    nodes: Arc<Mutex<BTreeMap<id::Host, Node>>>,
+    is_cut: Arc<AtomicBool>,
+}
 
 /// One host as the others reach it.
 #[derive(Debug)]
@@ -164,8 +167,11 @@
 
 impl Network {
     fn runner(&self, host: &str) -> Option<Runner> {
-        let hosts = self.0.lock().unwrap();
-        let node = hosts.get(host)?;
+        if self.is_cut.load(Ordering::SeqCst) {
+            return None;
+        }
+        let nodes = self.nodes.lock().unwrap();
+        let node = nodes.get(host)?;
         (!node.paused.load(Ordering::SeqCst)).then(|| node.runner.clone())
     }
 }
@@ -233,6 +239,7 @@
 pub(crate) struct Site {
     pub(crate) platform: Platform,
     pub(crate) hosts: Vec<Host>,
+    network: Network,
 }
 
 impl Site {
@@ -243,7 +250,12 @@
         let network = Network::default();
         let address = platform.address();
         let hosts = (1..=count).map(|it| start_host(it, config, address, &network)).collect();
-        Site { platform, hosts }
+        Site { platform, hosts, network }
+    }
+
+    /// Cuts every host off from every other.
+    pub(crate) fn cut_peers(&self) {
+        self.network.is_cut.store(true, Ordering::SeqCst);
     }
 
     pub(crate) fn client(&self) -> platform::Client {
@@ -293,7 +305,7 @@
     let paused = Arc::new(AtomicBool::new(false));
     let stopped = Arc::new(AtomicBool::new(false));
     let node = Node { runner: runner.clone(), paused: Arc::clone(&paused) };
-    network.0.lock().unwrap().insert(owner.host.clone(), node);
+    network.nodes.lock().unwrap().insert(owner.host.clone(), node);
     let machine = Machine {
         name: owner.host,
         kind: Kind::Entry,
