fix(order): a change asked for while another is pending stays wanted

When the pending order was settled, the wanted change was dropped even if it was a different one by then; an edit of the group's row during an order was lost.

--- a/src/order/machine.rs
+++ b/src/order/machine.rs
@@ -317,15 +317,17 @@
         if let Some(purpose) = self.drains.get(target) {
             record_drain(&mut entry, *purpose, revision);
         }
-        let outcome = entry.pending.as_ref().map(|it| self.slot_outcome(target, it));
-        match outcome {
-            Some(None) => {}
-            Some(Some(outcome)) => {
-                entry.pending = None;
-                if outcome != Outcome::Void {
+        match entry.pending.take() {
+            Some(pending) => match self.slot_outcome(target, &pending) {
+                None => entry.pending = Some(pending),
+                // Another change may have been asked for meanwhile; it stays.
+                Some(Outcome::Done | Outcome::Failed)
+                    if entry.wanted.as_ref() == Some(&pending.action) =>
+                {
                     finish(&mut entry);
                 }
-            }
+                Some(_) => {}
+            },
             None => {
                 if let Some(action) = self.changes.get(target) {
                     entry.wanted = Some(action.clone());
