test(configuration): an announced drain under load

Cause: drains that operators announce were tested in parts only. Change: three daemons, two engines, four callers; the drained engine stays empty while the other one answers, and works again after the drain.

--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -253,3 +253,28 @@
     };
     println!("an edit a second: {}", rates(&fleet, SECONDS, change));
 }
+
+#[test]
+fn announced_drain_cuts_none() {
+    let fleet = Fleet::start(3, 2);
+    let addresses: Vec<_> = fleet.hosts.iter().map(|it| it.callers).collect();
+    let callers = Callers::start(4, &addresses, 40);
+    wait_until("answers come", || 8 <= callers.whole());
+    assert!(fleet.operate(0, &["drain", "engine-0"], "").status.success());
+    let engine = || {
+        let view = fleet.client(1).fleet().unwrap();
+        let drained =
+            view.groups.iter().any(|it| it.drains.iter().any(|it| it.target == "engine-0"));
+        let target = view.targets.into_iter().find(|it| it.target == "engine-0").unwrap();
+        (drained, target.running + target.waiting)
+    };
+    wait_until("the engine is drained and empty", || engine() == (true, 0));
+    for _ in 0..4 {
+        let before = callers.whole();
+        wait_until("the other engine answers", || before + 8 <= callers.whole());
+        assert_eq!(engine(), (true, 0));
+    }
+    assert!(fleet.operate(2, &["drain", "engine-0", "--end"], "").status.success());
+    wait_until("the engine works again", || !engine().0 && 0 < engine().1);
+    assert_none_cut(&callers.stop());
+}
