--- a/src/slopes/requests.rs
+++ b/src/slopes/requests.rs
@@ -37,8 +37,12 @@
 const CALLERS: usize = 64;
 /// Streams open at once.
 const STREAMS: [usize; 4] = [64, 128, 256, 512];
+/// Streams that are opened at once.
+const WAVE: usize = 16;
 /// Tokens of each stream.
-const TOKENS: u32 = 128;
+const TOKENS: u32 = 64;
+/// Time between two tokens of a stream, long enough that none has to wait for the processor.
+const STEP: Duration = Duration::from_millis(40);
 /// Key of the only account.
 const KEY: &str = "slopes";
 /// Model that is served.
@@ -127,6 +131,7 @@
             listing: Listing { platform: Some(platform.address()), ..Listing::default() },
             model: SmolStr::new_static(MODEL),
             slots: slots as u32,
+            step_base: STEP,
             step_per_request: Duration::ZERO,
             kv_capacity: u64::MAX / 2,
             ..Default::default()
@@ -148,9 +153,7 @@
         self.engine.fault(Faults { hold_after_tokens: Some(1), ..Faults::default() });
         let before = self.engine.record().started.len();
         let (streams, open) = meter::measure(Scope::Process, || {
-            let streams: io::Result<Vec<_>> =
-                (0..count).map(|it| self::open(address, &self.body(it, address))).collect();
-            let streams = streams?;
+            let streams = self.open_all(count, address)?;
             wait("all streams run", || before + count <= self.engine.record().started.len())?;
             Ok(streams)
         })?;
@@ -164,6 +167,23 @@
         Ok(Streams { open, flow })
     }
 
+    /// Opens streams in waves, each stream of a wave from a thread of its own.
+    fn open_all(&self, count: usize, address: SocketAddr) -> io::Result<Vec<Incoming>> {
+        let mut streams = Vec::new();
+        while streams.len() < count {
+            let wave = streams.len()..count.min(streams.len() + WAVE);
+            let openers: Vec<_> = wave
+                .map(|it| self.body(it, address))
+                .map(|body| thread::spawn(move || open(address, &body)))
+                .collect();
+            for opener in openers {
+                let stream = opener.join().map_err(|_| io::Error::other("a caller failed"))?;
+                streams.push(stream?);
+            }
+        }
+        Ok(streams)
+    }
+
     fn body(&self, index: usize, address: SocketAddr) -> Body {
         if address == self.daemon.callers_address() {
             return chat(&format!("stream {index}"));
@@ -211,9 +231,12 @@
         .body(body.json.clone())
         .map_err(io::Error::other)?;
     let bounds = Bounds { connect_time: PATIENCE, silence: Some(PATIENCE), total: None };
-    let incoming = Pool::new(address).send_fresh(request, &bounds).map_err(io::Error::other)?;
+    let mut incoming = Pool::new(address).send_fresh(request, &bounds).map_err(io::Error::other)?;
     if incoming.status() != 200 {
-        return Err(io::Error::other(format!("status {}", incoming.status())));
+        let status = incoming.status();
+        let body = incoming.read_whole().unwrap_or_default();
+        let text = String::from_utf8_lossy(&body);
+        return Err(io::Error::other(format!("status {status}: {text}")));
     }
     Ok(incoming)
 }
