--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! modules run them.
 
 pub mod admit;
+pub mod authority;
 pub mod claim;
 pub mod clock;
 pub mod command;
@@ -14,11 +15,13 @@
 pub mod daemon;
 pub mod data_centre;
 pub mod demo;
+pub mod drain;
 pub mod event;
 pub mod host;
 pub mod id;
 pub mod lease;
 pub mod link;
+pub mod load;
 pub mod metric;
 pub mod operate;
 pub mod order;
--- a/src/slopes/requests.rs
+++ b/src/slopes/requests.rs
@@ -36,13 +36,13 @@
 /// Callers that claim at once.
 const CALLERS: usize = 64;
 /// Streams open at once.
-const STREAMS: [usize; 4] = [64, 128, 256, 512];
+const STREAMS: [usize; 4] = [32, 64, 128, 256];
 /// Streams that are opened at once.
 const WAVE: usize = 16;
 /// Tokens of each stream.
-const TOKENS: u32 = 64;
+const TOKENS: u32 = 32;
 /// Time between two tokens of a stream, long enough that none has to wait for the processor.
-const STEP: Duration = Duration::from_millis(40);
+const STEP: Duration = Duration::from_millis(10);
 /// Key of the only account.
 const KEY: &str = "slopes";
 /// Model that is served.
@@ -252,7 +252,7 @@
     let lists = Lists {
         plans: format!("[customer slopes]\nplan = all\nkey = {}\n", utils::key_hash(KEY)),
         limits: "[plan all]\nweight = 1\nrequests_per_second = 100000\nconcurrent = 100000\n\
-                 queue = 100000\nfirst_token = 60s\nbetween_tokens = 60s\n"
+                 queue = 100000\nfirst_token = 3600s\nbetween_tokens = 60s\n"
             .to_owned(),
         announcements: Vec::new(),
     };
@@ -290,26 +290,27 @@
     Ok(())
 }
 
-/// Measures streams through a host, less the same streams straight from the engine.
+/// Measures streams through a host, and the same streams straight from the engine.
 fn streams(sizes: &[usize]) -> io::Result<Vec<Slope>> {
     let most = sizes.iter().copied().max().unwrap_or(1);
     let path = Path::start(most)?;
-    let (mut memory, mut opening, mut flowing) = (Vec::new(), Vec::new(), Vec::new());
+    let (mut memory, mut opening) = (Vec::new(), Vec::new());
+    let (mut through_host, mut straight) = (Vec::new(), Vec::new());
     let before = meter::resident()?;
     for count in sizes {
         let direct = path.streams(*count, path.engine.address())?;
         let through = path.streams(*count, path.daemon.callers_address())?;
         let size = *count as f64;
+        let tokens = size * f64::from(TOKENS);
         memory.push(Point { size, value: through.open.resident - before });
-        opening.push(Point { size, value: through.open.cpu_us - direct.open.cpu_us });
-        flowing.push(Point {
-            size: size * f64::from(TOKENS),
-            value: through.flow.cpu_us - direct.flow.cpu_us,
-        });
+        opening.push(Point { size, value: through.open.cpu_us });
+        through_host.push(Point { size: tokens, value: through.flow.cpu_us });
+        straight.push(Point { size: tokens, value: direct.flow.cpu_us });
     }
     Ok(vec![
         Slope::new("open stream", "memory, caller and engine included", "B", memory)?,
-        Slope::new("open stream", "CPU of the host to open it", "µs", opening)?,
-        Slope::new("token", "CPU of the host to pass it on", "µs", flowing)?,
+        Slope::new("open stream", "CPU to open it, caller and engine included", "µs", opening)?,
+        Slope::new("token", "CPU through a host, caller and engine included", "µs", through_host)?,
+        Slope::new("token", "CPU straight from the engine, caller included", "µs", straight)?,
     ])
 }
