--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -12,11 +12,18 @@
 mod scenario;
 mod timeline;
 
-use std::{io, path::PathBuf, process::ExitCode};
+use std::{
+    io,
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
 
-use clap::Args as ClapArgs;
+use clap::{Args as ClapArgs, Subcommand};
 
-use crate::settings::{self, Policy};
+use crate::{
+    settings::{self, Policy},
+    slopes,
+};
 
 pub use self::{
     arrivals::{Arrival, arrivals},
@@ -28,10 +35,14 @@
 
 /// Arguments of `fuchsiaknot load`.
 #[derive(Debug, Clone, ClapArgs)]
+#[command(args_conflicts_with_subcommands = true, subcommand_negates_reqs = true)]
 pub struct Args {
+    /// Measurement to make in place of a scenario.
+    #[command(subcommand)]
+    pub measurement: Option<Measurement>,
     /// Scenario file in INI.
-    #[arg(long, value_name = "FILE")]
-    pub scenario: PathBuf,
+    #[arg(long, value_name = "FILE", required = true)]
+    pub scenario: Option<PathBuf>,
     /// Seeds of the arrivals, one run each for every policy.
     #[arg(long, value_delimiter = ',', default_value = "1")]
     pub seeds: Vec<u64>,
@@ -46,6 +57,13 @@
     pub plot: Option<PathBuf>,
 }
 
+/// A measurement that needs no scenario.
+#[derive(Debug, Clone, Subcommand)]
+pub enum Measurement {
+    /// Measures what one more host, target, account, edit, claim or stream costs.
+    Slopes(slopes::Args),
+}
+
 /// A load run that could not be made.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -76,6 +94,9 @@
 
 /// Runs the subcommand and returns its exit code: 0, or 1 when a run failed or broke a promise.
 pub fn main(args: &Args) -> ExitCode {
+    if let Some(Measurement::Slopes(args)) = &args.measurement {
+        return slopes::run(args);
+    }
     match run(args) {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
@@ -90,7 +111,8 @@
 /// # Errors
 /// Fails when the scenario has faults, a part cannot start, or an answer was not whole or ran twice.
 pub fn run(args: &Args) -> Result<(), Error> {
-    let scenario = Scenario::read(&args.scenario).map_err(Error::Scenario)?;
+    let scenario = Scenario::read(args.scenario.as_deref().unwrap_or(Path::new("")))
+        .map_err(Error::Scenario)?;
     let policies = policies(&args.policies)?;
     let mut broken = 0;
     for seed in &args.seeds {
