--- a/src/host/membership.rs
+++ b/src/host/membership.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use super::{Candidate, Change, Choice, Roster, View, choose};
+use super::{Candidate, Change, Choice, Roster, Said, View, choose};
 use crate::{
     clock::{self, Moment},
     contract::store::Edition,
@@ -26,9 +26,20 @@
 
 /// Time between two reports of this host to the host list.
 const REPORT_EVERY: Duration = Duration::from_secs(1);
+/// Time between two reports while the list does not yet name this host.
+const JOIN_EVERY: Duration = Duration::from_millis(250);
 /// Reports of this host for each read of the host list.
 const REPORTS_PER_READ: u32 = 2;
 
+/// The host list as it was last read.
+#[derive(Debug, Clone, Default)]
+pub struct Listed {
+    /// All machines.
+    pub machines: Arc<Vec<Machine>>,
+    /// When the read that gave them was sent.
+    pub read_at: Moment,
+}
+
 /// What this host says of itself in a heartbeat.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Own {
@@ -54,7 +65,7 @@
     links: Links,
     roster: Mutex<Roster>,
     describe: OnceLock<Describe>,
-    machines: RwLock<Arc<Vec<Machine>>>,
+    machines: RwLock<Listed>,
     subscribers: RwLock<Vec<MachineSubscriber>>,
 }
 
@@ -72,8 +83,17 @@
 
 impl<L: HostList> Membership<L> {
     /// Creates the membership of the host `own`.
-    pub fn new(own: Member, list: L, links: Links, peers: &settings::Peers) -> Membership<L> {
-        let roster = Roster::new(own.host.clone(), peers.silence);
+    ///
+    /// `bound` is the age of the configuration after which a lone host admits nothing.
+    pub fn new(
+        own: Member,
+        list: L,
+        links: Links,
+        peers: &settings::Peers,
+        bound: Duration,
+    ) -> Membership<L> {
+        let memory = bound + peers.silence;
+        let roster = Roster::new(own.host.clone(), own.incarnation, peers.silence, memory);
         let inner = Inner {
             own: Mutex::new(own),
             list,
@@ -107,14 +127,16 @@
             before = now;
         });
         let it = self.clone();
-        let mut reports = 0;
+        let mut reports: u32 = 0;
         let mut answers = Answers::Given;
-        timer.every("host-list", REPORT_EVERY, move |_| {
+        timer.schedule("host-list", move |_| {
             it.report();
-            if reports % REPORTS_PER_READ == 0 {
+            let listed = it.roster().is_listed();
+            if !listed || reports.is_multiple_of(REPORTS_PER_READ) {
                 answers = it.read_list(answers);
             }
             reports = reports.wrapping_add(1);
+            if it.roster().is_listed() { REPORT_EVERY } else { JOIN_EVERY }
         });
     }
 
@@ -135,9 +157,19 @@
         self.own_mut().state == State::Leaving
     }
 
+    /// Returns how busy this host is.
+    pub fn load(&self) -> Load {
+        self.own_state().load
+    }
+
     /// Returns all machines of the host list as last read.
     pub fn machines(&self) -> Arc<Vec<Machine>> {
-        Arc::clone(&self.inner.machines.read().expect("machine lock poisoned"))
+        self.listed().machines
+    }
+
+    /// Returns the host list as last read.
+    pub fn listed(&self) -> Listed {
+        self.inner.machines.read().expect("machine lock poisoned").clone()
     }
 
     /// Returns the other entry hosts as they appear now.
@@ -145,6 +177,11 @@
         self.roster().views(clock::now())
     }
 
+    /// Returns what the runs of the other entry hosts said of their configuration.
+    pub fn said(&self) -> Vec<Said> {
+        self.roster().said(clock::now())
+    }
+
     /// Returns all known entry hosts, this one included.
     pub fn members(&self) -> Vec<Member> {
         let mut members = self.all_members();
@@ -196,9 +233,16 @@
         self.inner.links.hints(self.addresses(), hint);
     }
 
-    /// Sends a heartbeat to all other hosts now and takes the answers.
-    pub fn beat_all(&self) {
-        self.beat_to(self.all_members());
+    /// Sends a heartbeat to all other hosts now, those included that only other hosts know.
+    pub fn survey(&self) {
+        let known = self.all_members();
+        let told = self.inner.links.all_members(self.addresses());
+        let own = self.own().host;
+        let unknown = |it: &Member| it.host != own && !known.iter().any(|has| has.host == it.host);
+        let mut members = known.clone();
+        members.extend(told.into_iter().filter(unknown));
+        members.dedup_by(|a, b| a.host == b.host);
+        self.beat_to(members);
     }
 
     fn beat(&self, now: Moment) {
@@ -221,15 +265,14 @@
     fn learn_members(&self) {
         for member in self.all_members() {
             if let Ok(members) = self.inner.links.members(member.peers_address) {
-                self.roster().learn(&members);
+                self.roster().learn(&members, clock::now());
                 return;
             }
         }
     }
 
     fn take(&self, beat: &Heartbeat) {
-        let own = self.own_mut().incarnation;
-        let changes = self.roster().hear(beat, own, clock::now());
+        let changes = self.roster().hear(beat, clock::now());
         self.note(changes);
     }
 
@@ -252,6 +295,7 @@
     }
 
     fn read_list(&self, before: Answers) -> Answers {
+        let read_at = clock::now();
         let machines = match self.inner.list.machines() {
             Ok(machines) => machines,
             Err(err) => {
@@ -266,7 +310,8 @@
         self.roster().list(&members, clock::now());
         self.inner.links.retain(&self.addresses());
         let machines = Arc::new(machines);
-        *self.inner.machines.write().expect("machine lock poisoned") = Arc::clone(&machines);
+        let listed = Listed { machines: Arc::clone(&machines), read_at };
+        *self.inner.machines.write().expect("machine lock poisoned") = listed;
         for it in self.inner.subscribers.read().expect("subscriber lock poisoned").iter() {
             it(&machines);
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,14 +5,17 @@
 //! modules run them.
 
 pub mod admit;
+pub mod authority;
 pub mod claim;
 pub mod clock;
+pub mod command;
 pub mod contract;
 pub mod cost;
 pub mod crash;
 pub mod daemon;
 pub mod data_centre;
 pub mod demo;
+pub mod drain;
 pub mod event;
 pub mod host;
 pub mod id;
--- a/src/overhead/mod.rs
+++ b/src/overhead/mod.rs
@@ -57,9 +57,6 @@
     /// Streams of each caller in one phase.
     #[arg(long, default_value_t = 10)]
     pub rounds: usize,
-    /// Prints JSON.
-    #[arg(long)]
-    pub json: bool,
 }
 
 /// A measurement that could not be made.
@@ -128,9 +125,9 @@
 }
 
 /// Measures and prints; the exit code is 0 when every stream was whole.
-pub fn run(args: &Args) -> ExitCode {
+pub fn run(args: &Args, json: bool) -> ExitCode {
     match measure(args) {
-        Ok(rows) if args.json => {
+        Ok(rows) if json => {
             println!("{}", serde_json::to_string_pretty(&rows).unwrap_or_default());
             ExitCode::SUCCESS
         }
--- a/src/serve/context.rs
+++ b/src/serve/context.rs
@@ -29,6 +29,7 @@
         gate::Gate,
         options::{Caller, Options},
         peers::{Members, Peers, others},
+        register::Register,
         watch::Watch,
     },
     settings::{self, Settings},
@@ -59,10 +60,12 @@
     pub gate: Gate,
     /// Streams under way.
     pub watch: Watch,
+    /// Open requests.
+    pub register: Register,
     /// Claims of requests that may not repeat.
     pub claims: Claims,
     /// Requests that crash targets.
-    pub crashes: crash::Watch,
+    pub crashes: crash::Watch<platform::Client>,
     /// Entry hosts.
     pub members: Members,
     /// Expected lengths of answers.
--- a/src/serve/job.rs
+++ b/src/serve/job.rs
@@ -18,6 +18,8 @@
         Context, Refusal, Stop,
         gate::Permit,
         options::{Caller, Options},
+        peers,
+        register::{Entry, Registered},
     },
     target::{self, Failure},
     verdict::{Reason, Verdict},
@@ -27,6 +29,8 @@
 const NO_TARGET_RETRY: Duration = Duration::from_secs(1);
 /// Time between two looks for a target that can go on with a request.
 const CHOICE_PAUSE: Duration = Duration::from_millis(50);
+/// Time that a request whose attempt failed waits for another target.
+const RETARGET_TIME: Duration = Duration::from_secs(2);
 
 /// How an attempt ended without the whole answer.
 #[derive(Debug)]
@@ -81,6 +85,21 @@
     started: Moment,
     fingerprint: id::Fingerprint,
     tries: Tries,
+    registered: Registered<'a>,
+}
+
+/// Where an attempt goes.
+struct Choice {
+    path: Path,
+    ticket: Ticket,
+    /// Sole right to the target, for a suspect.
+    trial: Option<Trial>,
+}
+
+/// One run of a target that an attempt goes to.
+struct Run {
+    client: target::Client,
+    crash: Crash,
 }
 
 impl<'a> Job<'a> {
@@ -97,7 +116,28 @@
         let started = clock::now();
         let expires = started + options.time.unwrap_or(ctx.settings.callers.request_time);
         let tries = Tries::new(repeat, expires);
-        Job { ctx, caller, options, presence, expires, repeat, demand, started, fingerprint, tries }
+        let registered = ctx.register.enter(Entry {
+            request: options.request.clone(),
+            customer: caller.customer.clone(),
+            plan: caller.plan.clone(),
+            asks: demand.model_or_service.clone(),
+            target: None,
+            attempts: 0,
+            arrived: started,
+        });
+        Job {
+            ctx,
+            caller,
+            options,
+            presence,
+            expires,
+            repeat,
+            demand,
+            started,
+            fingerprint,
+            tries,
+            registered,
+        }
     }
 
     /// Runs the request to its answer; one that may not repeat and has a key is claimed first.
@@ -196,24 +236,31 @@
         mut grant: Option<&mut Grant>,
     ) -> Result<W::End, Stop> {
         loop {
-            let (path, _trial) = self.choose(work.tokens())?;
-            if let Some(grant) = grant.as_deref_mut() {
-                grant.send().map_err(Refusal::from)?;
+            let Choice { path, ticket, trial: _trial } = self.choose(work.tokens())?;
+            if let Some(Err(refusal)) = grant.as_deref_mut().map(Grant::send) {
+                self.ctx.fleet.finished(&path, ticket, Outcome::Refused);
+                return Err(Refusal::from(refusal).into());
             }
-            let failure = match self.attempt(work, &path) {
+            let runs = self.runs(&path);
+            let failure = match self.attempt(work, &path, ticket) {
                 Ok(end) => return Ok(end),
                 Err(Broken::Target(it)) => it,
                 Err(Broken::Gone) => return Err(Stop::Gone),
             };
-            self.failed(&path, &failure, work.tokens())?;
+            self.failed(&path, &runs, &failure, work.tokens())?;
             work.restart();
         }
     }
 
     /// Runs one attempt and tells the router what came of it.
-    fn attempt<W: Work>(&self, work: &mut W, path: &Path) -> Result<W::End, Broken> {
+    fn attempt<W: Work>(
+        &self,
+        work: &mut W,
+        path: &Path,
+        ticket: Ticket,
+    ) -> Result<W::End, Broken> {
         let fleet = &self.ctx.fleet;
-        let ticket = fleet.route().sent(path, &self.demand, clock::now());
+        self.registered.attempt(&path.target);
         let result = work.attempt(self, path, ticket);
         let outcome = match &result {
             Ok(end) => work.outcome(end),
@@ -222,25 +269,30 @@
             Err(Broken::Target(Failure::Silent)) => Outcome::Silent,
             Err(Broken::Target(Failure::Cancelled) | Broken::Gone) => Outcome::Cancelled,
         };
-        fleet.route().finished(ticket, outcome, clock::now());
+        fleet.finished(path, ticket, outcome);
         self.ctx.gate.advance(fleet.router());
         result
     }
 
     /// Chooses a target; a suspect runs only where this host tries no other suspect.
     ///
-    /// A request that the caller has part of waits for a target until its deadline.
-    fn choose(&mut self, tokens: u32) -> Result<(Path, Option<Trial>), Stop> {
+    /// A request that the caller has part of waits for a target until its deadline, and one whose
+    /// last target has just failed waits a short time, since targets are set aside after a failure.
+    fn choose(&mut self, tokens: u32) -> Result<Choice, Stop> {
+        let began = clock::now();
         loop {
             let suspicion = self.check_suspicion()?;
             let choice = match suspicion {
-                Suspicion::Clear => self.pick(&self.demand).map(|it| (it, None)),
+                Suspicion::Clear => self.pick(&self.demand),
                 Suspicion::Suspect | Suspicion::Refused { .. } => self.pick_trial(),
             };
             if let Some(choice) = choice {
                 return Ok(choice);
             }
-            if self.demand.exclude.is_empty() && tokens == 0 && suspicion == Suspicion::Clear {
+            let is_retry = 1 < self.tries.attempt();
+            let may_wait = is_retry && clock::now() < began + RETARGET_TIME;
+            let must_wait = 0 < tokens || suspicion != Suspicion::Clear;
+            if self.demand.exclude.is_empty() && !may_wait && !must_wait {
                 return Err(self.give_up(Reason::NoTarget).into());
             }
             if self.demand.exclude.is_empty() {
@@ -250,16 +302,22 @@
         }
     }
 
-    fn pick(&self, demand: &Demand) -> Option<Path> {
-        self.ctx.fleet.route().choose(demand, clock::now()).ok()
+    fn pick(&self, demand: &Demand) -> Option<Choice> {
+        let (path, ticket) = self.ctx.fleet.route().assign(demand, clock::now()).ok()?;
+        Some(Choice { path, ticket, trial: None })
     }
 
-    fn pick_trial(&self) -> Option<(Path, Option<Trial>)> {
+    fn pick_trial(&self) -> Option<Choice> {
         let mut demand = self.demand.clone();
         demand.exclude.extend(self.ctx.crashes.taken(self.fingerprint));
-        let path = self.pick(&demand)?;
-        let trial = self.ctx.crashes.trial(self.fingerprint, &path.target)?;
-        Some((path, Some(trial)))
+        let choice = self.pick(&demand)?;
+        match self.ctx.crashes.trial(self.fingerprint, &choice.path.target) {
+            Some(trial) => Some(Choice { trial: Some(trial), ..choice }),
+            None => {
+                self.ctx.fleet.finished(&choice.path, choice.ticket, Outcome::Refused);
+                None
+            }
+        }
     }
 
     /// Waits a little, unless the caller has gone or the deadline comes first.
@@ -296,7 +354,13 @@
     }
 
     /// Decides after a failed attempt; returns once another one may start.
-    fn failed(&mut self, path: &Path, failure: &Failure, tokens: u32) -> Result<(), Stop> {
+    fn failed(
+        &mut self,
+        path: &Path,
+        runs: &[Run],
+        failure: &Failure,
+        tokens: u32,
+    ) -> Result<(), Stop> {
         let now = clock::now();
         let decision = self.ctx.decide(&self.caller.plan, &mut self.tries, failure, now);
         if self.is_abandoned() {
@@ -305,7 +369,7 @@
         if self.expires <= now && self.tries.verdict() == Verdict::MayHaveRun {
             return Err(self.refusal(Reason::DeadlineExceeded).into());
         }
-        self.note_crash(path, failure)?;
+        self.note_crashes(runs, failure)?;
         let (after, reason) = match decision {
             Decision::Again { after, reason } => (after, reason),
             Decision::GiveUp(reason) => return Err(self.refusal(reason).into()),
@@ -330,22 +394,34 @@
             .with_verdict(self.tries.verdict()))
     }
 
-    /// Notes the death of the target under this request.
-    fn note_crash(&self, path: &Path, failure: &Failure) -> Result<(), Refusal> {
+    /// Returns the runs of the targets that an attempt goes to, as they are before it.
+    fn runs(&self, path: &Path) -> Vec<Run> {
+        let names = [Some(&path.target), path.prefill.as_ref()];
+        names.into_iter().flatten().filter_map(|it| self.run_of(it)).collect()
+    }
+
+    fn run_of(&self, name: &id::Target) -> Option<Run> {
+        let client = self.ctx.fleet.client(name)?;
+        let incarnation = self.ctx.fleet.incarnation(name)?;
+        Some(Run { client, crash: Crash { target: name.clone(), incarnation } })
+    }
+
+    /// Notes the death of any target under this request.
+    fn note_crashes(&self, runs: &[Run], failure: &Failure) -> Result<(), Refusal> {
         if failure.verdict() == Verdict::NotRun {
             return Ok(());
         }
-        let fleet = &self.ctx.fleet;
-        let (client, incarnation) =
-            match (fleet.client(&path.target), fleet.incarnation(&path.target)) {
-                (Some(client), Some(incarnation)) => (client, incarnation),
-                _ => return Ok(()),
-            };
-        if crash::confirm(&client, incarnation) != Finding::Died {
-            return Ok(());
+        for run in runs {
+            if crash::confirm(&run.client, run.crash.incarnation) == Finding::Died {
+                let suspicion = self.ctx.crashes.crashed(self.fingerprint, run.crash.clone());
+                if let Suspicion::Refused { .. } = suspicion {
+                    let record = self.ctx.crashes.record(self.fingerprint);
+                    peers::tell_crashes(&self.ctx.members, self.fingerprint, record);
+                }
+                self.unless_refused(suspicion)?;
+            }
         }
-        let crash = Crash { target: path.target.clone(), incarnation };
-        self.unless_refused(self.ctx.crashes.crashed(self.fingerprint, crash)).map(drop)
+        Ok(())
     }
 
     /// Returns the client of a target.
--- a/tests/crash.rs
+++ b/tests/crash.rs
@@ -1,15 +1,22 @@
 //! Requests that crash the targets that run them.
 
 use std::{
+    net::{SocketAddr, TcpStream},
     thread,
     time::{Duration, Instant},
 };
 
 use fuchsiaknot::{
-    crash::{Config, Crash, Suspects, Suspicion, Watch},
+    crash::{Config, Crash, Finding, Suspects, Suspicion, Watch, confirm},
     platform::{Client, Table},
     settings,
-    standin::platform::{Config as PlatformConfig, Faults, Platform},
+    standin::{
+        Service,
+        platform::{Config as PlatformConfig, Faults, Platform},
+        service,
+    },
+    target::{self, Control},
+    utils,
 };
 
 /// Ends a test that hangs.
@@ -28,7 +35,7 @@
     Client::new(&settings::Platform { address, ..settings::Platform::default() })
 }
 
-fn watch(platform: &Platform) -> Watch {
+fn watch(platform: &Platform) -> Watch<Client> {
     let refresh = Duration::from_millis(20);
     let config = Config { refresh, write_time: HANG, ..Config::default() };
     Watch::start(config, client(platform)).expect("a watch")
@@ -85,7 +92,7 @@
     let target = "engine-2".into();
     assert!(suspects.begin_trial(POISON, &target));
     assert!(!suspects.begin_trial(INNOCENT, &target));
-    assert!(suspects.taken(INNOCENT).contains(&target));
+    assert!(suspects.taken(INNOCENT, now).contains(&target));
     assert!(suspects.begin_trial(INNOCENT, &"engine-3".into()));
     suspects.crashed(POISON, crash("engine-2"), now);
     suspects.end_trial(POISON, &target);
@@ -140,3 +147,51 @@
     });
     eventually("a refusal", || matches!(second.check(POISON), Suspicion::Refused { .. }));
 }
+
+#[test]
+fn trials_apart_on_hosts() {
+    let platform = Platform::start(PlatformConfig::default()).expect("a platform");
+    let (first, second) = (watch(&platform), watch(&platform));
+    let target = "engine-1".into();
+    let trial = first.trial(POISON, &target).expect("a trial");
+    assert!(first.trial(INNOCENT, &target).is_none());
+    assert!(second.trial(INNOCENT, &target).is_none());
+    assert!(second.taken(INNOCENT).contains(&target));
+    drop(trial);
+    eventually("a free target", || second.trial(INNOCENT, &target).is_some());
+    fail(&platform, &Faults { table_down: true, ..Faults::default() });
+    let _alone = first.trial(POISON, &target).expect("a trial without the store");
+    assert!(first.trial(INNOCENT, &target).is_none(), "one host keeps its suspects apart");
+}
+
+fn target(address: SocketAddr) -> target::Client {
+    let bound = Duration::from_millis(200);
+    let settings =
+        settings::Targets { connect_time: bound, silence: bound, ..settings::Targets::default() };
+    target::Client::new(address, &settings)
+}
+
+#[test]
+fn death_confirmed() {
+    let service = Service::start(service::Config::default()).expect("a service");
+    let client = target(service.address());
+    let incarnation = client.report().expect("a report").incarnation;
+    assert_eq!(confirm(&client, incarnation), Finding::Alive);
+    assert_eq!(confirm(&client, incarnation + 1), Finding::Died, "another run answers");
+    drop(service);
+    assert_eq!(confirm(&client, incarnation), Finding::Died);
+}
+
+#[test]
+fn silence_unclear() {
+    let (listener, address) = utils::free_listener().expect("a listener");
+    // The system accepts connections, but nobody answers on them.
+    assert_eq!(confirm(&target(address), 1), Finding::Unclear);
+    // With a full queue the system drops what asks for a connection.
+    let listener = socket2::Socket::from(listener);
+    listener.listen(0).expect("a short queue");
+    let bound = Duration::from_millis(50);
+    let connect = |_| TcpStream::connect_timeout(&address, bound).ok();
+    let _queued: Vec<_> = (0..8).map_while(connect).collect();
+    assert_eq!(confirm(&target(address), 1), Finding::Unclear);
+}
