--- a/src/load/cluster.rs
+++ b/src/load/cluster.rs
@@ -5,14 +5,14 @@
     net::SocketAddr,
     sync::Mutex,
     thread,
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use smol_str::{SmolStr, format_smolstr};
 
 use crate::{
     contract::{
-        Contract, Customer, Limits, Lists,
+        Change, Contract, Customer, Limits, Lists, Notice, RawSubject,
         store::{Edit, Outcome, Store},
     },
     daemon::Daemon,
@@ -125,6 +125,28 @@
     }
 }
 
+/// Announces that an engine leaves after a time.
+pub(super) fn announce(platform: SocketAddr, target: &str, after: Duration) -> Result<(), Error> {
+    let settings = settings::Platform { address: platform, ..settings::Platform::default() };
+    let client = services::Client::new(&settings);
+    let store = Store::new(client.clone(), client);
+    let edition = store.current().map_err(|it| Error::Lists(it.to_string()))?;
+    let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let edited_ms = wall.as_millis() as u64;
+    let mut lists = edition.lists;
+    lists.announcements.push(Notice {
+        id: SmolStr::new_static("leaves"),
+        change: Change::Withdraw,
+        subject: RawSubject::Target(target.into()),
+        start: edition.version + 1,
+        after_ms: after.as_millis() as u64,
+        announced_ms: edited_ms,
+    });
+    let author = SmolStr::new_static("load");
+    let edit = Edit { from: edition.version, lists, author, edited_ms, token: 2 };
+    store.edit(&edit).map(drop).map_err(|it| Error::Lists(it.to_string()))
+}
+
 /// Returns the key of a plan's customer.
 pub(super) fn key(plan: &str) -> String {
     format!("load-{plan}")
--- a/src/load/runner.rs
+++ b/src/load/runner.rs
@@ -10,14 +10,13 @@
 use smol_str::SmolStr;
 
 use crate::{
-    clock,
     load::{
         Arrival, Error, Scenario, arrivals,
         arrivals::Ask,
         caller::{Caller, End, Seen, order_key},
-        cluster::{Cluster, key},
-        conductor::{Conductor, PERIOD},
+        cluster::{Cluster, announce, key},
         fault::{Disturbance, Kind},
+        observer::{Observer, PERIOD},
         report::{Checks, Report},
         timeline::{INTERVAL, index},
     },
@@ -68,7 +67,7 @@
         Ok(report)
     }
 
-    /// Starts the thread that plans, shares out and disturbs.
+    /// Starts the thread that watches and disturbs.
     fn conduct(
         &self,
         cluster: Arc<Cluster>,
@@ -76,19 +75,19 @@
         started: Instant,
     ) -> Result<thread::JoinHandle<()>, Error> {
         let scenario = self.scenario.clone();
-        let mut conductor = Conductor::new(&scenario, self.policy);
+        let mut observer = Observer::default();
         let conduct = move || {
             let mut disturbances: Vec<Disturbing> =
                 scenario.faults.iter().map(|(_, it)| Disturbing::new(it)).collect();
             loop {
                 let at = started.elapsed().mul_f64(scenario.run.time_scale);
                 for it in &mut disturbances {
-                    it.step(&scenario, &cluster, &mut conductor, at);
+                    it.step(&scenario, &cluster, at);
                 }
-                conductor.round(&cluster);
+                observer.look(&cluster);
                 let mut watch = watch.lock().expect("watch lock poisoned");
-                watch.changes = conductor.changes;
-                watch.roles.resize(index(at) + 1, conductor.roles);
+                watch.changes = observer.changes;
+                watch.roles.resize(index(at) + 1, observer.roles);
                 if watch.stop {
                     return;
                 }
@@ -96,7 +95,7 @@
                 thread::sleep(PERIOD);
             }
         };
-        Ok(thread::Builder::new().name("conductor".to_owned()).spawn(conduct)?)
+        Ok(thread::Builder::new().name("observer".to_owned()).spawn(conduct)?)
     }
 
     /// Sends each arrival when it is due, whatever became of the earlier ones.
@@ -213,18 +212,14 @@
         Disturbing { what: what.clone(), announced: false, begun: false, ended: false, killed: 0 }
     }
 
-    fn step(
-        &mut self,
-        scenario: &Scenario,
-        cluster: &Cluster,
-        conductor: &mut Conductor,
-        at: Duration,
-    ) {
+    fn step(&mut self, scenario: &Scenario, cluster: &Cluster, at: Duration) {
         let (from, length) = (self.what.at, self.what.length);
         if self.what.kind() == Kind::Withdraw && !self.announced && from <= at + self.what.notice {
             self.announced = true;
             let left = scenario.scaled(from.saturating_sub(at));
-            conductor.announce(&self.what.on, clock::now() + left);
+            if let Err(err) = announce(cluster.platform.address(), &self.what.on, left) {
+                log::warn!("the departure was not announced: {err}; the run is not disturbed");
+            }
         }
         if self.what.kind() == Kind::KillHosts && from <= at {
             self.kill(cluster, at - from);
