feat(claim): give up sooner on a store that refuses, later on one that went silent

Cause: with the store refusing calls a claim was held for up to 2 s, and with a platform connection gone silent for its whole timeout of 2 s no time was left to try on a new one. Change: refusals are retried for 0.5 s, lost answers for 5 s; the scan of crash notes runs every 5 s, since the crash itself and the peers' notices carry what must be exact.

--- a/src/claim/attempt.rs
+++ b/src/claim/attempt.rs
@@ -11,6 +11,8 @@
 
 /// Time between two tries while the store does not answer.
 const STORE_RETRY: Duration = Duration::from_millis(50);
+/// Time for which a store that refuses calls is tried again.
+const REFUSAL_PATIENCE: Duration = Duration::from_millis(500);
 /// Times that the row may change hands under an attempt before it is refused.
 const MAX_ROUNDS: u32 = 8;
 
@@ -97,6 +99,8 @@
     /// Version that the next write expects.
     expected: id::Version,
     until: Moment,
+    /// When the store first refused a call.
+    refused_at: Option<Moment>,
     rounds: u32,
     /// Token whose claimant was asked last.
     asked: id::Token,
@@ -119,6 +123,7 @@
             token,
             expected: 0,
             until,
+            refused_at: None,
             rounds: 0,
             asked: 0,
             unsettled: None,
@@ -151,8 +156,9 @@
         }
     }
 
-    fn in_time(&self, now: Moment) -> bool {
-        now + STORE_RETRY < self.until
+    fn in_time(&mut self, now: Moment) -> bool {
+        let refused_at = *self.refused_at.get_or_insert(now);
+        now + STORE_RETRY < self.until.min(refused_at + REFUSAL_PATIENCE)
     }
 
     fn commit(&self, after: Duration) -> Action {
--- a/src/claim/committer.rs
+++ b/src/claim/committer.rs
@@ -30,7 +30,7 @@
 const STORE_RETRY_AFTER: Duration = Duration::from_secs(2);
 
 /// Time after which an unanswered claim is refused, even when its request has longer.
-const PATIENCE: Duration = Duration::from_secs(2);
+const PATIENCE: Duration = Duration::from_secs(5);
 /// The same while the store is known to be down.
 const PATIENCE_WHEN_DOWN: Duration = Duration::from_millis(200);
 
--- a/src/crash/watch.rs
+++ b/src/crash/watch.rs
@@ -29,6 +29,8 @@
 const MAX_PENDING: usize = 1_024;
 /// Time that a target is left to another host's suspect before it is asked for again.
 const FOREIGN_TRIAL: Duration = Duration::from_millis(200);
+/// Time between two tries of writes while the store does not answer.
+const WRITE_RETRY: Duration = Duration::from_secs(1);
 /// Times that a transaction is tried again because rows changed.
 const MAX_CONFLICTS: u32 = 4;
 
@@ -47,7 +49,7 @@
     fn default() -> Config {
         Config {
             memory: Duration::from_secs(600),
-            refresh: Duration::from_secs(1),
+            refresh: Duration::from_secs(5),
             write_time: Duration::from_millis(300),
         }
     }
@@ -277,7 +279,7 @@
         }
         let mut shelf = self.shared.lock();
         shelf.ended.extend(ended);
-        shelf.write_at = clock::now() + self.config.refresh;
+        shelf.write_at = clock::now() + WRITE_RETRY;
     }
 
     fn write(&self) {
@@ -303,7 +305,7 @@
                 }
             }
             Err(fault) => {
-                shelf.write_at = now + self.config.refresh;
+                shelf.write_at = now + WRITE_RETRY;
                 log::debug!("cannot share suspected requests, trying again: {fault}");
             }
         }
