--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -22,6 +22,7 @@
 pub use self::{failure::Failure, print::Printer};
 use crate::{
     demo::{self, Afterwards},
+    load,
     operate::Client,
     overhead,
     settings::{self, value},
@@ -128,6 +129,8 @@
     },
     /// Measures what an entry host adds to a call, on loopback.
     Overhead(overhead::Args),
+    /// Runs a load scenario against daemons and stand-ins on loopback.
+    Load(load::Args),
     /// Prints the completions for a shell.
     Completions {
         /// The shell.
@@ -177,6 +180,7 @@
             return Ok(demo::run(if keep { Afterwards::Keep } else { Afterwards::Stop }));
         }
         Command::Overhead(args) => return Ok(overhead::run(&args, options.json)),
+        Command::Load(args) => return Ok(load::main(&args)),
         Command::Completions { shell } => completions(shell, printer)?,
         Command::Manual => manual(printer)?,
     }
--- a/tests/resume.rs
+++ b/tests/resume.rs
@@ -1,10 +1,10 @@
 //! Streams that outlive the engine, the connection or the host's stay.
 
 mod common;
-mod deployment;
+mod fleet;
 
 use common::{wait_for, wait_until};
-use deployment::{Fleet, SERVICE, Shape, Target};
+use fleet::{Fleet, SERVICE, Shape, Target};
 use fuchsiaknot::standin::engine::Faults;
 
 const PROMPT: &str = "draft the delivery terms for the fish market";
--- a/tests/rough_callers.rs
+++ b/tests/rough_callers.rs
@@ -1,7 +1,7 @@
 //! Callers that send garbage, too much, too slowly, or close half of their connection.
 
 mod common;
-mod deployment;
+mod fleet;
 
 use std::{
     io::{Read, Write},
@@ -10,7 +10,7 @@
 };
 
 use common::{HANG_GUARD, wait_until};
-use deployment::{Caller, Fleet, KEY, MODEL, SERVICE, Shape};
+use fleet::{Caller, Fleet, KEY, MODEL, SERVICE, Shape};
 use fuchsiaknot::standin::{engine, service};
 use rstest::rstest;
 
