test(role): the spike and the short swing at their first height

Cause: had lowered the load of both tests beside a change of the planner, which eased them. Change: the first figures again. Conclusion: the lower load was not needed.

--- a/tests/role.rs
+++ b/tests/role.rs
@@ -99,9 +99,9 @@
 #[test]
 fn spike_ignored() {
     let mut group = Group::new(&SIX, Config::default());
-    group.run(120, demand(1.6, 2.0));
-    group.run(6, demand(8.0, 2.0));
-    group.run(120, demand(1.6, 2.0));
+    group.run(120, demand(2.0, 2.4));
+    group.run(6, demand(8.0, 2.4));
+    group.run(120, demand(2.0, 2.4));
     assert_eq!(group.changes, []);
 }
 
@@ -117,8 +117,8 @@
 fn short_swing_ignored() {
     let mut group = Group::new(&SIX, Config::default());
     for _ in 0..60 {
-        group.run(5, demand(2.4, 1.2));
-        group.run(5, demand(1.2, 2.4));
+        group.run(5, demand(3.4, 1.4));
+        group.run(5, demand(1.4, 3.4));
     }
     assert_eq!(group.changes, []);
 }
