--- a/src/serve/job.rs
+++ b/src/serve/job.rs
@@ -237,9 +237,9 @@
     ) -> Result<W::End, Stop> {
         loop {
             let Choice { path, ticket, trial: _trial } = self.choose(work.tokens())?;
-            if let Some(Err(refusal)) = grant.as_deref_mut().map(Grant::send) {
+            if let Err(refusal) = self.may_send(grant.as_deref_mut()) {
                 self.ctx.fleet.unsent(ticket);
-                return Err(Refusal::from(refusal).into());
+                return Err(refusal.into());
             }
             let runs = self.runs(&path);
             let failure = match self.attempt(work, &path, ticket) {
@@ -252,6 +252,14 @@
         }
     }
 
+    /// Checks, right before an attempt, what must still hold of a request that may not repeat.
+    fn may_send(&self, grant: Option<&mut Grant>) -> Result<(), Refusal> {
+        if self.repeat == Repeat::Forbidden {
+            self.ctx.admits_unrepeatable()?;
+        }
+        grant.map_or(Ok(()), |it| it.send().map_err(Refusal::from))
+    }
+
     /// Runs one attempt and tells the router what came of it.
     fn attempt<W: Work>(
         &self,
