--- a/src/claim/attempt.rs
+++ b/src/claim/attempt.rs
@@ -138,6 +138,16 @@
         self.until
     }
 
+    /// Returns the reason for a refusal while the store does not answer.
+    ///
+    /// A claim that another copy was seen to hold may have run.
+    pub fn unanswered(&self) -> Reason {
+        match self.unsettled {
+            Some(_) => Reason::ClaimHeld,
+            None => Reason::ClaimUnavailable,
+        }
+    }
+
     /// Takes what was learnt and returns what to do next.
     pub fn step(&mut self, now: Moment, input: Input) -> Action {
         match input {
@@ -149,8 +159,7 @@
             Input::Unreadable if self.in_time(now) && self.unsettled.is_none() => {
                 Action::ReadBack { after: STORE_RETRY }
             }
-            Input::Unreadable if self.unsettled.is_some() => Action::Refuse(Reason::ClaimHeld),
-            Input::Refused | Input::Unreadable => Action::Refuse(Reason::ClaimUnavailable),
+            Input::Refused | Input::Unreadable => Action::Refuse(self.unanswered()),
             Input::Told(status) => self.told(status),
             Input::Fetched(body) => self.fetched(body),
         }
--- a/src/claim/committer.rs
+++ b/src/claim/committer.rs
@@ -146,7 +146,7 @@
                 Action::Fetch(stored) => Some(self.fetch(&stored)),
             };
             let Some(input) = input else {
-                return Err(self.refuse(request, token, Reason::ClaimUnavailable));
+                return Err(self.refuse(request, token, attempt.unanswered()));
             };
             action = attempt.step(clock::now(), input);
         }
--- a/tests/claim.rs
+++ b/tests/claim.rs
@@ -346,7 +346,9 @@
     let (mut attempt, _) = Attempt::new(request("order"), me, 9, HANG);
     let asked = attempt.step(clock::Moment::ZERO, Input::Conflict(found(record.clone())));
     assert!(matches!(asked, Action::Ask { token: 8, .. }), "{asked:?}");
+    assert_eq!(attempt.unanswered(), Reason::ClaimUnavailable);
     let read = attempt.step(clock::Moment::ZERO, Input::Told(Some(Status::Unknown)));
+    assert_eq!(attempt.unanswered(), Reason::ClaimHeld);
     assert!(matches!(read, Action::ReadBack { .. }), "{read:?}");
     let input = match state {
         Some(state) => Input::Read(found(Record { state, ..record })),
