--- a/src/data_centre/mod.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Data centres and the distances between them.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,8 +1,9 @@
 //! Serving system for a fixed fleet under a shifting prompt-to-output mix.
 //!
-//! Decisions (`lease`, `order`, `claim`, `admit`, `route`, `role`, `retry`, `contract`) are state
-//! machines without input or output: an input and the time go in, typed actions come out. The other
-//! modules run them.
+//! Decisions (`lease`, `order`, `drain`, `claim`, `crash`, `admit`, `cost`, `route`, `role`, `retry`,
+//! `contract`) are state machines without input or output: an input and the time go in, typed
+//! actions come out. `authority`, `refresh`, `host`, `serve` and `daemon` run them. `standin`,
+//! `demo`, `load`, `overhead` and `slopes` are for trying and measuring.
 
 pub mod admit;
 pub mod authority;
@@ -13,7 +14,6 @@
 pub mod cost;
 pub mod crash;
 pub mod daemon;
-pub mod data_centre;
 pub mod demo;
 pub mod drain;
 pub mod event;
