refactor(store): the product's table, objects and host list are its store

Cause: the users' pages use the word platform for what they run; a folder platform/ will hold the adapter to it. Two meanings for one word would mislead. Renamed src/platform to src/store; the settings section and the stand-in keep their names, since operators write them. Ruled out: renaming the settings section (operators' files would break). Seen: cargo check of all targets is clean; no behaviour changes.

--- a/src/authority/answers.rs
+++ b/src/authority/answers.rs
@@ -7,7 +7,7 @@
     clock, id,
     link::peer::wire::{DrainQuestion, DrainStatus, StopQuestion, StopStatus},
     order::Group,
-    platform::Table,
+    store::Table,
 };
 
 impl<T: Table, F: Fleet, P: Peers> Authority<T, F, P> {
--- a/src/authority/leases.rs
+++ b/src/authority/leases.rs
@@ -15,7 +15,7 @@
     id,
     lease::{Attempt, Purpose, Wish},
     order,
-    platform::{Commit, Fault, Table, Write},
+    store::{Commit, Fault, Table, Write},
 };
 
 impl<T: Table, F: Fleet, P: Peers> Authority<T, F, P> {
--- a/src/authority/lists.rs
+++ b/src/authority/lists.rs
@@ -7,7 +7,7 @@
     clock::Moment,
     id,
     lease::{self, Owner, Wish},
-    platform::{Kind, State},
+    store::{Kind, State},
 };
 
 /// Place added to the candidates that are not the first choice.
--- a/src/authority/mod.rs
+++ b/src/authority/mod.rs
@@ -21,7 +21,7 @@
 use crate::{
     clock::Moment,
     id, lease, order,
-    platform::{Kind, Machine},
+    store::{Kind, Machine},
     target,
 };
 
--- a/src/authority/orders.rs
+++ b/src/authority/orders.rs
@@ -20,7 +20,7 @@
         runtime,
     },
     order::{self, Delivery, Facts, Outcome, Step, Tenure},
-    platform::{Commit, Fault, Table},
+    store::{Commit, Fault, Table},
     target::{Control, Order},
 };
 
--- a/src/authority/runner.rs
+++ b/src/authority/runner.rs
@@ -18,8 +18,8 @@
     id,
     lease::{self, Owner},
     metric::Metrics,
-    platform::{Commit, Fault, Row, Table, Write},
     refresh::Snapshot,
+    store::{Commit, Fault, Row, Table, Write},
     target::{Action, Role},
     timer::Timer,
 };
--- a/src/authority/table.rs
+++ b/src/authority/table.rs
@@ -5,7 +5,7 @@
     event::Event,
     lease::{self, Attempt},
     order::{self, Group},
-    platform::{Row, Write},
+    store::{Row, Write},
 };
 
 /// Returns the write of a lease's row.
--- a/src/claim/committer.rs
+++ b/src/claim/committer.rs
@@ -22,7 +22,7 @@
     clock,
     clock::Moment,
     id,
-    platform::{Objects, Table},
+    store::{Objects, Table},
     verdict::{Reason, Refusal},
 };
 
--- a/src/claim/queue.rs
+++ b/src/claim/queue.rs
@@ -10,7 +10,7 @@
 use crate::{
     claim::{Found, Input, Record, State, Stored},
     id,
-    platform::{Row, Write},
+    store::{Row, Write},
 };
 
 /// Operations in one transaction at most.
--- a/src/claim/writer.rs
+++ b/src/claim/writer.rs
@@ -16,7 +16,7 @@
     event,
     event::Event,
     id,
-    platform::{Commit, Fault, Objects, Row, Table, Write},
+    store::{Commit, Fault, Objects, Row, Table, Write},
 };
 
 /// Time to wait for further claims after a transaction that held several.
--- a/src/contract/store.rs
+++ b/src/contract/store.rs
@@ -11,9 +11,8 @@
 
 use super::{Contract, Difference, Lists};
 use crate::{
-    id,
-    platform::{Commit, Fault, Objects, Row, Table, Write},
-    settings,
+    id, settings,
+    store::{Commit, Fault, Objects, Row, Table, Write},
 };
 
 /// Row that names the present version.
--- a/src/crash/trial.rs
+++ b/src/crash/trial.rs
@@ -8,7 +8,7 @@
 use crate::{
     clock::Moment,
     id,
-    platform::{Commit, Fault, Row, Table, Write},
+    store::{Commit, Fault, Row, Table, Write},
 };
 
 /// Prefix of the rows that reserve targets.
--- a/src/crash/watch.rs
+++ b/src/crash/watch.rs
@@ -20,7 +20,7 @@
     event,
     event::Event,
     id,
-    platform::{Commit, Fault, Row, Table, Write},
+    store::{Commit, Fault, Row, Table, Write},
 };
 
 /// Notes that are written in one transaction.
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -43,14 +43,14 @@
     },
     metric::Metrics,
     operate::{Port, Unavailable},
-    platform,
-    platform::{Kind, State},
     refresh::{Freshness, Refresh},
     route::Router,
     serve::{
         self, Callers, Context, Departure, Fleet, Gate, Members, Peers, Register, Retries, Watch,
     },
     settings::Settings,
+    store,
+    store::{Kind, State},
     timer::Timer,
 };
 
@@ -200,7 +200,7 @@
 }
 
 fn context(settings: Settings, own: Member) -> Result<Context, Error> {
-    let platform = platform::Client::new(&settings.platform);
+    let platform = store::Client::new(&settings.platform);
     let metrics = match settings.host.metrics_address {
         Some(address) => Metrics::statsd(address)?,
         None => Metrics::local(),
@@ -257,7 +257,7 @@
     let mut config = authority::Config::default();
     config.order.drain.freshness = settings.host.configuration_bound;
     config.order.drain.send_window = settings.targets.send_window;
-    let platform = platform::Client::new(&settings.platform);
+    let platform = store::Client::new(&settings.platform);
     let site = Site::new(Arc::clone(ctx));
     let peers = site::Peers(ctx.members.clone());
     Authority::new(owner, config, platform, site, peers, ctx.metrics.clone())
--- a/src/daemon/operate.rs
+++ b/src/daemon/operate.rs
@@ -12,8 +12,8 @@
         self, Access, Control, Editor, Port, Service,
         wire::{Drain, Group, Order, Released, Request, Target},
     },
-    platform::{Kind, Machine, State},
     serve::{Context, Entry},
+    store::{Kind, Machine, State},
     target::Report,
 };
 
--- a/src/daemon/planner.rs
+++ b/src/daemon/planner.rs
@@ -16,9 +16,9 @@
     event,
     event::Event,
     id,
-    platform::{Kind, Machine, State},
     role::{self, Change, Engine, Placement, Planner, Supply, Turn},
     serve::Context,
+    store::{Kind, Machine, State},
     target::{Action, Report},
 };
 
--- a/src/daemon/site.rs
+++ b/src/daemon/site.rs
@@ -9,13 +9,13 @@
     authority::{self, Listing},
     id,
     link::peer::wire::{DrainQuestion, DrainStatus, StopQuestion, StopStatus},
-    order, platform,
+    order,
     serve::{Context, Members},
-    target,
+    store, target,
 };
 
 /// Authority of one host.
-pub(super) type Authority = authority::Authority<platform::Client, Site, Peers>;
+pub(super) type Authority = authority::Authority<store::Client, Site, Peers>;
 
 /// The fleet of one host.
 #[derive(Debug)]
--- a/src/demo/fleet.rs
+++ b/src/demo/fleet.rs
@@ -15,10 +15,9 @@
         store::{Edit, Store},
     },
     daemon::Daemon,
-    platform,
     settings::{self, Settings},
     standin::{self, engine, presence::Listing, service},
-    utils,
+    store, utils,
 };
 
 /// Data centres of the demo.
@@ -108,7 +107,7 @@
 
 fn configure(address: SocketAddr) -> Result<(), Error> {
     let settings = settings::Platform { address, ..settings::Platform::default() };
-    let client = platform::Client::new(&settings);
+    let client = store::Client::new(&settings);
     let lists = Lists {
         plans: format!("[customer demo]\nplan = order-desk\nkey = {}\n", utils::key_hash(KEY)),
         limits: "[plan order-desk]\nweight = 1\n".to_owned(),
--- a/src/host/membership.rs
+++ b/src/host/membership.rs
@@ -18,9 +18,9 @@
         Links,
         wire::{Heartbeat, Hint, Load, Member},
     },
-    platform::{HostList, Kind, Machine, State},
     refresh::{self, Freshness, Peers},
     settings,
+    store::{HostList, Kind, Machine, State},
     timer::Timer,
 };
 
--- a/src/host/roster.rs
+++ b/src/host/roster.rs
@@ -6,8 +6,8 @@
     clock::Moment,
     id,
     link::peer::wire::{Heartbeat, Load, Member},
-    platform::State,
     refresh::{Freshness, Peers},
+    store::State,
 };
 
 /// What this host knows of the other entry hosts.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,7 +26,7 @@
 pub mod operate;
 pub mod order;
 pub mod overhead;
-pub mod platform;
+
 pub mod refresh;
 pub mod retry;
 pub mod role;
@@ -35,6 +35,7 @@
 pub mod settings;
 pub mod slopes;
 pub mod standin;
+pub mod store;
 pub mod target;
 pub mod timer;
 pub mod utils;
--- a/src/link/peer/wire.rs
+++ b/src/link/peer/wire.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::{contract::store::Edition, id, platform::State, refresh::Freshness};
+use crate::{contract::store::Edition, id, refresh::Freshness, store::State};
 
 /// An entry host as it describes itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/load/cluster.rs
+++ b/src/load/cluster.rs
@@ -18,9 +18,10 @@
     daemon::Daemon,
     id,
     load::{Error, Scenario},
-    platform as services, settings,
+    settings,
     settings::{Decisions, Policy, Settings},
     standin::{Engine, Platform, Service, engine, platform, presence::Listing, service},
+    store as services,
     target::Role,
     utils,
 };
--- a/src/operate/editor.rs
+++ b/src/operate/editor.rs
@@ -21,8 +21,8 @@
     host::{Membership, Said},
     id,
     link::peer::wire::Hint,
-    platform::{HostList, Objects, Table},
     refresh::Refresh,
+    store::{HostList, Objects, Table},
 };
 
 /// Versions that are followed at once.
--- a/src/operate/server.rs
+++ b/src/operate/server.rs
@@ -18,8 +18,8 @@
     contract::{Contract, Notice, store},
     host::{Membership, View},
     metric::Metrics,
-    platform::{HostList, Objects, Table},
     refresh::Refresh,
+    store::{HostList, Objects, Table},
 };
 
 /// Largest body of a call, in bytes; the lists of 48,000 accounts fit.
--- a/src/overhead/mod.rs
+++ b/src/overhead/mod.rs
@@ -23,10 +23,10 @@
         store::{Edit, Store},
     },
     daemon::Daemon,
-    platform, settings,
+    settings,
     settings::Settings,
     standin::{self, engine, presence::Listing},
-    utils,
+    store, utils,
 };
 
 /// Key of the measuring caller.
@@ -254,7 +254,7 @@
 
 fn configure(address: SocketAddr) -> Result<(), Error> {
     let settings = settings::Platform { address, ..settings::Platform::default() };
-    let client = platform::Client::new(&settings);
+    let client = store::Client::new(&settings);
     let plans = format!("[customer overhead]\nplan = all\nkey = {}\n", utils::key_hash(KEY));
     let limits = "[plan all]\nweight = 1\nconcurrent = 100000\nrequests_per_second = 1000000\n\
                   tokens_per_second = 1000000000\nqueue = 100000\nfirst_token = 10 s\n";
--- a/src/refresh/mod.rs
+++ b/src/refresh/mod.rs
@@ -24,7 +24,7 @@
     event,
     event::Event,
     id,
-    platform::{Objects, Row, Table},
+    store::{Objects, Row, Table},
     timer::Timer,
 };
 
--- a/src/route/fleet.rs
+++ b/src/route/fleet.rs
@@ -11,11 +11,12 @@
 use crate::{
     clock::Moment,
     cost::{Rate, Rates},
-    id, platform,
+    id,
     route::{
         Config,
         replica::{Replica, ReplicaKey},
     },
+    store,
     target::{Report, Role},
 };
 
@@ -113,11 +114,11 @@
         self.pools.iter()
     }
 
-    pub(super) fn upsert(&mut self, machine: &platform::Machine, config: &Config) {
+    pub(super) fn upsert(&mut self, machine: &store::Machine, config: &Config) {
         if let Some(key) = self.key(&machine.name) {
             let replica = &mut self.replicas[key];
             replica.data_centre = machine.data_centre.clone();
-            replica.leaving = machine.state == platform::State::Leaving;
+            replica.leaving = machine.state == store::State::Leaving;
             if replica.incarnation != machine.incarnation {
                 replica.restarted(machine.incarnation, config);
             }
--- a/src/route/replica.rs
+++ b/src/route/replica.rs
@@ -9,8 +9,9 @@
 
 use crate::{
     clock::Moment,
-    id, platform,
+    id,
     route::Config,
+    store,
     target::{Report, Role},
 };
 
@@ -39,11 +40,11 @@
 }
 
 impl Replica {
-    pub(super) fn new(machine: &platform::Machine, config: &Config) -> Option<Replica> {
+    pub(super) fn new(machine: &store::Machine, config: &Config) -> Option<Replica> {
         let (serves, engine) = match &machine.kind {
-            platform::Kind::Entry => return None,
-            platform::Kind::Engine(model) => (model.clone(), true),
-            platform::Kind::Service(service) => (service.clone(), false),
+            store::Kind::Entry => return None,
+            store::Kind::Engine(model) => (model.clone(), true),
+            store::Kind::Service(service) => (service.clone(), false),
         };
         Some(Replica {
             name: machine.name.clone(),
@@ -52,7 +53,7 @@
             engine,
             incarnation: machine.incarnation,
             role: Role::Mixed,
-            leaving: machine.state == platform::State::Leaving,
+            leaving: machine.state == store::State::Leaving,
             drained: false,
             serving: true,
             load: Load::new(config.service_slots),
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -7,7 +7,6 @@
 
 use crate::{
     clock::Moment,
-    platform,
     route::{
         Capacity, Config, Demand, Estimate, Outcome, Path, Policy, Ticket, Work,
         choice::{Candidates, Course, Route, Scene},
@@ -15,6 +14,7 @@
         flight::Flight,
         replica::ReplicaKey,
     },
+    store,
     target::{CacheEvents, Report, Role},
     verdict::Reason,
 };
@@ -42,7 +42,7 @@
     }
 
     /// Takes in a machine of the host list; entry hosts are ignored.
-    pub fn upsert(&mut self, machine: &platform::Machine, _now: Moment) {
+    pub fn upsert(&mut self, machine: &store::Machine, _now: Moment) {
         self.fleet.upsert(machine, &self.config);
     }
 
--- a/src/serve/context.rs
+++ b/src/serve/context.rs
@@ -20,7 +20,6 @@
     event::Event,
     id,
     metric::Metrics,
-    platform,
     refresh::{Freshness, Refresh},
     retry::{Budget, Decision, Policy, Tries},
     serve::{
@@ -33,6 +32,7 @@
         watch::Watch,
     },
     settings::{self, Settings},
+    store,
     target::Failure,
     verdict::Reason,
 };
@@ -41,9 +41,9 @@
 const STALE_RETRY: Duration = Duration::from_secs(2);
 
 /// Claims of this host.
-pub type Claims = claim::Committer<platform::Client, Peers>;
+pub type Claims = claim::Committer<store::Client, Peers>;
 /// Configuration of this host.
-pub type Configuration = Refresh<platform::Client, platform::Client>;
+pub type Configuration = Refresh<store::Client, store::Client>;
 
 /// State that the requests of one host share.
 #[derive(Debug)]
@@ -65,7 +65,7 @@
     /// Claims of requests that may not repeat.
     pub claims: Claims,
     /// Requests that crash targets.
-    pub crashes: crash::Watch<platform::Client>,
+    pub crashes: crash::Watch<store::Client>,
     /// Entry hosts.
     pub members: Members,
     /// Expected lengths of answers.
--- a/src/serve/fleet.rs
+++ b/src/serve/fleet.rs
@@ -11,9 +11,10 @@
     clock,
     clock::Moment,
     id,
-    platform::{Kind, Machine, State},
     route::{self, Outcome, Path, Router, Ticket},
-    settings, target,
+    settings,
+    store::{Kind, Machine, State},
+    target,
     target::{Control, Engine, Report},
 };
 
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -8,11 +8,11 @@
     host::{Membership, Status},
     id,
     link::peer::wire::{self, ClaimQuestion, ClaimStatus, CrashNotice},
-    platform,
+    store,
 };
 
 /// Entry hosts as this one knows them.
-pub type Members = Membership<platform::Client>;
+pub type Members = Membership<store::Client>;
 
 /// The other entry hosts, for claims.
 #[derive(Debug, Clone)]
--- a/src/slopes/control.rs
+++ b/src/slopes/control.rs
@@ -18,11 +18,11 @@
             DrainStatus, Heartbeat, Hint, Load, Member, Shares, StopQuestion, StopStatus,
         },
     },
-    platform::{self, HostList, Kind, Machine, State},
     refresh::Freshness,
     route::{self, Router},
     serve::Fleet,
     settings, standin,
+    store::{self, HostList, Kind, Machine, State},
     target::Control,
     utils,
 };
@@ -205,9 +205,9 @@
     ])
 }
 
-pub(super) fn client(address: SocketAddr) -> platform::Client {
+pub(super) fn client(address: SocketAddr) -> store::Client {
     let settings = settings::Platform { address, timeout: TIMEOUT, ..Default::default() };
-    platform::Client::new(&settings)
+    store::Client::new(&settings)
 }
 
 /// Measures load reports: the call, its parsing and what the router makes of it.
--- a/src/slopes/requests.rs
+++ b/src/slopes/requests.rs
@@ -98,7 +98,7 @@
     ])
 }
 
-fn claim_once<T: crate::platform::Objects>(claims: &Committer<T, Alone>) -> io::Result<()> {
+fn claim_once<T: crate::store::Objects>(claims: &Committer<T, Alone>) -> io::Result<()> {
     let request = Request {
         customer: SmolStr::new_static("account-00001"),
         key: format_smolstr!("{:016x}", rand::random::<u64>()),
--- a/src/standin/engine/mod.rs
+++ b/src/standin/engine/mod.rs
@@ -33,7 +33,7 @@
     id,
     link::front::Front,
     metric::Metrics,
-    platform::Kind,
+    store::Kind,
     target::{Report, Role},
     timer::Timer,
 };
--- a/src/standin/engine/port.rs
+++ b/src/standin/engine/port.rs
@@ -20,9 +20,9 @@
         front::{Answer, Handler, Head, Reply, Request},
         outgoing::{Bounds, Pool},
     },
-    platform::{self, Weights},
     settings,
     standin::{Refusal, body, done, split},
+    store::{self, Weights},
     target::{Action, Cache, Generation, Order, Report, Role, wire},
 };
 
@@ -251,7 +251,7 @@
     }
 
     /// Waits for as long as the change takes, with a transfer of weights where it needs some.
-    fn load(&self, action: &Action) -> Result<(), platform::Fault> {
+    fn load(&self, action: &Action) -> Result<(), store::Fault> {
         let name = match action {
             Action::Nothing | Action::Role(_) => None,
             Action::Model(it) | Action::Adapter(it) | Action::Version(it) => Some(it.clone()),
@@ -262,6 +262,6 @@
             return Ok(());
         };
         let settings = settings::Platform { address, ..Default::default() };
-        platform::Client::new(&settings).load(&name).map(drop)
+        store::Client::new(&settings).load(&name).map(drop)
     }
 }
--- a/src/standin/platform/hosts.rs
+++ b/src/standin/platform/hosts.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     id,
-    platform::{Machine, State},
+    store::{Machine, State},
 };
 
 /// A run of a process.
--- a/src/standin/platform/mod.rs
+++ b/src/standin/platform/mod.rs
@@ -22,7 +22,7 @@
 use crate::{
     link::front::{Answer, Front, Handler, Head, Reply, Request},
     metric::Metrics,
-    platform::{Commit, Machine, wire},
+    store::{Commit, Machine, wire},
 };
 
 /// Configuration of the stand-in.
--- a/src/standin/platform/table.rs
+++ b/src/standin/platform/table.rs
@@ -4,7 +4,7 @@
 
 use smol_str::SmolStr;
 
-use crate::platform::{Commit, Row, Write};
+use crate::store::{Commit, Row, Write};
 
 /// Rows by key; a deleted row keeps its version, so that no version comes twice.
 #[derive(Debug, Default)]
--- a/src/standin/presence.rs
+++ b/src/standin/presence.rs
@@ -5,9 +5,8 @@
 use smol_str::SmolStr;
 
 use crate::{
-    id,
-    platform::{self, HostList, Kind, Machine, State},
-    settings,
+    id, settings,
+    store::{self, HostList, Kind, Machine, State},
     timer::Timer,
 };
 
@@ -57,7 +56,7 @@
         return timer;
     };
     let settings = settings::Platform { address: platform, timeout: TIMEOUT, ..Default::default() };
-    let client = platform::Client::new(&settings);
+    let client = store::Client::new(&settings);
     let listing = listing.clone();
     timer.every("presence", PERIOD, move |_| {
         let Some(listed) = listed() else {
--- a/src/standin/service.rs
+++ b/src/standin/service.rs
@@ -22,7 +22,7 @@
     id,
     link::front::{Answer, Front, Handler, Head, Reply, Request, VERDICT_HEADER},
     metric::Metrics,
-    platform::Kind,
+    store::Kind,
     target::{Order, Receipt, Report},
     timer::Timer,
     verdict::Verdict,
--- a/tests/authority.rs
+++ b/tests/authority.rs
@@ -7,12 +7,12 @@
 use fuchsiaknot::{
     authority::Config,
     drain,
-    platform::Table,
     standin::{
         engine::{self, Engine},
         platform::Faults,
         presence::Listing,
     },
+    store::Table,
     target::{Action, Role},
 };
 use rstest::rstest;
--- a/tests/claim.rs
+++ b/tests/claim.rs
@@ -11,10 +11,9 @@
         Action, Answer, Attempt, Claimant, Committer, Config, Found, Input, Outcome, Peers,
         Question, Record, Request, State, Status, Stored, row,
     },
-    clock,
-    platform::{Client, Row, Table, Write},
-    settings,
+    clock, settings,
     standin::platform::{Config as PlatformConfig, Faults, Platform, Stats},
+    store::{Client, Row, Table, Write},
     verdict::{Reason, Refusal},
 };
 
--- a/tests/claim_rate.rs
+++ b/tests/claim_rate.rs
@@ -10,10 +10,9 @@
 
 use fuchsiaknot::{
     claim::{Answer, Claimant, Committer, Config, Outcome, Peers, Question, Request, Status},
-    clock,
-    platform::Client,
-    settings,
+    clock, settings,
     standin::platform::{Config as PlatformConfig, Faults, Platform},
+    store::Client,
 };
 
 /// Requests of each caller.
--- a/tests/crash.rs
+++ b/tests/crash.rs
@@ -8,13 +8,13 @@
 
 use fuchsiaknot::{
     crash::{Config, Crash, Finding, Suspects, Suspicion, Watch, confirm},
-    platform::{Client, Table},
     settings,
     standin::{
         Service,
         platform::{Config as PlatformConfig, Faults, Platform},
         service,
     },
+    store::{Client, Table},
     target::{self, Control},
     utils,
 };
--- a/tests/deployment/mod.rs
+++ b/tests/deployment/mod.rs
@@ -14,9 +14,9 @@
         Lists,
         store::{Edit, Store},
     },
-    platform::{self, HostList, Kind, Machine, State},
     settings,
     standin::{engine, platform as platform_standin, service},
+    store::{self, HostList, Kind, Machine, State},
     target::Report,
     timer::Timer,
     utils,
@@ -173,7 +173,7 @@
     }
 
     /// Returns a client of the platform.
-    pub(crate) fn client(&self) -> platform::Client {
+    pub(crate) fn client(&self) -> store::Client {
         client(self.platform)
     }
 
@@ -337,8 +337,8 @@
     format!("Bearer {KEY}")
 }
 
-fn client(address: SocketAddr) -> platform::Client {
-    platform::Client::new(&settings::Platform { address, ..settings::Platform::default() })
+fn client(address: SocketAddr) -> store::Client {
+    store::Client::new(&settings::Platform { address, ..settings::Platform::default() })
 }
 
 fn configure(platform: SocketAddr) {
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -9,7 +9,6 @@
 };
 
 use fuchsiaknot::{
-    platform::{self, HostList, Kind},
     retry::{Accepted, Assembly},
     settings,
     standin::{
@@ -17,6 +16,7 @@
         engine::{Config, Faults},
         presence::Listing,
     },
+    store::{self, HostList, Kind},
     target::{
         Action, Client, Control, Engine, Failure, Fence, Generation, Order, PIECE_TOKENS, Piece,
         Progress, Receipt, Report, Role,
@@ -541,7 +541,7 @@
     let listing = Listing { platform: Some(platform.address()), ..Listing::default() };
     let it = Fixture::with(Config { listing, ..Config::default() });
     let settings = settings::Platform { address: platform.address(), ..Default::default() };
-    let client = platform::Client::new(&settings);
+    let client = store::Client::new(&settings);
     let mut machines = Vec::new();
     wait_until("the engine is listed", || {
         machines = client.machines().unwrap_or_default();
--- a/tests/faulty_link.rs
+++ b/tests/faulty_link.rs
@@ -11,9 +11,9 @@
     wait_for, wait_until,
 };
 use fuchsiaknot::{
-    platform::{self, Commit, Fault, Table, Write},
     settings,
     standin::engine::{Faults, Record},
+    store::{self, Commit, Fault, Table, Write},
     target::{Client, Engine, Failure, Generation},
     verdict::Verdict,
 };
@@ -152,7 +152,7 @@
     let proxy = Proxy::start(address);
     let client = |address| {
         let timeout = Duration::from_secs(2);
-        platform::Client::new(&settings::Platform { address, timeout, ..Default::default() })
+        store::Client::new(&settings::Platform { address, timeout, ..Default::default() })
     };
     let (through, direct) = (client(proxy.address()), client(address));
     assert_eq!(through.commit(&[write("a")]), Ok(Commit::Done(vec![1])));
--- a/tests/hosts/mod.rs
+++ b/tests/hosts/mod.rs
@@ -17,10 +17,9 @@
     lease::Owner,
     link::peer::wire::{DrainQuestion, DrainStatus, StopQuestion, StopStatus},
     metric::Metrics,
-    order,
-    platform::{self, HostList, Kind, Machine, State},
-    settings,
+    order, settings,
     standin::platform::{Config as PlatformConfig, Platform},
+    store::{self, HostList, Kind, Machine, State},
     target::{self, Action, Control, Failure, Fence, Order, Receipt, Report},
 };
 
@@ -29,7 +28,7 @@
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 pub(crate) const GROUP: &str = "local/engines";
 
-pub(crate) type Runner = Authority<platform::Client, View, Network>;
+pub(crate) type Runner = Authority<store::Client, View, Network>;
 
 /// Timing that keeps the tests short.
 pub(crate) fn quick() -> Config {
@@ -258,7 +257,7 @@
         self.network.is_cut.store(true, Ordering::SeqCst);
     }
 
-    pub(crate) fn client(&self) -> platform::Client {
+    pub(crate) fn client(&self) -> store::Client {
         client(self.platform.address())
     }
 
@@ -279,8 +278,8 @@
     }
 }
 
-fn client(address: SocketAddr) -> platform::Client {
-    platform::Client::new(&settings::Platform { address, ..settings::Platform::default() })
+fn client(address: SocketAddr) -> store::Client {
+    store::Client::new(&settings::Platform { address, ..settings::Platform::default() })
 }
 
 fn start_host(number: u64, config: &Config, platform: SocketAddr, network: &Network) -> Host {
@@ -330,7 +329,7 @@
     Host { runner, view, gate, metrics, paused, stopped, thread: Some(thread) }
 }
 
-fn look(runner: &Runner, view: &View, client: &platform::Client, machine: &Machine) {
+fn look(runner: &Runner, view: &View, client: &store::Client, machine: &Machine) {
     let _ = client.report(machine);
     let read_at = clock::now();
     if let Ok(machines) = client.machines() {
--- a/tests/members/mod.rs
+++ b/tests/members/mod.rs
@@ -18,10 +18,10 @@
             DrainStatus, Heartbeat, Hint, Load, Member, Shares, StopQuestion, StopStatus,
         },
     },
-    platform::{Client, State},
     refresh::Refresh,
     settings,
     standin::{self, platform::Faults},
+    store::{Client, State},
     timer::Timer,
     utils,
 };
--- a/tests/operate.rs
+++ b/tests/operate.rs
@@ -15,11 +15,10 @@
         self, Access, Client, Control, Editor, Error, Port, Service,
         wire::{Edit, Edited, Group, Released, Request, Target},
     },
-    platform,
     refresh::Freshness,
     settings,
     standin::platform::Faults,
-    utils,
+    store, utils,
 };
 use rstest::rstest;
 use smol_str::SmolStr;
@@ -92,7 +91,7 @@
 fn port(host: &Host, access: Access) -> Port {
     let silence = settings::Peers::default().silence;
     let (refresh, membership) = (host.refresh.clone(), host.membership.clone());
-    let editor: Editor<platform::Client, platform::Client, platform::Client> =
+    let editor: Editor<store::Client, store::Client, store::Client> =
         Editor::new(refresh.clone(), membership.clone(), BOUND, silence);
     let metrics = Metrics::local();
     metrics.add("refused.expired", 2);
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -19,8 +19,8 @@
             DrainStatus, Heartbeat, Hint, Load, Member, Shares, StopQuestion, StopStatus,
         },
     },
-    platform::State,
     refresh::Freshness,
+    store::State,
     utils,
 };
 use proptest::{prelude::*, test_runner::RngSeed};
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -7,14 +7,14 @@
 };
 
 use fuchsiaknot::{
-    platform::{
-        Client, Commit, Fault, HostList, Kind, Machine, Objects, Row, State, Table, Weights, Write,
-    },
     settings,
     standin::{
         self,
         platform::{Config, Faults, Stats},
     },
+    store::{
+        Client, Commit, Fault, HostList, Kind, Machine, Objects, Row, State, Table, Weights, Write,
+    },
     utils,
     verdict::Verdict,
 };
--- a/tests/poison.rs
+++ b/tests/poison.rs
@@ -7,7 +7,7 @@
 
 use common::wait_until;
 use deployment::{Fleet, Shape};
-use fuchsiaknot::{platform::Table, standin::engine::Faults};
+use fuchsiaknot::{standin::engine::Faults, store::Table};
 
 const POISON: &str = "poison in the contract";
 /// Innocent requests beside the poisonous one.
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -5,8 +5,8 @@
 use fuchsiaknot::{
     host::{Candidate, Change, Roster, Status, choose},
     link::peer::wire::{Heartbeat, Load, Member},
-    platform::State,
     refresh::Freshness,
+    store::State,
 };
 use smol_str::format_smolstr;
 
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -5,8 +5,8 @@
 use fuchsiaknot::{
     clock::Moment,
     id,
-    platform::{self, Machine, State},
     route::{Config, Demand, Kind, Outcome, Path, Router},
+    store::{self, Machine, State},
     target::{CacheEvent, CacheEvents, Report, Role},
     verdict::Reason,
 };
@@ -15,7 +15,7 @@
 const MS: Duration = Duration::from_millis(1);
 const DONE: Outcome = Outcome::Done { prompt: 100, cached: 0, output: 100 };
 
-fn machine(name: &str, kind: platform::Kind) -> Machine {
+fn machine(name: &str, kind: store::Kind) -> Machine {
     Machine {
         name: name.into(),
         kind,
@@ -52,7 +52,7 @@
     let mut router = Router::new(Config::default(), seed);
     for (index, role) in roles.iter().enumerate() {
         let name = format!("e{index}");
-        let kind = platform::Kind::Engine("model".into());
+        let kind = store::Kind::Engine("model".into());
         router.upsert(&machine(&name, kind), Moment::ZERO);
         router.report(&name, &report(1, *role), Moment::ZERO);
     }
@@ -62,7 +62,7 @@
 fn services(count: usize, seed: u64) -> Router {
     let mut router = Router::new(Config::default(), seed);
     for index in 0..count {
-        let kind = platform::Kind::Service("orders".into());
+        let kind = store::Kind::Service("orders".into());
         router.upsert(&machine(&format!("s{index}"), kind), Moment::ZERO);
     }
     router
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -7,9 +7,9 @@
 use fuchsiaknot::{
     lease,
     order::{self, wire},
-    platform::{self, Commit, Table, Write},
     settings,
     standin::{engine, platform::Faults},
+    store::{self, Commit, Table, Write},
     target::{Action, Fence, Role},
 };
 use rstest::rstest;
@@ -57,9 +57,9 @@
         Site { address, _platform: platform, engines, hosts }
     }
 
-    fn client(&self) -> platform::Client {
+    fn client(&self) -> store::Client {
         let address = self.address;
-        platform::Client::new(&settings::Platform { address, ..settings::Platform::default() })
+        store::Client::new(&settings::Platform { address, ..settings::Platform::default() })
     }
 
     fn faults(&self, faults: &Faults) {
