--- /dev/null
+++ b/src/gateway/cache.rs
@@ -0,0 +1,73 @@
+//! Which shared prompt parts each engine is believed to hold.
+
+use std::collections::{HashMap, VecDeque};
+
+use slotmap::SecondaryMap;
+use smol_str::SmolStr;
+
+use super::{prompt::Part, registry::Key};
+
+/// Cache contents of the engines as this host's own requests made them.
+#[derive(Debug, Default)]
+pub struct Cache {
+    engines: SecondaryMap<Key, Engine>,
+}
+
+#[derive(Debug, Default)]
+struct Engine {
+    /// Parts with the number of their newest use.
+    parts: HashMap<SmolStr, (u64, u64)>,
+    uses: VecDeque<(SmolStr, u64)>,
+    tokens: u64,
+    clock: u64,
+}
+
+impl Cache {
+    /// Notes that an engine reads these parts, of which it keeps `capacity` tokens at most.
+    pub fn read(&mut self, key: Key, parts: &[Part], capacity: u64) {
+        let Some(entry) = self.engines.entry(key) else { return };
+        let engine = entry.or_default();
+        for part in parts {
+            engine.touch(part);
+        }
+        engine.shrink(capacity);
+    }
+
+    /// Returns how many tokens of the leading parts an engine is believed to hold.
+    pub fn held(&self, key: Key, parts: &[Part]) -> u64 {
+        let Some(engine) = self.engines.get(key) else { return 0 };
+        let held = parts.iter().take_while(|it| engine.parts.contains_key(&it.id));
+        held.map(|it| it.tokens).sum()
+    }
+
+    /// Forgets an engine.
+    pub fn forget(&mut self, key: Key) {
+        self.engines.remove(key);
+    }
+}
+
+impl Engine {
+    fn touch(&mut self, part: &Part) {
+        self.clock += 1;
+        let before = self.parts.insert(part.id.clone(), (self.clock, part.tokens));
+        if before.is_none() {
+            self.tokens += part.tokens;
+        }
+        self.uses.push_back((part.id.clone(), self.clock));
+    }
+
+    /// Drops the least recently used parts beyond the capacity, and uses that newer ones replaced.
+    fn shrink(&mut self, capacity: u64) {
+        while let Some((id, at)) = self.uses.front() {
+            let (newest, tokens) = self.parts.get(id).copied().unwrap_or_default();
+            if newest == *at {
+                if self.tokens <= capacity {
+                    break;
+                }
+                self.parts.remove(id);
+                self.tokens -= tokens;
+            }
+            self.uses.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/context.rs
@@ -0,0 +1,211 @@
+//! What all parts of the request path share on one host.
+
+use std::{
+    cell::{Cell, Ref, RefCell, RefMut},
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use tokio::sync::Notify;
+
+use super::{
+    budget::{self, Budget},
+    cache::Cache,
+    configuration::Configuration,
+    headers::Headers,
+    health::Health,
+    load::Board,
+    logging::Log,
+    membership::{Host, Membership},
+    metric::Metrics,
+    registry::{Belief, Registry},
+    upstream::Pool,
+};
+use crate::{
+    clock::{self, Moment},
+    id,
+};
+
+/// Settings of the request path on one host.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// This host as it introduces itself.
+    pub host: Host,
+    /// Where readiness is asked.
+    pub ready: SocketAddr,
+    /// Where callers ask for addresses; `None` when this host does not answer that.
+    pub directory: Option<SocketAddr>,
+    /// Where metrics are served; `None` for nowhere.
+    pub metrics: Option<SocketAddr>,
+    /// Bound on retries towards one service, over all hosts.
+    pub retries: budget::Config,
+    /// Time that a shutdown may take.
+    pub grace: Duration,
+    /// Time that callers may keep an answer of the directory at most.
+    pub directory_time: Duration,
+    /// Time that targets which lapsed during an outage of the store may take to return.
+    pub return_time: Duration,
+    /// Time to wait for a change in one call to the store.
+    pub feed_wait: Duration,
+}
+
+/// Shared state of the request path; it runs on one thread.
+#[derive(Debug)]
+pub struct Context {
+    /// Settings as they were read at the start.
+    pub settings: Settings,
+    /// Names of the headers.
+    pub headers: Headers,
+    /// Metrics of this host.
+    pub metrics: Metrics,
+    /// Connections to targets.
+    pub pool: Pool,
+    /// The log's writer.
+    pub log: Option<Log>,
+    /// Told when the host begins to shut down.
+    pub leaving_begun: Notify,
+    leaving: Cell<bool>,
+    open: Rc<Cell<usize>>,
+    state: RefCell<State>,
+}
+
+/// Counts a caller's request while it is open.
+#[derive(Debug)]
+pub struct Open(Rc<Cell<usize>>);
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// What this host believes of the world.
+#[derive(Debug)]
+pub struct State {
+    /// Configuration in force; `None` before the first.
+    pub configuration: Option<Rc<Configuration>>,
+    /// When the store last confirmed the configuration.
+    pub configuration_seen: Moment,
+    /// Targets.
+    pub registry: Registry,
+    /// When the store last confirmed the targets.
+    pub targets_seen: Moment,
+    /// Work under way at targets.
+    pub board: Board,
+    /// How targets answered.
+    pub health: Health,
+    /// What engines hold in their caches.
+    pub cache: Cache,
+    /// The other hosts.
+    pub membership: Membership,
+    /// Retry budgets by service.
+    pub budgets: HashMap<id::Service, Budget>,
+}
+
+/// Time for which a peer's word on its own work counts; a few times the interval of heartbeats.
+const TOLD_MEMORY: Duration = Duration::from_secs(1);
+/// Time without a heartbeat after which a host counts as down.
+const PEER_SILENCE: Duration = Duration::from_millis(1000);
+
+impl Context {
+    /// Creates the state of a host that knows nothing yet.
+    pub fn new(
+        settings: Settings,
+        headers: Headers,
+        metrics: Metrics,
+        log: Option<Log>,
+    ) -> Context {
+        let state = State {
+            configuration: None,
+            configuration_seen: Moment::ZERO,
+            registry: Registry::new(settings.return_time),
+            targets_seen: Moment::ZERO,
+            board: Board::new(TOLD_MEMORY),
+            health: Health::default(),
+            cache: Cache::default(),
+            membership: Membership::new(settings.host.clone(), PEER_SILENCE),
+            budgets: HashMap::new(),
+        };
+        let pool = Pool::new(metrics.connections.clone());
+        Context {
+            settings,
+            headers,
+            metrics,
+            pool,
+            log,
+            leaving_begun: Notify::new(),
+            leaving: Cell::new(false),
+            open: Rc::default(),
+            state: RefCell::new(state),
+        }
+    }
+
+    /// Returns what this host believes, for reading; not to be held over a wait.
+    pub fn state(&self) -> Ref<'_, State> {
+        self.state.borrow()
+    }
+
+    /// Returns what this host believes, for changing; not to be held over a wait.
+    pub fn state_mut(&self) -> RefMut<'_, State> {
+        self.state.borrow_mut()
+    }
+
+    /// Returns whether the host shuts down.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.get()
+    }
+
+    /// Counts a request as open until the result is dropped.
+    pub fn open(&self) -> Open {
+        self.open.set(self.open.get() + 1);
+        Open(Rc::clone(&self.open))
+    }
+
+    /// Returns how many requests of callers are open.
+    pub fn open_requests(&self) -> usize {
+        self.open.get()
+    }
+
+    /// Begins the shutdown.
+    pub fn leave(&self) {
+        self.leaving.set(true);
+        self.leaving_begun.notify_waiters();
+    }
+
+    /// Returns whether callers can be served.
+    pub fn is_ready(&self) -> bool {
+        !self.is_leaving() && self.state().configuration.is_some()
+    }
+
+    /// Takes one retry towards a service from the budget.
+    pub fn take_retry(&self, service: &id::Service) -> bool {
+        let mut state = self.state_mut();
+        let hosts = state.membership.live();
+        let config = self.settings.retries;
+        let budget = state.budgets.entry(service.clone()).or_insert_with(|| Budget::new(config));
+        budget.take(hosts, clock::now())
+    }
+
+    /// Logs changes of what is believed of targets, and forgets what depends on them.
+    pub fn note_targets(&self, beliefs: Vec<Belief>) {
+        for belief in beliefs {
+            match belief {
+                Belief::Added(_, id) => tracing::info!(target = %id, "target added"),
+                Belief::Draining(key, id) => {
+                    self.pool.forget(key);
+                    tracing::info!(target = %id, "target draining; nothing new is sent to it");
+                }
+                Belief::Gone(key, id) => {
+                    self.pool.forget(key);
+                    let mut state = self.state_mut();
+                    state.board.forget(key);
+                    state.cache.forget(key);
+                    tracing::info!(target = %id, "target gone");
+                }
+            }
+        }
+        self.metrics.targets.set(self.state().registry.len() as i64);
+    }
+}
--- /dev/null
+++ b/src/gateway/directory.rs
@@ -0,0 +1,55 @@
+//! Ports beside the callers': readiness, the directory of addresses, and metrics.
+
+use std::{rc::Rc, time::Duration};
+
+use hyper::{Response, StatusCode, header};
+
+use super::{
+    context::Context,
+    reply::{self, Body},
+};
+
+/// Time for which an answer of the directory may be kept; short, so that callers leave a host soon.
+const ANSWER_TIME: Duration = Duration::from_secs(2);
+
+/// Writes the directory's answers as callers read them.
+pub trait Directory {
+    /// Returns the data centre that the caller's query names.
+    fn data_centre(&self, query: &str) -> Option<String>;
+
+    /// Returns the body that names addresses and how long they may be kept.
+    fn answer(&self, addresses: &[std::net::SocketAddr], keep: Duration) -> Vec<u8>;
+}
+
+/// Answers which addresses a caller may use.
+pub fn resolve<D: Directory>(context: &Context, directory: &D, query: &str) -> Response<Body> {
+    let data_centre = directory.data_centre(query).unwrap_or_default();
+    let addresses = context.state().membership.addresses(&data_centre, context.is_ready());
+    if addresses.is_empty() {
+        return reply::own(StatusCode::SERVICE_UNAVAILABLE, "no host is ready", None);
+    }
+    let keep = ANSWER_TIME.min(context.settings.directory_time);
+    let mut response = Response::new(Body::whole(directory.answer(&addresses, keep)));
+    let json = header::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response
+}
+
+/// Answers whether this host takes callers.
+pub fn ready(context: &Context) -> Response<Body> {
+    if context.is_ready() {
+        return Response::new(Body::whole("ready\n"));
+    }
+    reply::own(StatusCode::SERVICE_UNAVAILABLE, "not ready\n", None)
+}
+
+/// Answers with the metrics as text.
+pub fn metrics(context: &Rc<Context>) -> Response<Body> {
+    match context.metrics.text() {
+        Ok(text) => Response::new(Body::whole(text)),
+        Err(err) => {
+            tracing::error!(%err, "cannot write the metrics");
+            reply::own(StatusCode::INTERNAL_SERVER_ERROR, "metrics unavailable\n", None)
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/headers.rs
@@ -0,0 +1,58 @@
+//! Names of the headers that the request path reads and writes.
+
+use std::collections::HashSet;
+
+use hyper::{
+    HeaderMap,
+    header::{self, HeaderName},
+};
+
+/// Names of the headers by which callers, hosts and targets tell each other about a request.
+#[derive(Debug, Clone)]
+pub struct Headers {
+    /// Identity of one attempt of a caller.
+    pub request: HeaderName,
+    /// Milliseconds that the caller, or the host, goes on waiting.
+    pub deadline: HeaderName,
+    /// Identity of the target that is to run the request; any other refuses.
+    pub expected_target: HeaderName,
+    /// Identity of the target that answers.
+    pub target: HeaderName,
+    /// Signature by which a target vouches for its answer.
+    pub signature: HeaderName,
+    /// Says that the target did not run the request.
+    pub not_run: HeaderName,
+    /// Last event that the caller of a resumed stream has.
+    pub last_event: HeaderName,
+    /// Tokens of the prompt, and the most to be generated.
+    pub tokens: HeaderName,
+    /// Parts of the prompt in order, with their tokens.
+    pub prompt: HeaderName,
+    /// Rank of the request at an engine.
+    pub priority: HeaderName,
+    /// What an engine is to do with the request.
+    pub stage: HeaderName,
+    /// Engine and handle from which an engine fetches the prompt's cache.
+    pub cache_source: HeaderName,
+    /// Headers that only the system sets; those that a caller sent are dropped.
+    pub reserved: HashSet<HeaderName>,
+}
+
+/// Returns whether a header concerns one connection only.
+fn is_connection_header(name: &HeaderName) -> bool {
+    const NAMES: [&str; 4] = ["keep-alive", "proxy-connection", "te", "trailer"];
+    [header::CONNECTION, header::TRANSFER_ENCODING, header::CONTENT_LENGTH, header::UPGRADE]
+        .contains(name)
+        || NAMES.contains(&name.as_str())
+}
+
+/// Returns the headers that are passed on, without those of the connection.
+pub fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let named = headers.get_all(header::CONNECTION).iter().filter_map(|it| it.to_str().ok());
+    let named: Vec<String> =
+        named.flat_map(|it| it.split(',')).map(|it| it.trim().to_ascii_lowercase()).collect();
+    let kept = headers.iter().filter(|(name, _)| {
+        !is_connection_header(name) && !named.iter().any(|it| it == name.as_str())
+    });
+    kept.map(|(name, value)| (name.clone(), value.clone())).collect()
+}
--- /dev/null
+++ b/src/gateway/job.rs
@@ -0,0 +1,159 @@
+//! One request of a caller, read whole and matched to its route.
+
+use std::{cell::Cell, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{
+    HeaderMap, Method, Request, Uri,
+    body::{Body as _, Incoming},
+    header::{self, HeaderValue},
+};
+use smol_str::SmolStr;
+use tokio::time::timeout;
+
+use super::{
+    configuration::{Configuration, Route},
+    context::{Context, Open},
+    headers::{Headers, end_to_end},
+    prompt::Prompt,
+    target::Target,
+};
+use crate::{
+    clock::{self, Moment},
+    id,
+    verdict::Reason,
+};
+
+/// Waiting time of a caller that names none.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
+
+/// A request on its way to a target.
+#[derive(Debug)]
+pub struct Job {
+    /// Identity that the caller gave this attempt.
+    pub id: SmolStr,
+    /// Route in force when the request arrived.
+    pub route: Rc<Route>,
+    /// Service that runs it.
+    pub service: id::Service,
+    /// Version of the configuration that chose route and service.
+    pub version: id::Version,
+    /// What it says of its prompt.
+    pub prompt: Prompt,
+    /// When it arrived.
+    pub arrived: Moment,
+    /// When the caller, or the route's timeout, gives up.
+    pub expires: Moment,
+    /// Requests sent to targets so far.
+    pub sent: Cell<u32>,
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    body: Bytes,
+    _open: Open,
+}
+
+impl Job {
+    /// Reads a request and finds its route.
+    ///
+    /// # Errors
+    /// Returns why the request is refused; nothing was sent.
+    pub async fn read(context: &Context, request: Request<Incoming>) -> Result<Job, Reason> {
+        let (arrived, open) = (clock::now(), context.open());
+        let configuration = context.state().configuration.clone().ok_or(Reason::NotReady)?;
+        let (parts, body) = request.into_parts();
+        let route = find_route(&configuration, &parts).ok_or(Reason::NotFound)?;
+        let service = route.service(rand::random()).cloned().ok_or(Reason::NotFound)?;
+        let names = &context.headers;
+        let id = text(&parts.headers, &names.request).map(SmolStr::new).unwrap_or_default();
+        let deadline = text(&parts.headers, &names.deadline).and_then(|it| it.trim().parse().ok());
+        let deadline = deadline.map_or(DEFAULT_DEADLINE, Duration::from_millis);
+        let expires = arrived + deadline.min(route.timeout);
+        let prompt = Prompt::read(&parts.headers, names);
+        let left = expires.saturating_sub(clock::now());
+        let body = read_body(body, configuration.limits.body_bytes, left).await?;
+        let mut headers = end_to_end(&parts.headers);
+        for name in &names.reserved {
+            headers.remove(name);
+        }
+        headers.remove(header::EXPECT);
+        Ok(Job {
+            id,
+            route,
+            service,
+            version: configuration.version,
+            prompt,
+            arrived,
+            expires,
+            sent: Cell::new(0),
+            method: parts.method,
+            uri: parts.uri,
+            headers,
+            body,
+            _open: open,
+        })
+    }
+
+    /// Returns the time left until the job expires.
+    pub fn time_left(&self) -> Duration {
+        self.expires.saturating_sub(clock::now())
+    }
+
+    /// Returns whether no target may be tried any more.
+    pub fn attempts_used(&self) -> bool {
+        self.route.attempts <= self.sent.get()
+    }
+
+    /// Returns the request as it is sent to a target, going on after `last_event` if given.
+    pub fn request(
+        &self,
+        names: &Headers,
+        target: &Target,
+        last_event: Option<u64>,
+    ) -> Request<Full<Bytes>> {
+        let mut headers = self.headers.clone();
+        let left = self.time_left().as_millis() as u64;
+        headers.insert(names.deadline.clone(), HeaderValue::from(left));
+        if let Ok(id) = HeaderValue::from_str(&target.id) {
+            headers.insert(names.expected_target.clone(), id);
+        }
+        if let Some(last) = last_event {
+            headers.insert(names.last_event.clone(), HeaderValue::from(last));
+        }
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = headers;
+        request
+    }
+}
+
+fn find_route(
+    configuration: &Configuration,
+    parts: &hyper::http::request::Parts,
+) -> Option<Rc<Route>> {
+    let host = match parts.uri.authority() {
+        Some(authority) => authority.as_str(),
+        None => parts.headers.get(header::HOST)?.to_str().ok()?,
+    };
+    configuration.routes.find(host, parts.uri.path()).cloned()
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &hyper::header::HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+async fn read_body(body: Incoming, limit: usize, time: Duration) -> Result<Bytes, Reason> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let read = timeout(time, Limited::new(body, limit).collect()).await;
+    let collected = read.map_err(|_| Reason::BodyTimeout)?;
+    collected.map(http_body_util::Collected::to_bytes).map_err(|err| {
+        match err.is::<http_body_util::LengthLimitError>() {
+            true => Reason::BodyTooLarge,
+            false => Reason::BadRequest,
+        }
+    })
+}
--- /dev/null
+++ b/src/gateway/metric.rs
@@ -0,0 +1,100 @@
+//! Counters, gauges and histograms of the request path, as text.
+
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+
+use crate::verdict::Reason;
+
+/// Bounds of the latency histograms, in seconds.
+const LATENCY_BOUNDS: [f64; 12] =
+    [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0];
+
+/// Metrics of one host.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    registry: Registry,
+    /// Requests answered, by status.
+    pub answered: IntCounterVec,
+    /// Requests refused or given up by this host, by reason.
+    pub refused: IntCounterVec,
+    /// Requests sent to a target, by outcome.
+    pub attempts: IntCounterVec,
+    /// Further attempts at a request, by reason.
+    pub retried: IntCounterVec,
+    /// Requests whose caller went away.
+    pub callers_gone: IntCounter,
+    /// Connections opened to targets.
+    pub connections: IntCounter,
+    /// Calls to the store, by call and outcome.
+    pub store_calls: IntCounterVec,
+    /// Seconds by stage of a request: waiting, first event, whole.
+    pub latency: HistogramVec,
+    /// Version of the configuration in force.
+    pub configuration: IntGauge,
+    /// Targets known.
+    pub targets: IntGauge,
+    /// Hosts that are there, this one among them.
+    pub hosts: IntGauge,
+}
+
+impl Metrics {
+    /// Creates metrics that all stand at zero.
+    ///
+    /// # Errors
+    /// Fails when two metrics share a name.
+    pub fn new() -> prometheus::Result<Metrics> {
+        let registry = Registry::new_custom(Some("fuchsiaknot".to_owned()), None)?;
+        let counters = |name: &str, help: &str, label: &str| -> prometheus::Result<IntCounterVec> {
+            let counters = IntCounterVec::new(Opts::new(name, help), &[label])?;
+            registry.register(Box::new(counters.clone()))?;
+            Ok(counters)
+        };
+        let counter = |name: &str, help: &str| -> prometheus::Result<IntCounter> {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok(counter)
+        };
+        let gauge = |name: &str, help: &str| -> prometheus::Result<IntGauge> {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok(gauge)
+        };
+        let latency = HistogramOpts::new("latency_seconds", "Time by stage of a request.");
+        let latency = HistogramVec::new(latency.buckets(LATENCY_BOUNDS.to_vec()), &["stage"])?;
+        registry.register(Box::new(latency.clone()))?;
+        let metrics = Metrics {
+            answered: counters("answered_total", "Requests answered, by status.", "status")?,
+            refused: counters("refused_total", "Requests refused, by reason.", "reason")?,
+            attempts: counters("attempts_total", "Requests sent, by outcome.", "outcome")?,
+            retried: counters("retried_total", "Further attempts, by reason.", "reason")?,
+            callers_gone: counter("callers_gone_total", "Requests whose caller went away.")?,
+            connections: counter("connections_total", "Connections opened to targets.")?,
+            store_calls: counters(
+                "store_calls_total",
+                "Calls to the store, by outcome.",
+                "outcome",
+            )?,
+            latency,
+            configuration: gauge("configuration_version", "Configuration in force.")?,
+            targets: gauge("targets", "Targets known.")?,
+            hosts: gauge("hosts", "Hosts that are there.")?,
+            registry,
+        };
+        for reason in Reason::ALL {
+            metrics.refused.with_label_values(&[reason.code()]);
+        }
+        Ok(metrics)
+    }
+
+    /// Returns all metrics in the text format.
+    ///
+    /// # Errors
+    /// Fails when a metric cannot be written as text.
+    pub fn text(&self) -> prometheus::Result<Vec<u8>> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(text)
+    }
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,151 @@
+//! Request path of an entry host before services that the operators' configuration names.
+//!
+//! Everything runs on one thread. Decisions (`configuration`, `registry`, `membership`, `load`,
+//! `health`, `budget`, `cache`, `choice`, `event_stream`) neither wait nor read a clock; `follow`,
+//! `peers`, `port`, `forward` and `upstream` run them. Names and formats of a deployment's platform
+//! come in through [`store::Store`], [`headers::Headers`] and [`directory::Directory`].
+
+pub mod attempt;
+pub mod budget;
+pub mod cache;
+pub mod choice;
+pub mod configuration;
+pub mod context;
+pub mod directory;
+pub mod event_stream;
+pub mod follow;
+pub mod forward;
+pub mod headers;
+pub mod health;
+pub mod job;
+pub mod load;
+pub mod logging;
+pub mod membership;
+pub mod metric;
+pub mod peers;
+pub mod port;
+pub mod prompt;
+pub mod registry;
+pub mod reply;
+pub mod store;
+pub mod target;
+pub mod upstream;
+
+use std::{io, rc::Rc, time::Duration};
+
+use hyper::Request;
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    sync::watch,
+    task::spawn_local,
+    time::{Instant, sleep},
+};
+
+use self::{
+    context::Context,
+    directory::Directory,
+    port::{Bounds, Phase},
+    store::Store,
+};
+
+/// Time for which a leaving host goes on taking requests, so that callers learn of it first.
+const FAREWELL: Duration = Duration::from_millis(2500);
+/// Time before the end of the grace period at which a leaving host stops waiting.
+const GRACE_MARGIN: Duration = Duration::from_millis(500);
+/// Interval at which a leaving host looks whether its last request ended.
+const DRAIN_POLL: Duration = Duration::from_millis(50);
+/// Time that the withdrawal from the store may take.
+const WITHDRAW_TIME: Duration = Duration::from_millis(500);
+
+/// Serves until the process is told to stop and its requests have ended.
+///
+/// # Errors
+/// Fails when a port cannot be bound or signals cannot be watched.
+pub async fn run<S: Store, D: Directory + 'static>(
+    context: Rc<Context>,
+    store: S,
+    directory: D,
+) -> io::Result<()> {
+    let (phase, watched) = watch::channel(Phase::Open);
+    serve_ports(&context, directory, &watched)?;
+    spawn_local(follow::configuration(Rc::clone(&context), store.clone()));
+    spawn_local(follow::targets(Rc::clone(&context), store.clone()));
+    spawn_local(follow::hosts(Rc::clone(&context), store.clone()));
+    spawn_local(follow::tidy(Rc::clone(&context)));
+    spawn_local(keep_peers(Rc::clone(&context)));
+    let mut terminate = signal(SignalKind::terminate())?;
+    tracing::info!(host = %context.settings.host.name, front = %context.settings.host.front, "started");
+    terminate.recv().await;
+    leave(&context, &store, &phase).await;
+    Ok(())
+}
+
+/// Binds all ports and serves them.
+fn serve_ports<D: Directory + 'static>(
+    context: &Rc<Context>,
+    directory: D,
+    phase: &watch::Receiver<Phase>,
+) -> io::Result<()> {
+    let bounds_of = Rc::clone(context);
+    let bounds = move || {
+        let limits = bounds_of.state().configuration.as_ref().map(|it| it.limits);
+        let limits = limits.unwrap_or_default();
+        Bounds { header_bytes: limits.header_bytes, idle_time: limits.idle_time }
+    };
+    let forwarding = Rc::clone(context);
+    let front = port::bind(context.settings.host.front)?;
+    spawn_local(port::serve(front, bounds.clone(), phase.clone(), move |request| {
+        forward::handle(Rc::clone(&forwarding), request)
+    }));
+    let asked = Rc::clone(context);
+    let ready = port::bind(context.settings.ready)?;
+    spawn_local(port::serve(ready, bounds.clone(), phase.clone(), move |_: Request<_>| {
+        std::future::ready(directory::ready(&asked))
+    }));
+    if let Some(address) = context.settings.directory {
+        let asked = Rc::clone(context);
+        let listener = port::bind(address)?;
+        spawn_local(port::serve(listener, bounds.clone(), phase.clone(), move |request| {
+            let query = request.uri().query().unwrap_or_default();
+            std::future::ready(directory::resolve(&asked, &directory, query))
+        }));
+    }
+    if let Some(address) = context.settings.metrics {
+        let asked = Rc::clone(context);
+        let listener = port::bind(address)?;
+        spawn_local(port::serve(listener, bounds, phase.clone(), move |_: Request<_>| {
+            std::future::ready(directory::metrics(&asked))
+        }));
+    }
+    Ok(())
+}
+
+/// Keeps the heartbeats going.
+async fn keep_peers(context: Rc<Context>) {
+    loop {
+        if let Err(err) = peers::run(Rc::clone(&context)).await {
+            tracing::error!(%err, "heartbeats failed; check the port for internal traffic");
+        }
+        sleep(Duration::from_secs(1)).await;
+    }
+}
+
+/// Shuts down: out of the directory first, then no new connections, then the last answers.
+async fn leave<S: Store>(context: &Rc<Context>, store: &S, phase: &watch::Sender<Phase>) {
+    let begun = Instant::now();
+    tracing::info!("shutting down; finishing what is open");
+    context.leave();
+    let name = context.settings.host.name.clone();
+    let withdrawn = tokio::time::timeout(WITHDRAW_TIME, store.withdraw(&name)).await;
+    if let Ok(Err(fault)) = withdrawn {
+        tracing::warn!(%fault, "the store still names this host; others notice its silence");
+    }
+    sleep(FAREWELL.saturating_sub(begun.elapsed())).await;
+    phase.send_replace(Phase::Closing);
+    let end = begun + context.settings.grace.saturating_sub(GRACE_MARGIN);
+    while Instant::now() < end && 0 < context.open_requests() {
+        sleep(DRAIN_POLL).await;
+    }
+    sleep(DRAIN_POLL).await;
+    tracing::info!(open = context.open_requests(), "stopped");
+}
--- /dev/null
+++ b/src/gateway/prompt.rs
@@ -0,0 +1,48 @@
+//! What a request says of its prompt.
+
+use hyper::HeaderMap;
+use smol_str::SmolStr;
+
+use super::headers::Headers;
+
+/// One part of a prompt; requests that begin with the same parts share their cache.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Part {
+    /// Identity of the part.
+    pub id: SmolStr,
+    /// Tokens of the part.
+    pub tokens: u64,
+}
+
+/// A prompt's parts and sizes.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Prompt {
+    /// Parts in order; the last belongs to the request or its session.
+    pub parts: Vec<Part>,
+    /// Tokens of the prompt.
+    pub tokens: u64,
+    /// Tokens that may be generated at most.
+    pub output: u64,
+}
+
+impl Prompt {
+    /// Reads the prompt's headers; those that are missing or unreadable leave their part empty.
+    pub fn read(headers: &HeaderMap, names: &Headers) -> Prompt {
+        let text = |name| headers.get(name).and_then(|it| it.to_str().ok()).unwrap_or_default();
+        let parts: Vec<Part> = text(&names.prompt).split(',').filter_map(part).collect();
+        let mut counts = text(&names.tokens).split(',').map(|it| it.trim().parse().unwrap_or(0));
+        let listed = parts.iter().map(|it| it.tokens).sum();
+        let tokens = counts.next().unwrap_or(0).max(listed);
+        Prompt { parts, tokens, output: counts.next().unwrap_or(0) }
+    }
+
+    /// Returns the parts that other requests may share: all but the last.
+    pub fn shared(&self) -> &[Part] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+}
+
+fn part(text: &str) -> Option<Part> {
+    let (id, tokens) = text.trim().split_once(':')?;
+    Some(Part { id: SmolStr::new(id), tokens: tokens.parse().ok()? })
+}
--- /dev/null
+++ b/src/gateway/registry.rs
@@ -0,0 +1,185 @@
+//! Which targets there are, from what the store showed last.
+
+use std::{collections::HashMap, time::Duration};
+
+use slotmap::SlotMap;
+
+use super::target::Target;
+use crate::{clock::Moment, id};
+
+slotmap::new_key_type! {
+    /// Names a target in the registry; a new incarnation gets a new key.
+    pub struct Key;
+}
+
+/// A change of the store's list of targets.
+#[derive(Debug, Clone)]
+pub enum Change {
+    /// A target announced itself or changed what it says.
+    Announced(Target),
+    /// An entry names no usable target any more.
+    Removed(id::Target),
+}
+
+/// A change of what this host believes, for the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Belief {
+    /// A target takes requests.
+    Added(Key, id::Target),
+    /// A target takes nothing new.
+    Draining(Key, id::Target),
+    /// A target is gone.
+    Gone(Key, id::Target),
+}
+
+/// Targets by service.
+#[derive(Debug)]
+pub struct Registry {
+    return_time: Duration,
+    entries: SlotMap<Key, Entry>,
+    by_id: HashMap<id::Target, Key>,
+    by_service: HashMap<id::Service, Vec<Key>>,
+}
+
+#[derive(Debug)]
+struct Entry {
+    target: Target,
+    /// Moment after which a target that the store does not list is taken as gone.
+    missing_until: Option<Moment>,
+}
+
+impl Registry {
+    /// Creates an empty registry.
+    ///
+    /// `return_time` is how long a target that lapsed during an outage of the store may take to
+    /// announce itself again.
+    pub fn new(return_time: Duration) -> Registry {
+        Registry {
+            return_time,
+            entries: SlotMap::with_key(),
+            by_id: HashMap::new(),
+            by_service: HashMap::new(),
+        }
+    }
+
+    /// Takes over the whole list; `after_outage` tells that entries may have lapsed unseen.
+    pub fn replace(
+        &mut self,
+        targets: Vec<Target>,
+        after_outage: bool,
+        now: Moment,
+    ) -> Vec<Belief> {
+        let listed: HashMap<id::Target, ()> =
+            targets.iter().map(|it| (it.id.clone(), ())).collect();
+        let mut beliefs: Vec<Belief> =
+            targets.into_iter().filter_map(|it| self.announce(it)).collect();
+        let missing: Vec<Key> = self
+            .entries
+            .iter()
+            .filter_map(|(key, entry)| (!listed.contains_key(&entry.target.id)).then_some(key))
+            .collect();
+        for key in missing {
+            beliefs.extend(self.miss(key, after_outage, now));
+        }
+        beliefs
+    }
+
+    /// Takes over one change.
+    pub fn apply(&mut self, change: Change, after_outage: bool, now: Moment) -> Option<Belief> {
+        match change {
+            Change::Announced(target) => self.announce(target),
+            Change::Removed(id) => {
+                let key = *self.by_id.get(&id)?;
+                self.miss(key, after_outage, now)
+            }
+        }
+    }
+
+    /// Drops the targets that lapsed during an outage and did not return in time.
+    pub fn expire(&mut self, now: Moment) -> Vec<Belief> {
+        let expired = |entry: &Entry| entry.missing_until.is_some_and(|until| until <= now);
+        let gone: Vec<Key> =
+            self.entries.iter().filter(|(_, it)| expired(it)).map(|(key, _)| key).collect();
+        gone.into_iter().filter_map(|key| self.remove(key)).collect()
+    }
+
+    /// Returns a target.
+    pub fn get(&self, key: Key) -> Option<&Target> {
+        self.entries.get(key).map(|it| &it.target)
+    }
+
+    /// Returns the key of a target.
+    pub fn key(&self, id: &id::Target) -> Option<Key> {
+        self.by_id.get(id).copied()
+    }
+
+    /// Returns the targets of a service that take new requests.
+    pub fn usable<'a>(&'a self, service: &str) -> impl Iterator<Item = (Key, &'a Target)> {
+        let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        let targets = keys.iter().filter_map(|key| Some((*key, self.get(*key)?)));
+        targets.filter(|(_, it)| !it.draining)
+    }
+
+    /// Returns how many targets are known.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns whether no target is known.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    fn announce(&mut self, target: Target) -> Option<Belief> {
+        if let Some(key) = self.by_id.get(&target.id).copied() {
+            let entry = self.entries.get_mut(key)?;
+            if is_outdated(&target, &entry.target) {
+                return None;
+            }
+            let same_run = entry.target.incarnation == target.incarnation
+                && entry.target.address == target.address
+                && entry.target.service == target.service;
+            if same_run {
+                entry.missing_until = None;
+                let newly_draining = target.draining && !entry.target.draining;
+                entry.target = target;
+                return newly_draining
+                    .then(|| Belief::Draining(key, self.entries[key].target.id.clone()));
+            }
+            self.remove(key);
+        }
+        let (id, service) = (target.id.clone(), target.service.clone());
+        let draining = target.draining;
+        let key = self.entries.insert(Entry { target, missing_until: None });
+        self.by_id.insert(id.clone(), key);
+        self.by_service.entry(service).or_default().push(key);
+        Some(if draining { Belief::Draining(key, id) } else { Belief::Added(key, id) })
+    }
+
+    fn miss(&mut self, key: Key, after_outage: bool, now: Moment) -> Option<Belief> {
+        let entry = self.entries.get_mut(key)?;
+        if !after_outage || entry.target.draining {
+            return self.remove(key);
+        }
+        entry.missing_until.get_or_insert(now + self.return_time);
+        None
+    }
+
+    fn remove(&mut self, key: Key) -> Option<Belief> {
+        let entry = self.entries.remove(key)?;
+        let target = entry.target;
+        if self.by_id.get(&target.id) == Some(&key) {
+            self.by_id.remove(&target.id);
+        }
+        if let Some(keys) = self.by_service.get_mut(&target.service) {
+            keys.retain(|it| *it != key);
+        }
+        Some(Belief::Gone(key, target.id))
+    }
+}
+
+/// Returns whether an announcement was made before the one that is known.
+fn is_outdated(target: &Target, known: &Target) -> bool {
+    let same_run = target.incarnation == known.incarnation;
+    target.incarnation < known.incarnation || (same_run && target.sequence < known.sequence)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod demo;
 pub mod drain;
 pub mod event;
+pub mod gateway;
 pub mod host;
 pub mod id;
 pub mod lease;
