--- a/src/id.rs
+++ b/core/src/id.rs
@@ -28,7 +28,7 @@
 pub type Version = u64;
 /// Random number that marks one write or one claim, so that its writer can recognise it.
 pub type Token = u64;
-/// Hash of a request's contents, made by [`crate::utils::fingerprint`].
+/// Hash of a request's contents, made by the product's `utils::fingerprint`.
 pub type Fingerprint = u64;
 /// Number of an attempt at one request, from 1.
 pub type Attempt = u32;
--- a/src/gateway/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -4,15 +4,10 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::{
-    HeaderMap, StatusCode,
-    body::{Body as _, Incoming},
-    header,
-    http::response,
-};
+use hyper::{HeaderMap, StatusCode, body::Incoming, header, http::response};
 use tokio::time::timeout;
 
-use super::{
+use crate::{
     context::Context,
     headers::end_to_end,
     job::Job,
@@ -20,11 +15,14 @@
     target::Target,
     upstream::{Connection, Fault},
 };
-use crate::{clock, metric::Retry};
+use fuchsiaknot_core::{clock, verdict::Retry};
 
 /// Bytes of an answer that is held until it is whole.
 const MAX_WHOLE: usize = 8 * 1024 * 1024;
 
+/// Time to read the rest of an answer that is of no use.
+const DISCARD_TIME: Duration = Duration::from_millis(50);
+
 /// Why an attempt gave nothing that can be passed on.
 #[derive(Debug)]
 pub enum Failure {
@@ -132,7 +130,13 @@
     };
     let (head, body) = response.into_parts();
     let run = Run { target, key, head, body, connection, ticket };
-    run.check(context, job)
+    if let Err(failure) = run.check(context, job) {
+        if matches!(failure, Failure::NotRun(_)) {
+            run.discard(context, job).await;
+        }
+        return Err(failure);
+    }
+    Ok(run)
 }
 
 /// Notes that the target's cache will hold the job's prompt.
@@ -147,7 +151,7 @@
 
 impl Run {
     /// Checks that the answer belongs to the request and that the target ran it.
-    fn check(self, context: &Context, job: &Job) -> Result<Run, Failure> {
+    fn check(&self, context: &Context, job: &Job) -> Result<(), Failure> {
         let names = &context.headers;
         let echoed = self.head.headers.get(&names.request);
         if echoed.is_some_and(|it| it.as_bytes() != job.id.as_bytes()) {
@@ -158,7 +162,13 @@
         if self.head.headers.contains_key(&names.not_run) || misdirected {
             return Err(Failure::NotRun(status));
         }
-        Ok(self)
+        Ok(())
+    }
+
+    /// Reads an answer that is of no use, so that its connection can be used again.
+    async fn discard(mut self, context: &Context, job: &Job) {
+        while let Ok(Some(_)) = self.piece(job.time_left().min(DISCARD_TIME)).await {}
+        self.finish(context);
     }
 
     /// Returns whether the answer is an event stream.
@@ -219,13 +229,13 @@
 
     /// Ends a run whose answer is complete and keeps its connection if the target does.
     pub fn finish(self, context: &Context) {
-        let Run { key, head, body, connection, ticket, .. } = self;
+        let Run { key, head, connection, ticket, .. } = self;
         drop(ticket);
         let is_framed = head.headers.contains_key(header::CONTENT_LENGTH)
             || head.headers.contains_key(header::TRANSFER_ENCODING);
         let closes = head.headers.get(header::CONNECTION);
         let closes = closes.is_some_and(|it| it.as_bytes().eq_ignore_ascii_case(b"close"));
-        if !is_framed || closes || !body.is_end_stream() {
+        if !is_framed || closes {
             return;
         }
         context.pool.put_back(key, connection, keep_alive(&head.headers));
--- a/src/gateway/budget.rs
+++ b/gateway/src/budget.rs
@@ -5,7 +5,7 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-use crate::clock::Moment;
+use fuchsiaknot_core::clock::Moment;
 
 /// Parts into which a window is cut; a finer cut tracks the sliding window more closely.
 const SLICES: u32 = 10;
--- a/src/gateway/cache.rs
+++ b/gateway/src/cache.rs
@@ -5,7 +5,7 @@
 use slotmap::SecondaryMap;
 use smol_str::SmolStr;
 
-use super::{prompt::Part, registry::Key};
+use crate::{prompt::Part, registry::Key};
 
 /// Cache contents of the engines as this host's own requests made them.
 #[derive(Debug, Default)]
--- a/src/gateway/choice.rs
+++ b/gateway/src/choice.rs
@@ -6,7 +6,7 @@
 
 use std::hash::{Hash, Hasher};
 
-use super::{load::Work, prompt::Prompt, registry::Key};
+use crate::{load::Work, prompt::Prompt, registry::Key};
 
 /// Prompt tokens that weigh as much as one request under way.
 const TOKENS_PER_REQUEST: f64 = 400.0;
--- a/src/gateway/configuration.rs
+++ b/gateway/src/configuration.rs
@@ -4,7 +4,7 @@
 
 use smol_str::SmolStr;
 
-use crate::id;
+use fuchsiaknot_core::id;
 
 /// One version of the configuration.
 #[derive(Debug, Clone)]
--- a/src/gateway/context.rs
+++ b/gateway/src/context.rs
@@ -10,7 +10,7 @@
 
 use tokio::sync::Notify;
 
-use super::{
+use crate::{
     budget::{self, Budget},
     cache::Cache,
     configuration::Configuration,
@@ -23,7 +23,7 @@
     registry::{Belief, Registry},
     upstream::Pool,
 };
-use crate::{
+use fuchsiaknot_core::{
     clock::{self, Moment},
     id,
 };
--- a/src/gateway/directory.rs
+++ b/gateway/src/directory.rs
@@ -4,7 +4,7 @@
 
 use hyper::{Response, StatusCode, header};
 
-use super::{
+use crate::{
     context::Context,
     reply::{self, Body},
 };
--- a/src/gateway/follow.rs
+++ b/gateway/src/follow.rs
@@ -4,13 +4,13 @@
 
 use tokio::time::sleep;
 
-use super::{
+use crate::{
     configuration::Configuration,
     context::Context,
     registry::Change,
     store::{Fault, Snapshot, Store},
 };
-use crate::{
+use fuchsiaknot_core::{
     clock::{self, Moment},
     id,
 };
--- a/src/gateway/forward.rs
+++ b/gateway/src/forward.rs
@@ -6,7 +6,7 @@
 use smol_str::SmolStr;
 use tokio::sync::mpsc;
 
-use super::{
+use crate::{
     attempt::{self, Failure, Run},
     choice::{self, Candidate},
     context::Context,
@@ -14,8 +14,9 @@
     job::Job,
     registry::Key,
     reply::{self, Body, Broken},
+    target::Stage,
 };
-use crate::{
+use fuchsiaknot_core::{
     clock::{self, Moment},
     verdict::{Reason, Verdict},
 };
@@ -46,7 +47,7 @@
     let mut state = context.state_mut();
     let config = context.settings.retries;
     let budget = state.budgets.entry(job.service.clone());
-    budget.or_insert_with(|| super::budget::Budget::new(config)).request(clock::now());
+    budget.or_insert_with(|| crate::budget::Budget::new(config)).request(clock::now());
 }
 
 fn finish(context: &Context, mut response: Response<Body>) -> Response<Body> {
@@ -226,6 +227,7 @@
         let shared = prompt.shared();
         let own = &self.context.settings.host.data_centre;
         let usable = state.registry.usable(&self.job.service);
+        let usable = usable.filter(|(_, it)| it.stage != Some(Stage::Prefill));
         let fresh = usable.filter(|(key, _)| !self.tried.contains(key));
         let candidates: Vec<(bool, Candidate)> = fresh
             .map(|(key, target)| {
--- a/src/gateway/health.rs
+++ b/gateway/src/health.rs
@@ -4,8 +4,8 @@
 
 use slotmap::SecondaryMap;
 
-use super::registry::Key;
-use crate::clock::Moment;
+use crate::registry::Key;
+use fuchsiaknot_core::clock::Moment;
 
 /// Pause after the first failure; doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
--- a/src/gateway/job.rs
+++ b/gateway/src/job.rs
@@ -12,14 +12,14 @@
 use smol_str::SmolStr;
 use tokio::time::timeout;
 
-use super::{
+use crate::{
     configuration::{Configuration, Route},
     context::{Context, Open},
     headers::{Headers, end_to_end},
     prompt::Prompt,
     target::Target,
 };
-use crate::{
+use fuchsiaknot_core::{
     clock::{self, Moment},
     id,
     verdict::Reason,
--- a/src/gateway/mod.rs
+++ b/gateway/src/lib.rs
@@ -41,7 +41,7 @@
     time::{Instant, sleep},
 };
 
-use self::{
+use crate::{
     context::Context,
     directory::Directory,
     port::{Bounds, Phase},
--- a/src/gateway/load.rs
+++ b/gateway/src/load.rs
@@ -5,8 +5,8 @@
 use serde::{Deserialize, Serialize};
 use slotmap::SecondaryMap;
 
-use super::registry::Key;
-use crate::{clock::Moment, id};
+use crate::registry::Key;
+use fuchsiaknot_core::{clock::Moment, id};
 
 /// Work under way at one target.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/gateway/membership.rs
+++ b/gateway/src/membership.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{clock::Moment, id};
+use fuchsiaknot_core::{clock::Moment, id};
 
 /// Hosts whose addresses one answer names at most.
 const MAX_ADDRESSES: usize = 64;
--- a/src/gateway/metric.rs
+++ b/gateway/src/metric.rs
@@ -5,7 +5,7 @@
     TextEncoder,
 };
 
-use crate::verdict::Reason;
+use fuchsiaknot_core::verdict::Reason;
 
 /// Bounds of the latency histograms, in seconds.
 const LATENCY_BOUNDS: [f64; 12] =
--- a/src/gateway/peers.rs
+++ b/gateway/src/peers.rs
@@ -5,12 +5,12 @@
 use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, time::sleep};
 
-use super::{
+use crate::{
     context::Context,
     load::Work,
     membership::{Change, Heartbeat, Host},
 };
-use crate::{clock, id};
+use fuchsiaknot_core::{clock, id};
 
 /// Interval of heartbeats among few hosts; a host counts as down after several missed ones.
 const INTERVAL: Duration = Duration::from_millis(200);
--- a/src/gateway/port.rs
+++ b/gateway/src/port.rs
@@ -10,7 +10,7 @@
     time::sleep,
 };
 
-use super::{reply::Body, upstream};
+use crate::{reply::Body, upstream};
 
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
--- a/src/gateway/prompt.rs
+++ b/gateway/src/prompt.rs
@@ -3,7 +3,7 @@
 use hyper::HeaderMap;
 use smol_str::SmolStr;
 
-use super::headers::Headers;
+use crate::headers::Headers;
 
 /// One part of a prompt; requests that begin with the same parts share their cache.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/src/gateway/registry.rs
+++ b/gateway/src/registry.rs
@@ -4,8 +4,8 @@
 
 use slotmap::SlotMap;
 
-use super::target::Target;
-use crate::{clock::Moment, id};
+use crate::target::Target;
+use fuchsiaknot_core::{clock::Moment, id};
 
 slotmap::new_key_type! {
     /// Names a target in the registry; a new incarnation gets a new key.
--- a/src/gateway/store.rs
+++ b/gateway/src/store.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use super::{configuration::Configuration, membership::Host, registry::Change, target::Target};
-use crate::id;
+use crate::{configuration::Configuration, membership::Host, registry::Change, target::Target};
+use fuchsiaknot_core::id;
 
 /// A call to the store that gave no usable answer.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
--- a/src/gateway/target.rs
+++ b/gateway/src/target.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use crate::id;
+use fuchsiaknot_core::id;
 
 /// What one target says of itself.
 #[derive(Debug, Clone, PartialEq)]
--- a/src/gateway/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -14,8 +14,8 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
 
-use super::registry::Key;
-use crate::clock::{self, Moment};
+use crate::registry::Key;
+use fuchsiaknot_core::clock::{self, Moment};
 
 /// Time for a connection to be established; within a region a round trip takes a few milliseconds.
 const CONNECT_TIME: Duration = Duration::from_millis(400);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,10 +5,12 @@
 //! actions come out. `authority`, `refresh`, `host`, `serve` and `daemon` run them. `standin`,
 //! `demo`, `load`, `overhead` and `slopes` are for trying and measuring.
 
+pub use fuchsiaknot_core::{clock, id, verdict};
+pub use fuchsiaknot_gateway as gateway;
+
 pub mod admit;
 pub mod authority;
 pub mod claim;
-pub mod clock;
 pub mod command;
 pub mod contract;
 pub mod cost;
@@ -17,9 +19,7 @@
 pub mod demo;
 pub mod drain;
 pub mod event;
-pub mod gateway;
 pub mod host;
-pub mod id;
 pub mod lease;
 pub mod link;
 pub mod load;
@@ -40,4 +40,3 @@
 pub mod target;
 pub mod timer;
 pub mod utils;
-pub mod verdict;
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -13,39 +13,11 @@
 use smol_str::SmolStr;
 
 use crate::verdict::Reason;
+pub use crate::verdict::Retry;
 
 /// Prefix of every metric.
 const PREFIX: &str = "fuchsiaknot";
 
-/// Why an attempt was made again. Each has a counter `retried.<code>`.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum Retry {
-    /// The target refused the connection.
-    ConnectRefused,
-    /// The target refused the request before it started.
-    TargetRefused,
-    /// The target failed while it ran a repeatable request.
-    TargetFailed,
-    /// The connection was silent for longer than the bound.
-    Silent,
-}
-
-impl Retry {
-    /// Every retry reason.
-    pub const ALL: &'static [Retry] =
-        &[Retry::ConnectRefused, Retry::TargetRefused, Retry::TargetFailed, Retry::Silent];
-
-    /// Returns the code used in the counter's name.
-    pub fn code(self) -> &'static str {
-        match self {
-            Retry::ConnectRefused => "connect-refused",
-            Retry::TargetRefused => "target-refused",
-            Retry::TargetFailed => "target-failed",
-            Retry::Silent => "silent",
-        }
-    }
-}
-
 /// Records metrics; clones share their values.
 #[derive(Debug, Clone)]
 pub struct Metrics {
