feat(gateway): prompts go where they are read first; admission by estimate

Change: an engine's time to the first token is estimated from the tokens that wait there (all hosts, by heartbeat) and those its cache lacks; engines of the prefill stage read for the others; a request that cannot be on time waits for spare room and is refused with the time to come back.

--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -14,13 +14,16 @@
     budget::{self, Budget},
     cache::Cache,
     configuration::Configuration,
-    headers::Headers,
+    deadline::Deadlines,
+    engine::Rate,
+    headers::{Calls, Headers},
     health::Health,
-    load::Board,
+    job::Job,
+    load::{Board, Work},
     logging::Log,
     membership::{Host, Membership},
     metric::Metrics,
-    registry::{Belief, Registry},
+    registry::{Belief, Key, Registry},
     upstream::Pool,
 };
 use fuchsiaknot_core::{
@@ -58,12 +61,16 @@
     pub settings: Settings,
     /// Names of the headers.
     pub headers: Headers,
+    /// Calls to engines.
+    pub calls: Calls,
     /// Metrics of this host.
     pub metrics: Metrics,
     /// Connections to targets.
     pub pool: Pool,
     /// The log's writer.
     pub log: Option<Log>,
+    /// Told when a target may have room again.
+    pub room: Notify,
     /// Told when the host begins to shut down.
     pub leaving_begun: Notify,
     leaving: Cell<bool>,
@@ -102,6 +109,24 @@
     pub membership: Membership,
     /// Retry budgets by service.
     pub budgets: HashMap<id::Service, Budget>,
+    /// Rates at which engines read prompts, by service.
+    pub rates: HashMap<id::Service, Rate>,
+    /// Deadlines that callers begin with, by route.
+    pub deadlines: Deadlines,
+}
+
+impl State {
+    /// Returns how many tokens of a job's prompt a target is believed to lack.
+    pub fn missing(&self, key: Key, job: &Job) -> u64 {
+        let cached = self.cache.held(key, &job.prompt.parts);
+        job.prompt.tokens.saturating_sub(cached).max(1)
+    }
+
+    /// Returns the work of all hosts at a target.
+    pub fn work(&self, key: Key) -> Work {
+        let target = self.registry.get(key);
+        target.map_or(Work::default(), |it| self.board.total(key, &it.id, clock::now()))
+    }
 }
 
 /// Time for which a peer's word on its own work counts; a few times the interval of heartbeats.
@@ -114,6 +139,7 @@
     pub fn new(
         settings: Settings,
         headers: Headers,
+        calls: Calls,
         metrics: Metrics,
         log: Option<Log>,
     ) -> Context {
@@ -127,14 +153,18 @@
             cache: Cache::default(),
             membership: Membership::new(settings.host.clone(), PEER_SILENCE),
             budgets: HashMap::new(),
+            rates: HashMap::new(),
+            deadlines: Deadlines::default(),
         };
         let pool = Pool::new(metrics.connections.clone());
         Context {
             settings,
             headers,
+            calls,
             metrics,
             pool,
             log,
+            room: Notify::new(),
             leaving_begun: Notify::new(),
             leaving: Cell::new(false),
             open: Rc::default(),
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -1,26 +1,32 @@
 //! Takes a caller's request to a target and the answer back.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
+use fuchsiaknot_core::{
+    clock::{self, Moment},
+    verdict::{Reason, Verdict},
+};
 use hyper::{Request, Response, StatusCode, body::Incoming, header};
 use smol_str::SmolStr;
-use tokio::sync::mpsc;
+use tokio::{sync::mpsc, time::sleep};
 
 use crate::{
-    attempt::{self, Failure, Run},
-    choice::{self, Candidate},
+    attempt::{self, Failure, Options, Run},
     context::Context,
-    event_stream::{Event, Splitter},
+    engine::{self, Standing},
+    event_stream::Splitter,
     job::Job,
+    pick, prefill,
     registry::Key,
-    reply::{self, Body, Broken},
+    reply::{self, Body},
+    stream::{Stream, next_event},
     target::Stage,
 };
-use fuchsiaknot_core::{
-    clock::{self, Moment},
-    verdict::{Reason, Verdict},
-};
 
+/// Time after which a waiting request looks again whether there is room.
+const LOOK_AGAIN: Duration = Duration::from_millis(40);
+/// Shortest time after which a refused caller is asked to come back.
+const LEAST_RETURN: Duration = Duration::from_millis(150);
 /// Pieces of a stream that wait for a slow caller; a full channel stops reading from the target.
 const STREAM_PIECES: usize = 16;
 /// Targets that may fail to take the request's connection before it is refused.
@@ -98,14 +104,15 @@
 }
 
 /// A job with the targets that were tried.
-struct Forward {
-    context: Rc<Context>,
-    job: Rc<Job>,
+pub(crate) struct Forward {
+    pub(crate) context: Rc<Context>,
+    pub(crate) job: Rc<Job>,
     tried: Vec<Key>,
     connects: u32,
     /// Whether some target may have begun the job.
     may_have_run: bool,
-    last_failure: Option<Failure>,
+    /// Time until an engine would have read the prompt, as last estimated.
+    estimate: Option<Duration>,
 }
 
 impl Forward {
@@ -116,7 +123,7 @@
             tried: Vec::new(),
             connects: 0,
             may_have_run: false,
-            last_failure: None,
+            estimate: None,
         }
     }
 
@@ -126,8 +133,8 @@
                 Ok(run) => run,
                 Err(reason) => return self.give_up(reason),
             };
-            let key = run.key;
-            let outcome = if run.is_stream() && run.head.status.is_success() {
+            let key = run.answer.key;
+            let outcome = if run.answer.is_stream() && run.answer.head.status.is_success() {
                 self.begin_stream(run).await
             } else {
                 self.whole(run).await
@@ -144,28 +151,113 @@
     }
 
     /// Sends the job to targets until one answers with a head that may be passed on.
-    async fn attempt(&mut self, last_event: Option<u64>) -> Result<Run, Reason> {
+    pub(crate) async fn attempt(&mut self, last_event: Option<u64>) -> Result<Run, Reason> {
         loop {
             if self.job.time_left().is_zero() {
                 return Err(self.expired());
             }
-            let Some(key) = self.choose() else { return Err(self.no_target()) };
-            self.tried.push(key);
-            match attempt::send(&self.context, &self.job, key, last_event).await {
+            let sent = if self.is_for_engines() {
+                let choice = self.admit().await?;
+                match choice.stage {
+                    Stage::Decode => {
+                        self.send(choice.key, Options { last_event, prefilled: None }).await
+                    }
+                    Stage::Prefill => self.hand_over(choice.key, last_event).await,
+                }
+            } else {
+                let Some(key) = pick::plain(&self.context, &self.job, &self.tried) else {
+                    return Err(self.no_target());
+                };
+                self.send(key, Options { last_event, prefilled: None }).await
+            };
+            match sent {
                 Ok(run) => {
                     self.context.metrics.attempts.with_label_values(&["answered"]).inc();
                     return Ok(run);
                 }
-                Err(failure) => self.note_failure(key, failure)?,
+                Err((key, failure)) => self.note_failure(key, failure)?,
             }
         }
     }
 
+    fn is_for_engines(&self) -> bool {
+        let state = self.context.state();
+        let configuration = state.configuration.as_ref();
+        let service = configuration.and_then(|it| it.services.get(&self.job.service));
+        service.is_some_and(|it| it.engine.is_some())
+    }
+
+    /// Waits until an engine can read the prompt in time.
+    ///
+    /// # Errors
+    /// Returns why the job is refused.
+    async fn admit(&mut self) -> Result<engine::Choice, Reason> {
+        let began = clock::now();
+        loop {
+            let candidates = pick::readers(&self.context, &self.job, &self.tried);
+            if candidates.is_empty() {
+                return Err(self.no_target());
+            }
+            let rate = self.context.state().rates.get(&self.job.service).copied();
+            let choice = engine::choose(&candidates, &rate.unwrap_or_default());
+            let standing =
+                Standing { objective: self.job.route.objective, elapsed: self.job.elapsed() };
+            self.estimate = choice.map(|it| it.estimate);
+            if let Some(choice) = choice.filter(|it| engine::starts(standing, it.estimate)) {
+                return Ok(choice);
+            }
+            let waited = clock::now().saturating_sub(began);
+            let patience = engine::patience(standing, self.job.deadline);
+            if patience <= waited {
+                return Err(if self.may_have_run {
+                    Reason::TargetFailed
+                } else {
+                    Reason::WouldBeLate
+                });
+            }
+            tokio::select! {
+                () = self.context.room.notified() => {}
+                () = sleep((patience - waited).min(LOOK_AGAIN)) => {}
+            }
+        }
+    }
+
+    /// Sends the job to a target.
+    async fn send(&mut self, key: Key, options: Options<'_>) -> Result<Run, (Key, Failure)> {
+        self.tried.push(key);
+        let sent = attempt::send(&self.context, &self.job, key, options).await;
+        if !matches!(sent, Err(Failure::NotSent(_))) {
+            self.job.sent.set(self.job.sent.get() + 1);
+        }
+        sent.map_err(|failure| (key, failure))
+    }
+
+    /// Has one engine read the prompt and another generate.
+    async fn hand_over(
+        &mut self,
+        reader: Key,
+        last_event: Option<u64>,
+    ) -> Result<Run, (Key, Failure)> {
+        let read = prefill::read(&self.context, &self.job, reader).await;
+        let mut prefilled = read.map_err(|failure| {
+            self.tried.push(reader);
+            (reader, failure.before_run())
+        })?;
+        let generator = pick::generator(&self.context, &self.job, &self.tried);
+        let generator = generator.ok_or_else(|| {
+            (reader, Failure::NotSent("no engine has room to generate".to_owned()))
+        })?;
+        let options = Options { last_event, prefilled: Some(&prefilled) };
+        let run = self.send(generator, options).await?;
+        prefilled.take();
+        Ok(run)
+    }
+
     /// Notes a failed attempt.
     ///
     /// # Errors
     /// Returns why there is to be no further attempt.
-    fn note_failure(&mut self, key: Key, failure: Failure) -> Result<(), Reason> {
+    pub(crate) fn note_failure(&mut self, key: Key, failure: Failure) -> Result<(), Reason> {
         let context = Rc::clone(&self.context);
         attempt::note_health(&context, key, &failure);
         let retry = failure.retry();
@@ -183,7 +275,6 @@
             "attempt failed"
         );
         let was_sent = !matches!(failure, Failure::NotSent(_));
-        self.last_failure = Some(failure);
         if let Some(reason) = stop {
             return Err(reason);
         }
@@ -219,46 +310,10 @@
         if self.may_have_run { Reason::DeadlineExceeded } else { Reason::Expired }
     }
 
-    /// Chooses a target that was not tried yet.
-    fn choose(&self) -> Option<Key> {
-        let now = clock::now();
-        let state = self.context.state();
-        let prompt = &self.job.prompt;
-        let shared = prompt.shared();
-        let own = &self.context.settings.host.data_centre;
-        let usable = state.registry.usable(&self.job.service);
-        let usable = usable.filter(|(_, it)| it.stage != Some(Stage::Prefill));
-        let fresh = usable.filter(|(key, _)| !self.tried.contains(key));
-        let candidates: Vec<(bool, Candidate)> = fresh
-            .map(|(key, target)| {
-                let candidate = Candidate {
-                    key,
-                    hash: choice::rendezvous(&target.id, shared.last().map_or("", |it| &it.id)),
-                    work: state.board.total(key, &target.id, now),
-                    slots: target.slots,
-                    is_near: target.data_centre == *own,
-                    failures: state.health.failures(key),
-                    cached: state.cache.held(key, shared),
-                };
-                (state.health.is_paused(key, now), candidate)
-            })
-            .collect();
-        let sound: Vec<Candidate> =
-            candidates.iter().filter(|(paused, _)| !paused).map(|(_, it)| *it).collect();
-        let all: Vec<Candidate>;
-        let eligible = if sound.is_empty() {
-            all = candidates.iter().map(|(_, it)| *it).collect();
-            &all
-        } else {
-            &sound
-        };
-        choice::choose(prompt, eligible, rand::random())
-    }
-
     /// Passes on an answer that is not a stream.
     async fn whole(&self, run: Run) -> Result<Response<Body>, Failure> {
-        let (key, target) = (run.key, run.target.id.clone());
-        let (status, headers, bytes) = run.whole(&self.context, &self.job).await?;
+        let (key, target) = (run.answer.key, run.answer.target.id.clone());
+        let (status, headers, bytes) = run.answer.whole(&self.context, &self.job).await?;
         self.context.state_mut().health.succeeded(key);
         let mut response = Response::new(Body::whole(bytes));
         *response.status_mut() = status;
@@ -271,26 +326,35 @@
     async fn begin_stream(&mut self, mut run: Run) -> Result<Response<Body>, Failure> {
         let mut splitter = Splitter::default();
         let first = next_event(&mut run, &mut splitter, &self.job).await?;
-        run.prompt_read();
+        run.ticket.prompt_read();
+        self.context.room.notify_waiters();
         let first_ms = clock::now().saturating_sub(self.job.arrived);
         self.context.metrics.latency.with_label_values(&["first"]).observe(first_ms.as_secs_f64());
         let (sender, receiver) = mpsc::channel(STREAM_PIECES);
         let mut response = Response::new(Body::Stream(receiver));
-        *response.status_mut() = run.head.status;
-        *response.headers_mut() = run.headers();
+        *response.status_mut() = run.answer.head.status;
+        *response.headers_mut() = run.answer.headers();
         let rest = Forward {
             context: Rc::clone(&self.context),
             job: Rc::clone(&self.job),
             tried: std::mem::take(&mut self.tried),
             connects: self.connects,
             may_have_run: true,
-            last_failure: None,
+            estimate: None,
         };
-        let stream = Stream { forward: rest, sender, last: None };
+        let stream = Stream::new(rest, sender);
         tokio::task::spawn_local(stream.pump(run, splitter, first));
         Ok(response)
     }
 
+    /// Returns when the caller should come back: once the work that waits now is done.
+    fn retry_after(&self) -> Duration {
+        let spread = 1.0 + rand::random::<f64>();
+        let estimate = self.estimate.unwrap_or_default();
+        let wait = estimate.saturating_sub(self.job.route.objective).max(LEAST_RETURN);
+        wait.mul_f64(spread).min(self.job.deadline / 3)
+    }
+
     /// Returns the answer of a job that no target answered.
     fn give_up(&self, reason: Reason) -> Response<Body> {
         let context = &self.context;
@@ -304,13 +368,14 @@
             reason = reason.code(),
             verdict = reason.verdict().as_str(),
             sent = self.job.sent.get(),
+            estimate_ms = self.estimate.map(|it| it.as_millis() as u64),
             waited_ms = waited.as_millis() as u64,
             "request given up"
         );
         let status = StatusCode::from_u16(reason.status()).unwrap_or(StatusCode::BAD_GATEWAY);
         let not_run = reason.verdict() == Verdict::NotRun && !self.may_have_run;
         let (status, retry_after) = if not_run {
-            (StatusCode::SERVICE_UNAVAILABLE, Some(std::time::Duration::from_millis(250)))
+            (StatusCode::SERVICE_UNAVAILABLE, Some(self.retry_after()))
         } else if status == StatusCode::SERVICE_UNAVAILABLE {
             (StatusCode::BAD_GATEWAY, None)
         } else {
@@ -320,133 +385,13 @@
     }
 }
 
-/// Reads until the next whole event; `None` at the end of a complete stream.
-async fn next_event(
-    run: &mut Run,
-    splitter: &mut Splitter,
+pub(crate) fn log_answer(
+    context: &Context,
     job: &Job,
-) -> Result<Option<Event>, Failure> {
-    loop {
-        if let Some(event) = splitter.next_event() {
-            return Ok(Some(event));
-        }
-        match run.piece(job.time_left()).await? {
-            Some(bytes) => splitter.push(&bytes),
-            None if splitter.rest().is_empty() => return Ok(None),
-            None => return Err(Failure::Broken("the stream ended within an event".to_owned())),
-        }
-    }
-}
-
-/// A stream that is being passed on.
-struct Stream {
-    forward: Forward,
-    sender: mpsc::Sender<Result<bytes::Bytes, Broken>>,
-    /// Last event that the caller was sent.
-    last: Option<u64>,
-}
-
-impl Stream {
-    async fn pump(mut self, mut run: Run, mut splitter: Splitter, first: Option<Event>) {
-        let mut next = Ok(first);
-        loop {
-            match next {
-                Ok(Some(event)) => {
-                    self.last = event.id.or(self.last);
-                    if self.sender.send(Ok(event.bytes)).await.is_err() {
-                        self.caller_gone();
-                        return;
-                    }
-                }
-                Ok(None) => {
-                    self.complete(run);
-                    return;
-                }
-                Err(failure) => {
-                    let resumed = self.resume(run, failure).await;
-                    let Some(other) = resumed else { return };
-                    run = other;
-                    splitter = Splitter::default();
-                }
-            }
-            let job = Rc::clone(&self.forward.job);
-            next = tokio::select! {
-                next = next_event(&mut run, &mut splitter, &job) => next,
-                () = self.sender.closed() => {
-                    self.caller_gone();
-                    return;
-                }
-            };
-        }
-    }
-
-    /// Goes on at another target after the last event, or ends the answer visibly incomplete.
-    async fn resume(&mut self, run: Run, failure: Failure) -> Option<Run> {
-        let key = run.key;
-        drop(run);
-        let sender = self.sender.clone();
-        let resumed = match self.forward.note_failure(key, failure) {
-            Err(reason) => Err(reason),
-            Ok(()) => {
-                tokio::select! {
-                    resumed = self.forward.attempt(self.last) => resumed,
-                    () = sender.closed() => {
-                        self.caller_gone();
-                        return None;
-                    }
-                }
-            }
-        };
-        match resumed {
-            Ok(run) if run.is_stream() && run.head.status.is_success() => {
-                tracing::info!(
-                    id = %self.forward.job.id,
-                    target = %run.target.id,
-                    after = self.last,
-                    "stream resumed at another target"
-                );
-                Some(run)
-            }
-            Ok(run) => {
-                self.cut(run.head.status.as_str()).await;
-                None
-            }
-            Err(reason) => {
-                self.cut(reason.code()).await;
-                None
-            }
-        }
-    }
-
-    async fn cut(&self, reason: &str) {
-        let job = &self.forward.job;
-        self.forward.context.metrics.refused.with_label_values(&["stream-cut"]).inc();
-        tracing::warn!(
-            id = %job.id,
-            reason,
-            last = self.last,
-            sent = job.sent.get(),
-            "stream broke off and cannot be resumed"
-        );
-        if self.sender.send(Err(Broken)).await.is_err() {
-            tracing::debug!(id = %job.id, "the caller of a broken stream was gone");
-        }
-    }
-
-    fn caller_gone(&self) {
-        self.forward.context.metrics.callers_gone.inc();
-        tracing::info!(id = %self.forward.job.id, last = self.last, "caller left its stream");
-    }
-
-    fn complete(&self, run: Run) {
-        let context = &self.forward.context;
-        context.state_mut().health.succeeded(run.key);
-        log_answer(context, &self.forward.job, &run.target.id, run.head.status, "stream");
-        run.finish(context);
-    }
-}
-
-fn log_answer(context: &Context, job: &Job, target: &str, status: StatusCode, kind: &'static str) {
+    target: &str,
+    status: StatusCode,
+    kind: &'static str,
+) {
     let took = clock::now().saturating_sub(job.arrived);
     context.metrics.latency.with_label_values(&["whole"]).observe(took.as_secs_f64());
     tracing::info!(
--- a/gateway/src/headers.rs
+++ b/gateway/src/headers.rs
@@ -4,8 +4,9 @@
 
 use hyper::{
     HeaderMap,
-    header::{self, HeaderName},
+    header::{self, HeaderName, HeaderValue},
 };
+use smol_str::SmolStr;
 
 /// Names of the headers by which callers, hosts and targets tell each other about a request.
 #[derive(Debug, Clone)]
@@ -34,10 +35,21 @@
     pub stage: HeaderName,
     /// Engine and handle from which an engine fetches the prompt's cache.
     pub cache_source: HeaderName,
+    /// Value of the stage header that has an engine read a prompt for another.
+    pub prefill: HeaderValue,
     /// Headers that only the system sets; those that a caller sent are dropped.
     pub reserved: HashSet<HeaderName>,
 }
 
+/// Calls to an engine about the prompts that it keeps for others.
+#[derive(Debug, Clone, Copy)]
+pub struct Calls {
+    /// Reads the name of the kept prompt from the answer to a prefill.
+    pub handle: fn(&[u8]) -> Option<SmolStr>,
+    /// Returns the path under which a kept prompt is dropped.
+    pub drop_path: fn(&str) -> String,
+}
+
 /// Returns whether a header concerns one connection only.
 fn is_connection_header(name: &HeaderName) -> bool {
     const NAMES: [&str; 4] = ["keep-alive", "proxy-connection", "te", "trailer"];
--- a/gateway/src/job.rs
+++ b/gateway/src/job.rs
@@ -13,6 +13,7 @@
 use tokio::time::timeout;
 
 use crate::{
+    attempt::Options,
     configuration::{Configuration, Route},
     context::{Context, Open},
     headers::{Headers, end_to_end},
@@ -43,6 +44,10 @@
     pub prompt: Prompt,
     /// When it arrived.
     pub arrived: Moment,
+    /// Time that the caller waits from this attempt on.
+    pub deadline: Duration,
+    /// Time that the caller had spent on earlier attempts.
+    pub before: Duration,
     /// When the caller, or the route's timeout, gives up.
     pub expires: Moment,
     /// Requests sent to targets so far.
@@ -69,6 +74,7 @@
         let id = text(&parts.headers, &names.request).map(SmolStr::new).unwrap_or_default();
         let deadline = text(&parts.headers, &names.deadline).and_then(|it| it.trim().parse().ok());
         let deadline = deadline.map_or(DEFAULT_DEADLINE, Duration::from_millis);
+        let before = context.state_mut().deadlines.earlier(&route.name, deadline);
         let expires = arrived + deadline.min(route.timeout);
         let prompt = Prompt::read(&parts.headers, names);
         let left = expires.saturating_sub(clock::now());
@@ -85,6 +91,8 @@
             version: configuration.version,
             prompt,
             arrived,
+            deadline,
+            before,
             expires,
             sent: Cell::new(0),
             method: parts.method,
@@ -105,12 +113,17 @@
         self.route.attempts <= self.sent.get()
     }
 
-    /// Returns the request as it is sent to a target, going on after `last_event` if given.
+    /// Returns how long ago the caller first sent the request, as far as its deadline shows.
+    pub fn elapsed(&self) -> Duration {
+        self.before + clock::now().saturating_sub(self.arrived)
+    }
+
+    /// Returns the request as it is sent to a target.
     pub fn request(
         &self,
         names: &Headers,
         target: &Target,
-        last_event: Option<u64>,
+        options: Options<'_>,
     ) -> Request<Full<Bytes>> {
         let mut headers = self.headers.clone();
         let left = self.time_left().as_millis() as u64;
@@ -118,9 +131,12 @@
         if let Ok(id) = HeaderValue::from_str(&target.id) {
             headers.insert(names.expected_target.clone(), id);
         }
-        if let Some(last) = last_event {
+        if let Some(last) = options.last_event {
             headers.insert(names.last_event.clone(), HeaderValue::from(last));
         }
+        if let Some(prefilled) = options.prefilled {
+            headers.insert(names.cache_source.clone(), prefilled.source());
+        }
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -5,13 +5,16 @@
 //! `peers`, `port`, `forward` and `upstream` run them. Names and formats of a deployment's platform
 //! come in through [`store::Store`], [`headers::Headers`] and [`directory::Directory`].
 
+pub mod answer;
 pub mod attempt;
 pub mod budget;
 pub mod cache;
 pub mod choice;
 pub mod configuration;
 pub mod context;
+pub mod deadline;
 pub mod directory;
+pub mod engine;
 pub mod event_stream;
 pub mod follow;
 pub mod forward;
@@ -23,11 +26,14 @@
 pub mod membership;
 pub mod metric;
 pub mod peers;
+pub mod pick;
 pub mod port;
+pub mod prefill;
 pub mod prompt;
 pub mod registry;
 pub mod reply;
 pub mod store;
+pub mod stream;
 pub mod target;
 pub mod upstream;
 
--- a/gateway/src/load.rs
+++ b/gateway/src/load.rs
@@ -15,6 +15,8 @@
     pub requests: u32,
     /// Prompt tokens sent and not yet read, as far as the sender knows.
     pub prompt_tokens: u64,
+    /// Tokens that the requests take in the target's memory once they are generated.
+    pub memory_tokens: u64,
 }
 
 impl Work {
@@ -22,6 +24,7 @@
         Work {
             requests: self.requests + other.requests,
             prompt_tokens: self.prompt_tokens + other.prompt_tokens,
+            memory_tokens: self.memory_tokens + other.memory_tokens,
         }
     }
 }
@@ -47,25 +50,20 @@
         Board { memory, own: SecondaryMap::new(), told: HashMap::new() }
     }
 
-    /// Counts a request that is being sent.
-    pub fn begin(&mut self, key: Key, prompt_tokens: u64) {
+    /// Counts work that is being sent.
+    pub fn begin(&mut self, key: Key, added: Work) {
         if let Some(entry) = self.own.entry(key) {
             let work = entry.or_default();
-            *work = work.plus(Work { requests: 1, prompt_tokens });
+            *work = work.plus(added);
         }
     }
 
-    /// Notes that a request's prompt was read.
-    pub fn prompt_read(&mut self, key: Key, prompt_tokens: u64) {
+    /// Takes off work that ended.
+    pub fn end(&mut self, key: Key, ended: Work) {
         if let Some(work) = self.own.get_mut(key) {
-            work.prompt_tokens = work.prompt_tokens.saturating_sub(prompt_tokens);
-        }
-    }
-
-    /// Counts a request that ended.
-    pub fn end(&mut self, key: Key) {
-        if let Some(work) = self.own.get_mut(key) {
-            work.requests = work.requests.saturating_sub(1);
+            work.requests = work.requests.saturating_sub(ended.requests);
+            work.prompt_tokens = work.prompt_tokens.saturating_sub(ended.prompt_tokens);
+            work.memory_tokens = work.memory_tokens.saturating_sub(ended.memory_tokens);
         }
     }
 
--- /dev/null
+++ b/gateway/src/prefill.rs
@@ -0,0 +1,104 @@
+//! Has one engine read a prompt whose stream another engine will generate.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{HeaderMap, Method, Request, header::HeaderValue};
+use smol_str::SmolStr;
+use tokio::time::timeout;
+
+use crate::{
+    attempt::{self, Failure, Options, Ticket},
+    context::Context,
+    job::Job,
+    registry::Key,
+    target::Target,
+};
+use fuchsiaknot_core::clock;
+
+/// Time to drop a prompt that nobody fetches; after it the engine drops it by itself.
+const DROP_TIME: std::time::Duration = std::time::Duration::from_secs(1);
+
+/// A prompt that an engine has read and keeps; it is dropped there unless it was taken.
+#[derive(Debug)]
+pub struct Prefilled {
+    context: Rc<Context>,
+    key: Key,
+    target: Target,
+    handle: SmolStr,
+    taken: bool,
+}
+
+impl Prefilled {
+    /// Returns where another engine fetches the prompt.
+    pub fn source(&self) -> HeaderValue {
+        let source = format!("{}/{}", self.target.address, self.handle);
+        HeaderValue::from_str(&source).unwrap_or_else(|err| {
+            tracing::error!(%err, %source, "an engine's handle is no header value");
+            HeaderValue::from_static("")
+        })
+    }
+
+    /// Notes that another engine fetched the prompt.
+    pub fn take(&mut self) {
+        self.taken = true;
+    }
+}
+
+impl Drop for Prefilled {
+    fn drop(&mut self) {
+        if self.taken {
+            return;
+        }
+        let path = (self.context.calls.drop_path)(&self.handle);
+        let (context, key, target) = (Rc::clone(&self.context), self.key, self.target.clone());
+        tokio::task::spawn_local(async move {
+            if timeout(DROP_TIME, release(&context, key, &target, &path)).await.is_err() {
+                tracing::debug!(target = %target.id, "an unused prompt is left to lapse");
+            }
+        });
+    }
+}
+
+async fn release(context: &Context, key: Key, target: &Target, path: &str) {
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.method_mut() = Method::DELETE;
+    let Ok(uri) = path.parse() else { return };
+    *request.uri_mut() = uri;
+    let address = HeaderValue::from_str(&target.address.to_string());
+    if let Ok(address) = address {
+        request.headers_mut().insert(hyper::header::HOST, address);
+    }
+    let Ok(mut connection) = context.pool.connect(key, target.address).await else { return };
+    if let Err(err) = connection.send(request).await {
+        tracing::debug!(target = %target.id, %err, "an unused prompt could not be dropped");
+    }
+}
+
+/// Has an engine read a job's prompt.
+///
+/// # Errors
+/// Fails when the engine does not keep the prompt; the job itself did not run.
+pub async fn read(context: &Rc<Context>, job: &Job, key: Key) -> Result<Prefilled, Failure> {
+    let (missing, waiting) = {
+        let state = context.state();
+        let waiting = state.work(key).prompt_tokens;
+        (state.missing(key, job), waiting)
+    };
+    let _ticket = Ticket::new(context, job, key, missing);
+    let mut headers = HeaderMap::new();
+    headers.insert(context.headers.stage.clone(), context.headers.prefill.clone());
+    let began = clock::now();
+    let answer = attempt::exchange(context, job, key, Options::default(), headers).await?;
+    let target = answer.target.clone();
+    let (status, _, body) = answer.whole(context, job).await?;
+    let handle = (context.calls.handle)(&body).filter(|_| status.is_success());
+    let handle = handle.ok_or_else(|| Failure::Broken(format!("no prompt was kept: {status}")))?;
+    let took = clock::now().saturating_sub(began);
+    let mut state = context.state_mut();
+    state.health.succeeded(key);
+    state.rates.entry(job.service.clone()).or_default().observe(waiting + missing, took);
+    drop(state);
+    Ok(Prefilled { context: Rc::clone(context), key, target, handle, taken: false })
+}
