--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -55,6 +55,7 @@
     context: Rc<Context>,
     key: Key,
     work: Work,
+    unread: u64,
 }
 
 impl Ticket {
@@ -62,8 +63,14 @@
     pub fn new(context: &Rc<Context>, job: &Job, key: Key, unread: u64) -> Ticket {
         let memory_tokens = job.prompt.tokens + job.prompt.output;
         let work = Work { requests: 1, prompt_tokens: unread, memory_tokens };
+        let before = context.state().work(key).prompt_tokens;
         context.state_mut().board.begin(key, work);
-        Ticket { context: Rc::clone(context), key, work }
+        Ticket { context: Rc::clone(context), key, work, unread: before + unread }
+    }
+
+    /// Returns the tokens that waited at the target when the job was sent, its own among them.
+    pub fn unread(&self) -> u64 {
+        self.unread
     }
 
     /// Notes that the prompt was read.
@@ -113,6 +120,7 @@
         None => context.state().missing(key, job),
     };
     let ticket = Ticket::new(context, job, key, unread);
+    job.sent_at.set(Some(clock::now()));
     let headers = HeaderMap::new();
     let answer = exchange(context, job, key, options, headers).await?;
     Ok(Run { answer, ticket })
@@ -152,7 +160,9 @@
     let configuration = state.configuration.as_ref();
     let engine = configuration.and_then(|it| it.services.get(&job.service)?.engine);
     if let Some(engine) = engine {
-        state.cache.read(key, &job.prompt.parts, engine.memory_tokens);
+        // This host sees its part of the requests that fill the engine's memory.
+        let hosts = state.membership.live() as u64;
+        state.cache.read(key, &job.prompt.parts, engine.memory_tokens / 2 / hosts);
     }
 }
 
--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -15,7 +15,7 @@
     cache::Cache,
     configuration::Configuration,
     deadline::Deadlines,
-    engine::Rate,
+    engine::Times,
     headers::{Calls, Headers},
     health::Health,
     job::Job,
@@ -109,8 +109,8 @@
     pub membership: Membership,
     /// Retry budgets by service.
     pub budgets: HashMap<id::Service, Budget>,
-    /// Rates at which engines read prompts, by service.
-    pub rates: HashMap<id::Service, Rate>,
+    /// Times that engines take, by service.
+    pub times: HashMap<id::Service, Times>,
     /// Deadlines that callers begin with, by route.
     pub deadlines: Deadlines,
 }
@@ -153,7 +153,7 @@
             cache: Cache::default(),
             membership: Membership::new(settings.host.clone(), PEER_SILENCE),
             budgets: HashMap::new(),
-            rates: HashMap::new(),
+            times: HashMap::new(),
             deadlines: Deadlines::default(),
         };
         let pool = Pool::new(metrics.connections.clone());
--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -8,61 +8,102 @@
 
 use crate::{registry::Key, target::Stage};
 
-/// Prompt tokens that an engine is taken to read in a millisecond before any was measured.
-const FIRST_RATE: f64 = 80.0;
-/// Weight of the newest measurement of a rate.
-const NEWEST: f64 = 0.05;
-/// Part of a prefill's time that does not depend on the prompt.
-const OVERHEAD: Duration = Duration::from_millis(25);
-/// Tokens below which a measurement says little about the rate.
-const LEAST_TOKENS: u64 = 1500;
-/// Part of the rate that an engine reaches which also generates.
-const DECODE_SHARE: f64 = 0.5;
-/// Time that the hand-over of a prompt's cache to another engine takes.
-const HAND_OVER: Duration = Duration::from_millis(30);
+/// Weight of the time that a prompt takes from the streams of an engine that also generates.
+const SLOWDOWN: f64 = 1.0;
 /// Time added for a target in another data centre.
 const REMOTE: Duration = Duration::from_millis(2);
 /// Time added to the estimate of an engine whose recent requests all failed.
 const FAILURE_TIME: Duration = Duration::from_millis(400);
-/// Part of the objective within which a request that is already late may start.
+/// Part of the objective that others' prompts may take before a request that will be late anyway.
 const SPARE: f64 = 0.3;
 /// Part of the objective that a request may use up to its first event.
-const ON_TIME: f64 = 0.85;
+const ON_TIME: f64 = 0.9;
+/// Part of a caller's deadline for which a request waits for room at most.
+const PATIENCE: f64 = 0.08;
 
-/// Rate at which the engines of a service read prompts, as measured.
-#[derive(Debug, Clone, Copy)]
-pub struct Rate {
-    tokens_per_ms: f64,
+/// Tokens that an engine is taken to read in a millisecond before any were measured.
+const FIRST_RATE: f64 = 120.0;
+/// Part of that rate which an engine reaches that also generates.
+const DIRECT_SHARE: f64 = 0.3;
+/// Weight of the newest measurement in a rate or base.
+const NEWEST: f64 = 0.03;
+/// Tokens below which a measurement says little about the rate.
+const LEAST_TOKENS: u64 = 4000;
+/// Range of a base; beyond it the rate explains the time, not the base.
+const BASES: (f64, f64) = (10.0, 150.0);
+
+/// Times that a service's engines take, as measured.
+///
+/// Each time is a base and a part for each token that is read. The rate comes from engines that only
+/// read, where little else disturbs it.
+#[derive(Debug, Clone)]
+pub struct Times {
+    /// Tokens that a reading engine reads in a millisecond.
+    rate: f64,
+    /// Milliseconds of reading a prompt of no length.
+    reading: f64,
+    /// Milliseconds from a prompt that another engine read to the first event.
+    handing_over: f64,
+    /// Milliseconds to the first event at an engine that reads the prompt itself.
+    direct: f64,
 }
 
-impl Default for Rate {
-    fn default() -> Rate {
-        Rate { tokens_per_ms: FIRST_RATE }
+impl Default for Times {
+    fn default() -> Times {
+        Times { rate: FIRST_RATE, reading: 60.0, handing_over: 80.0, direct: 75.0 }
     }
 }
 
-impl Rate {
-    /// Notes that a dedicated engine read `tokens`, those that waited before them included.
-    pub fn observe(&mut self, tokens: u64, took: Duration) {
-        let took = took.saturating_sub(OVERHEAD).as_secs_f64() * 1e3;
-        if tokens < LEAST_TOKENS || took <= 0.0 {
-            return;
+impl Times {
+    /// Notes that a reading engine read a prompt, and what waited before it, in `took`.
+    pub fn read(&mut self, tokens: u64, took: Duration) {
+        let took = took.as_secs_f64() * 1e3;
+        if LEAST_TOKENS <= tokens && self.reading < took {
+            let measured = tokens as f64 / (took - self.reading);
+            let bounded = measured.clamp(self.rate / 4.0, self.rate * 4.0);
+            self.rate += NEWEST * (bounded - self.rate);
+        } else {
+            follow(&mut self.reading, took - tokens as f64 / self.rate);
         }
-        let measured = tokens as f64 / took;
-        let bounded = measured.clamp(self.tokens_per_ms / 4.0, self.tokens_per_ms * 4.0);
-        self.tokens_per_ms += NEWEST * (bounded - self.tokens_per_ms);
     }
 
-    /// Returns the time that an engine of a stage needs for `tokens`.
-    pub fn time(&self, stage: Stage, tokens: u64) -> Duration {
+    /// Notes the time from a prompt that another engine read to the first event.
+    pub fn handed_over(&mut self, took: Duration) {
+        follow(&mut self.handing_over, took.as_secs_f64() * 1e3);
+    }
+
+    /// Notes the time to the first event at an engine that read the prompt itself.
+    pub fn generated(&mut self, tokens: u64, took: Duration) {
+        let reading = tokens as f64 / (self.rate * DIRECT_SHARE);
+        follow(&mut self.direct, took.as_secs_f64() * 1e3 - reading);
+    }
+
+    /// Returns the time in which an engine of a stage reads `tokens`.
+    fn reading(&self, stage: Stage, tokens: u64) -> Duration {
         let share = match stage {
             Stage::Prefill => 1.0,
-            Stage::Decode => DECODE_SHARE,
+            Stage::Decode => DIRECT_SHARE,
         };
-        Duration::from_secs_f64(tokens as f64 / (self.tokens_per_ms * share) / 1e3)
+        milliseconds(tokens as f64 / (self.rate * share))
+    }
+
+    /// Returns the time to the first event that does not depend on the prompt.
+    fn base(&self, stage: Stage) -> Duration {
+        milliseconds(match stage {
+            Stage::Prefill => self.reading + self.handing_over,
+            Stage::Decode => self.direct,
+        })
     }
 }
 
+fn follow(base: &mut f64, measured: f64) {
+    *base += NEWEST * (measured.clamp(BASES.0, BASES.1) - *base);
+}
+
+fn milliseconds(count: f64) -> Duration {
+    Duration::from_secs_f64(count / 1e3)
+}
+
 /// An engine that could read the prompt.
 #[derive(Debug, Clone, Copy)]
 pub struct Candidate {
@@ -70,6 +111,10 @@
     pub key: Key,
     /// What it does.
     pub stage: Stage,
+    /// Number that all hosts derive alike from the engine and the prompt's shared part.
+    pub rank: u64,
+    /// Whether prompts with the same shared part go here first, so that its cache holds the part.
+    pub is_home: bool,
     /// Tokens that wait there to be read.
     pub unread: u64,
     /// Tokens of this prompt that its cache lacks.
@@ -96,18 +141,27 @@
         self.requests < self.slots && self.memory_used + self.memory_needed <= self.memory
     }
 
-    /// Returns the time until the prompt is read and the first token can be made.
-    pub fn estimate(&self, rate: &Rate) -> Duration {
-        let reading = rate.time(self.stage, self.unread + self.missing);
-        let hand_over = match self.stage {
-            Stage::Prefill => HAND_OVER,
-            Stage::Decode => Duration::ZERO,
-        };
+    /// Returns the time until the first event.
+    fn estimate(&self, times: &Times) -> Estimate {
         let remote = if self.is_near { Duration::ZERO } else { REMOTE };
-        OVERHEAD + reading + hand_over + remote + FAILURE_TIME.mul_f64(self.failures)
+        let reading = times.reading(self.stage, self.unread + self.missing);
+        let failures = FAILURE_TIME.mul_f64(self.failures);
+        Estimate {
+            wait: times.reading(self.stage, self.unread),
+            first_event: times.base(self.stage) + reading + remote + failures,
+        }
     }
 }
 
+/// How long a request would take at an engine.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Estimate {
+    /// Time that others' prompts take before it.
+    pub wait: Duration,
+    /// Time until its first event.
+    pub first_event: Duration,
+}
+
 /// The engine to send a prompt to, and when it would be read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Choice {
@@ -115,16 +169,50 @@
     pub key: Key,
     /// What it does.
     pub stage: Stage,
-    /// Time until the prompt is read there.
-    pub estimate: Duration,
+    /// How long the request would take there.
+    pub estimate: Estimate,
+}
+
+/// Marks the engine of each stage that is home to a prompt, of which it lacks the unshared tokens.
+pub fn mark_homes(candidates: &mut [Candidate], unshared: u64) {
+    for stage in [Stage::Prefill, Stage::Decode] {
+        let of_stage = candidates.iter_mut().filter(|it| it.stage == stage);
+        if let Some(home) = of_stage.max_by_key(|it| it.rank) {
+            home.is_home = true;
+            home.missing = home.missing.min(unshared.max(1));
+        }
+    }
 }
 
-/// Returns the engine that would have read the prompt first.
-pub fn choose(candidates: &[Candidate], rate: &Rate) -> Option<Choice> {
+/// Returns the engine that a request goes to: a home that is in time, or else the soonest.
+pub fn choose(candidates: &[Candidate], times: &Times, standing: Standing) -> Option<Choice> {
     let open = candidates.iter().filter(|it| it.has_room());
-    let estimates =
-        open.map(|it| Choice { key: it.key, stage: it.stage, estimate: it.estimate(rate) });
-    estimates.min_by_key(|it| it.estimate)
+    let choices: Vec<Offer> = open.map(|it| Offer::new(it, times)).collect();
+    let cheapest = |homes_only: bool| {
+        let eligible = choices.iter().filter(|it| it.is_home || !homes_only);
+        eligible.min_by_key(|it| it.cost).map(|it| it.choice)
+    };
+    cheapest(true).filter(|it| is_on_time(standing, it.estimate)).or_else(|| cheapest(false))
+}
+
+/// A choice with what it costs the request and those that it slows down.
+#[derive(Debug, Clone, Copy)]
+struct Offer {
+    choice: Choice,
+    is_home: bool,
+    cost: Duration,
+}
+
+impl Offer {
+    fn new(candidate: &Candidate, times: &Times) -> Offer {
+        let estimate = candidate.estimate(times);
+        let slowed = match candidate.stage {
+            Stage::Prefill => Duration::ZERO,
+            Stage::Decode => times.reading(Stage::Decode, candidate.missing).mul_f64(SLOWDOWN),
+        };
+        let choice = Choice { key: candidate.key, stage: candidate.stage, estimate };
+        Offer { choice, is_home: candidate.is_home, cost: estimate.first_event + slowed }
+    }
 }
 
 /// Where a request stands against its objective.
@@ -136,13 +224,13 @@
     pub elapsed: Duration,
 }
 
-/// Returns whether a request should start, given when its prompt would be read.
-pub fn starts(standing: Standing, estimate: Duration) -> bool {
-    let objective = standing.objective.mul_f64(ON_TIME);
-    if standing.elapsed + estimate <= objective {
-        return true;
-    }
-    estimate <= standing.objective.mul_f64(SPARE)
+/// Returns whether a request should start now.
+pub fn starts(standing: Standing, estimate: Estimate) -> bool {
+    is_on_time(standing, estimate) || estimate.wait <= standing.objective.mul_f64(SPARE)
+}
+
+fn is_on_time(standing: Standing, estimate: Estimate) -> bool {
+    standing.elapsed + estimate.first_event <= standing.objective.mul_f64(ON_TIME)
 }
 
 /// Returns how long a request may wait for room; beyond it, it is refused.
@@ -150,9 +238,6 @@
     deadline.mul_f64(PATIENCE).min(standing.objective)
 }
 
-/// Part of a caller's deadline for which a request waits for room at most.
-const PATIENCE: f64 = 0.08;
-
 /// Returns the engine that generates from a prompt which another has read: the least occupied.
 pub fn choose_generator(candidates: &[Candidate]) -> Option<Key> {
     let generators = candidates.iter().filter(|it| it.stage == Stage::Decode);
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -13,7 +13,7 @@
 use crate::{
     attempt::{self, Failure, Options, Run},
     context::Context,
-    engine::{self, Standing},
+    engine::{self, Estimate, Standing},
     event_stream::Splitter,
     job::Job,
     pick, prefill,
@@ -112,7 +112,7 @@
     /// Whether some target may have begun the job.
     may_have_run: bool,
     /// Time until an engine would have read the prompt, as last estimated.
-    estimate: Option<Duration>,
+    estimate: Option<Estimate>,
 }
 
 impl Forward {
@@ -198,12 +198,16 @@
             if candidates.is_empty() {
                 return Err(self.no_target());
             }
-            let rate = self.context.state().rates.get(&self.job.service).copied();
-            let choice = engine::choose(&candidates, &rate.unwrap_or_default());
             let standing =
                 Standing { objective: self.job.route.objective, elapsed: self.job.elapsed() };
+            let choice = {
+                let mut state = self.context.state_mut();
+                let times = state.times.entry(self.job.service.clone()).or_default();
+                engine::choose(&candidates, times, standing)
+            };
             self.estimate = choice.map(|it| it.estimate);
             if let Some(choice) = choice.filter(|it| engine::starts(standing, it.estimate)) {
+                self.job.reader.set(Some(choice));
                 return Ok(choice);
             }
             let waited = clock::now().saturating_sub(began);
@@ -247,6 +251,7 @@
         let generator = generator.ok_or_else(|| {
             (reader, Failure::NotSent("no engine has room to generate".to_owned()))
         })?;
+        self.job.read_at.set(Some(clock::now()));
         let options = Options { last_event, prefilled: Some(&prefilled) };
         let run = self.send(generator, options).await?;
         prefilled.take();
@@ -328,8 +333,10 @@
         let first = next_event(&mut run, &mut splitter, &self.job).await?;
         run.ticket.prompt_read();
         self.context.room.notify_waiters();
-        let first_ms = clock::now().saturating_sub(self.job.arrived);
-        self.context.metrics.latency.with_label_values(&["first"]).observe(first_ms.as_secs_f64());
+        let waited = clock::now().saturating_sub(self.job.arrived);
+        self.job.first_event.set(Some(waited));
+        self.measure(run.ticket.unread());
+        self.context.metrics.latency.with_label_values(&["first"]).observe(waited.as_secs_f64());
         let (sender, receiver) = mpsc::channel(STREAM_PIECES);
         let mut response = Response::new(Body::Stream(receiver));
         *response.status_mut() = run.answer.head.status;
@@ -351,10 +358,24 @@
     fn retry_after(&self) -> Duration {
         let spread = 1.0 + rand::random::<f64>();
         let estimate = self.estimate.unwrap_or_default();
-        let wait = estimate.saturating_sub(self.job.route.objective).max(LEAST_RETURN);
+        let wait = estimate.wait.max(LEAST_RETURN);
         wait.mul_f64(spread).min(self.job.deadline / 3)
     }
 
+    /// Notes how long the engines took to the first event, of which `unread` tokens waited.
+    fn measure(&self, unread: u64) {
+        let now = clock::now();
+        let mut state = self.context.state_mut();
+        let times = state.times.entry(self.job.service.clone()).or_default();
+        match (self.job.read_at.get(), self.job.sent_at.get()) {
+            (Some(read), _) => {
+                times.handed_over(now.saturating_sub(read));
+            }
+            (None, Some(sent)) => times.generated(unread, now.saturating_sub(sent)),
+            (None, None) => {}
+        }
+    }
+
     /// Returns the answer of a job that no target answered.
     fn give_up(&self, reason: Reason) -> Response<Body> {
         let context = &self.context;
@@ -368,7 +389,7 @@
             reason = reason.code(),
             verdict = reason.verdict().as_str(),
             sent = self.job.sent.get(),
-            estimate_ms = self.estimate.map(|it| it.as_millis() as u64),
+            estimate_ms = self.estimate.map(|it| it.first_event.as_millis() as u64),
             waited_ms = waited.as_millis() as u64,
             "request given up"
         );
@@ -403,6 +424,10 @@
         status = status.as_u16(),
         sent = job.sent.get(),
         took_ms = took.as_millis() as u64,
+        first_ms = job.first_event.get().map(|it| it.as_millis() as u64),
+        reader = job.reader.get().map(|it| it.stage.as_str()),
+        estimate_ms = job.reader.get().map(|it| it.estimate.first_event.as_millis() as u64),
+        prompt = job.prompt.tokens,
         kind,
         "request answered"
     );
--- a/gateway/src/job.rs
+++ b/gateway/src/job.rs
@@ -16,6 +16,7 @@
     attempt::Options,
     configuration::{Configuration, Route},
     context::{Context, Open},
+    engine,
     headers::{Headers, end_to_end},
     prompt::Prompt,
     target::Target,
@@ -52,6 +53,14 @@
     pub expires: Moment,
     /// Requests sent to targets so far.
     pub sent: Cell<u32>,
+    /// Engine that read the prompt, what it does, and how long that was expected to take.
+    pub reader: Cell<Option<engine::Choice>>,
+    /// When it was last sent to run.
+    pub sent_at: Cell<Option<Moment>>,
+    /// When another engine had read its prompt.
+    pub read_at: Cell<Option<Moment>>,
+    /// Time from the arrival to the first event.
+    pub first_event: Cell<Option<Duration>>,
     method: Method,
     uri: Uri,
     headers: HeaderMap,
@@ -95,6 +104,10 @@
             before,
             expires,
             sent: Cell::new(0),
+            reader: Cell::new(None),
+            sent_at: Cell::new(None),
+            read_at: Cell::new(None),
+            first_event: Cell::new(None),
             method: parts.method,
             uri: parts.uri,
             headers,
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -13,11 +13,11 @@
 use fuchsiaknot_core::{clock, id};
 
 /// Interval of heartbeats among few hosts; a host counts as down after several missed ones.
-const INTERVAL: Duration = Duration::from_millis(200);
+const INTERVAL: Duration = Duration::from_millis(60);
 /// Hosts up to which the interval stays; beyond it grows with their number.
 const FEW_HOSTS: usize = 16;
 /// Heartbeats after which a host that is not there is tried once.
-const ABSENT_EVERY: u64 = 5;
+const ABSENT_EVERY: u64 = 16;
 /// Bytes of a datagram at most.
 const MAX_DATAGRAM: usize = 16 * 1024;
 
--- a/gateway/src/pick.rs
+++ b/gateway/src/pick.rs
@@ -43,15 +43,16 @@
     let configuration = state.configuration.as_ref();
     let figures = configuration.and_then(|it| it.services.get(&job.service)?.engine);
     let memory = figures.map_or(u64::MAX, |it| it.memory_tokens);
-    let home = job.prompt.shared().last().map_or("", |it| it.id.as_str());
     let usable = untried(&state, &job.service, tried);
-    let mut candidates: Vec<(u64, engine::Candidate)> = usable
+    let mut candidates: Vec<engine::Candidate> = usable
         .into_iter()
         .map(|(key, target)| {
             let work = state.work(key);
-            let candidate = engine::Candidate {
+            engine::Candidate {
                 key,
                 stage: target.stage.unwrap_or(Stage::Decode),
+                rank: choice::rendezvous(&target.id, job.prompt.home()),
+                is_home: false,
                 unread: work.prompt_tokens,
                 missing: state.missing(key, job),
                 requests: work.requests,
@@ -61,18 +62,11 @@
                 memory_needed: job.prompt.tokens + job.prompt.output,
                 is_near: target.data_centre == context.settings.host.data_centre,
                 failures: state.health.failures(key),
-            };
-            (choice::rendezvous(&target.id, home), candidate)
+            }
         })
         .collect();
-    let shared: u64 = job.prompt.shared().iter().map(|it| it.tokens).sum();
-    for stage in [Stage::Prefill, Stage::Decode] {
-        let of_stage = candidates.iter_mut().filter(|(_, it)| it.stage == stage);
-        if let Some((_, home)) = of_stage.max_by_key(|(hash, _)| *hash) {
-            home.missing = home.missing.min(job.prompt.tokens - shared);
-        }
-    }
-    candidates.into_iter().map(|(_, it)| it).collect()
+    engine::mark_homes(&mut candidates, job.prompt.unshared());
+    candidates
 }
 
 /// Returns the targets of a service that were not tried; paused ones only when there is no other.
--- a/gateway/src/prefill.rs
+++ b/gateway/src/prefill.rs
@@ -96,9 +96,19 @@
     let handle = (context.calls.handle)(&body).filter(|_| status.is_success());
     let handle = handle.ok_or_else(|| Failure::Broken(format!("no prompt was kept: {status}")))?;
     let took = clock::now().saturating_sub(began);
+    tracing::info!(
+        id = %job.id,
+        target = %target.id,
+        missing,
+        waiting,
+        prompt = job.prompt.tokens,
+        took_ms = took.as_millis() as u64,
+        "prompt read"
+    );
     let mut state = context.state_mut();
     state.health.succeeded(key);
-    state.rates.entry(job.service.clone()).or_default().observe(waiting + missing, took);
+    let times = state.times.entry(job.service.clone()).or_default();
+    times.read(waiting + missing, took);
     drop(state);
     Ok(Prefilled { context: Rc::clone(context), key, target, handle, taken: false })
 }
--- a/gateway/src/prompt.rs
+++ b/gateway/src/prompt.rs
@@ -36,6 +36,16 @@
         Prompt { parts, tokens, output: counts.next().unwrap_or(0) }
     }
 
+    /// Returns the part that decides which engines are home to the prompt: the last shared one.
+    pub fn home(&self) -> &str {
+        self.shared().last().map_or("", |it| it.id.as_str())
+    }
+
+    /// Returns the tokens that no other request shares.
+    pub fn unshared(&self) -> u64 {
+        self.tokens - self.shared().iter().map(|it| it.tokens).sum::<u64>()
+    }
+
     /// Returns the parts that other requests may share: all but the last.
     pub fn shared(&self) -> &[Part] {
         self.parts.split_last().map_or(&[], |(_, shared)| shared)
--- a/gateway/src/target.rs
+++ b/gateway/src/target.rs
@@ -35,3 +35,13 @@
     /// Generates, from a fetched cache or from a prompt that it reads itself.
     Decode,
 }
+
+impl Stage {
+    /// Returns the name used in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Stage::Prefill => "prefill",
+            Stage::Decode => "decode",
+        }
+    }
+}
