feat(gateway): one host places the prompts of all hosts

Change: the fit host that most follow places prompts, in one queue for all; hosts that get no word place theirs themselves.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -7,8 +7,8 @@
 use tokio::time::timeout;
 
 use crate::{
-    answer::Answer, context::Context, job::Job, load::Work, prefill::Prefilled, registry::Key,
-    upstream::Fault,
+    answer::Answer, context::Context, desk, job::Job, load::Work, prefill::Prefilled,
+    registry::Key, upstream::Fault,
 };
 
 /// Why an attempt gave nothing that can be passed on.
@@ -53,7 +53,8 @@
 #[derive(Debug)]
 pub struct Ticket {
     context: Rc<Context>,
-    key: Key,
+    /// The target.
+    pub key: Key,
     work: Work,
     unread: u64,
 }
@@ -65,9 +66,16 @@
         let work = Work { requests: 1, prompt_tokens: unread, memory_tokens };
         let before = context.state().work(key).prompt_tokens;
         context.state_mut().board.begin(key, work);
+        context.work_changed.notify_one();
         Ticket { context: Rc::clone(context), key, work, unread: before + unread }
     }
 
+    /// Takes over the dispatcher's count of the tokens that are read until the job's are.
+    pub fn with_unread(mut self, tokens: Option<u64>) -> Ticket {
+        self.unread = tokens.unwrap_or(self.unread);
+        self
+    }
+
     /// Returns the tokens that waited at the target when the job was sent, its own among them.
     pub fn unread(&self) -> u64 {
         self.unread
@@ -78,12 +86,19 @@
         let prompt_tokens = std::mem::take(&mut self.work.prompt_tokens);
         let read = Work { prompt_tokens, ..Work::default() };
         self.context.state_mut().board.end(self.key, read);
+        self.changed();
+    }
+
+    fn changed(&self) {
+        self.context.work_changed.notify_one();
+        desk::look(&self.context);
     }
 }
 
 impl Drop for Ticket {
     fn drop(&mut self) {
         self.context.state_mut().board.end(self.key, self.work);
+        self.changed();
     }
 }
 
@@ -110,19 +125,14 @@
 /// # Errors
 /// Returns what is known of the run when there is no answer to pass on.
 pub async fn send(
-    context: &Rc<Context>,
+    context: &Context,
     job: &Job,
-    key: Key,
+    ticket: Ticket,
     options: Options<'_>,
 ) -> Result<Run, Failure> {
-    let unread = match options.prefilled {
-        Some(_) => 0,
-        None => context.state().missing(key, job),
-    };
-    let ticket = Ticket::new(context, job, key, unread);
     job.sent_at.set(Some(clock::now()));
     let headers = HeaderMap::new();
-    let answer = exchange(context, job, key, options, headers).await?;
+    let answer = exchange(context, job, ticket.key, options, headers).await?;
     Ok(Run { answer, ticket })
 }
 
@@ -141,7 +151,6 @@
     let target = target.ok_or_else(|| Failure::NotSent("the target is gone".to_owned()))?;
     let connected = context.pool.connect(key, target.address).await;
     let mut connection = connected.map_err(|err| Failure::NotSent(err.to_string()))?;
-    note_prompt(context, job, key);
     let mut request = job.request(&context.headers, &target, options);
     request.headers_mut().extend(headers);
     match timeout(job.time_left(), connection.send(request)).await {
@@ -154,18 +163,6 @@
     }
 }
 
-/// Notes that the target's cache will hold the job's prompt.
-fn note_prompt(context: &Context, job: &Job, key: Key) {
-    let mut state = context.state_mut();
-    let configuration = state.configuration.as_ref();
-    let engine = configuration.and_then(|it| it.services.get(&job.service)?.engine);
-    if let Some(engine) = engine {
-        // This host sees its part of the requests that fill the engine's memory.
-        let hosts = state.membership.live() as u64;
-        state.cache.read(key, &job.prompt.parts, engine.memory_tokens / 2 / hosts);
-    }
-}
-
 /// Notes in the target's health how an attempt ended.
 pub fn note_health(context: &Context, key: Key, failure: &Failure) {
     let mut state = context.state_mut();
--- a/gateway/src/cache.rs
+++ b/gateway/src/cache.rs
@@ -5,7 +5,10 @@
 use slotmap::SecondaryMap;
 use smol_str::SmolStr;
 
-use crate::{prompt::Part, registry::Key};
+use crate::{
+    prompt::{Part, Prompt},
+    registry::Key,
+};
 
 /// Cache contents of the engines as this host's own requests made them.
 #[derive(Debug, Default)]
@@ -40,6 +43,11 @@
         held.map(|it| it.tokens).sum()
     }
 
+    /// Returns how many tokens of a prompt an engine is believed to lack.
+    pub fn missing(&self, key: Key, prompt: &Prompt) -> u64 {
+        prompt.tokens.saturating_sub(self.held(key, &prompt.parts)).max(1)
+    }
+
     /// Forgets an engine.
     pub fn forget(&mut self, key: Key) {
         self.engines.remove(key);
--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -8,17 +8,17 @@
     time::Duration,
 };
 
-use tokio::sync::Notify;
+use tokio::{net::UdpSocket, sync::Notify};
 
 use crate::{
     budget::{self, Budget},
     cache::Cache,
     configuration::Configuration,
     deadline::Deadlines,
+    desk::Desk,
     engine::Times,
     headers::{Calls, Headers},
     health::Health,
-    job::Job,
     load::{Board, Work},
     logging::Log,
     membership::{Host, Membership},
@@ -69,10 +69,14 @@
     pub pool: Pool,
     /// The log's writer.
     pub log: Option<Log>,
-    /// Told when a target may have room again.
-    pub room: Notify,
     /// Told when the host begins to shut down.
     pub leaving_begun: Notify,
+    /// Requests that wait to be placed.
+    pub desk: Desk,
+    /// Told when this host's own work at targets changed.
+    pub work_changed: Notify,
+    grants: RefCell<HashMap<id::Host, u64>>,
+    socket: RefCell<Option<Rc<UdpSocket>>>,
     leaving: Cell<bool>,
     open: Rc<Cell<usize>>,
     state: RefCell<State>,
@@ -116,10 +120,16 @@
 }
 
 impl State {
-    /// Returns how many tokens of a job's prompt a target is believed to lack.
-    pub fn missing(&self, key: Key, job: &Job) -> u64 {
-        let cached = self.cache.held(key, &job.prompt.parts);
-        job.prompt.tokens.saturating_sub(cached).max(1)
+    /// Returns the tokens that an engine of a service keeps.
+    pub fn memory_tokens(&self, service: &id::Service) -> u64 {
+        let configuration = self.configuration.as_ref();
+        let engine = configuration.and_then(|it| it.services.get(service)?.engine);
+        engine.map_or(u64::MAX, |it| it.memory_tokens)
+    }
+
+    /// Returns whether the picture of the targets is fresh.
+    pub fn is_fresh(&self, now: Moment) -> bool {
+        self.configuration.is_some() && now < self.targets_seen + FRESH
     }
 
     /// Returns the work of all hosts at a target.
@@ -129,6 +139,8 @@
     }
 }
 
+/// Time since the store last confirmed the targets within which the picture of them is fresh.
+const FRESH: Duration = Duration::from_secs(4);
 /// Time for which a peer's word on its own work counts; a few times the interval of heartbeats.
 const TOLD_MEMORY: Duration = Duration::from_secs(1);
 /// Time without a heartbeat after which a host counts as down.
@@ -146,7 +158,7 @@
         let state = State {
             configuration: None,
             configuration_seen: Moment::ZERO,
-            registry: Registry::new(settings.return_time),
+            registry: Registry::new(),
             targets_seen: Moment::ZERO,
             board: Board::new(TOLD_MEMORY),
             health: Health::default(),
@@ -164,7 +176,10 @@
             metrics,
             pool,
             log,
-            room: Notify::new(),
+            desk: Desk::default(),
+            work_changed: Notify::new(),
+            grants: RefCell::default(),
+            socket: RefCell::default(),
             leaving_begun: Notify::new(),
             leaving: Cell::new(false),
             open: Rc::default(),
@@ -187,6 +202,33 @@
         self.leaving.get()
     }
 
+    /// Returns the socket for datagrams between hosts.
+    pub fn socket(&self) -> Option<Rc<UdpSocket>> {
+        self.socket.borrow().clone()
+    }
+
+    /// Sets the socket for datagrams between hosts.
+    pub fn set_socket(&self, socket: Option<Rc<UdpSocket>>) {
+        *self.socket.borrow_mut() = socket;
+    }
+
+    /// Notes a grant of a dispatcher as included in this host's own work.
+    pub fn note_grant(&self, dispatcher: &id::Host, number: u64) {
+        let mut grants = self.grants.borrow_mut();
+        let last = grants.entry(dispatcher.clone()).or_default();
+        *last = number.max(*last);
+        drop(grants);
+        if *dispatcher == self.settings.host.name {
+            self.state_mut().board.seen(dispatcher, number);
+        }
+        self.work_changed.notify_one();
+    }
+
+    /// Returns the last grant of a dispatcher that this host's own work includes.
+    pub fn last_grant(&self, dispatcher: &id::Host) -> u64 {
+        self.grants.borrow().get(dispatcher).copied().unwrap_or_default()
+    }
+
     /// Counts a request as open until the result is dropped.
     pub fn open(&self) -> Open {
         self.open.set(self.open.get() + 1);
--- /dev/null
+++ b/gateway/src/dispatch.rs
@@ -0,0 +1,310 @@
+//! Order in which prompts go to the engines, decided by one host for all.
+//!
+//! Pattern: several hosts see an engine fall idle at the same time and all send to it. One host, the
+//! dispatcher, places the prompts of all hosts instead. It keeps only a short run of work at each
+//! engine and the rest in one queue: requests that can still be on time first, by priority and by
+//! the moment at which they must start; then those that are late already. What it knows is a hint,
+//! not an agreement: hosts that cannot reach it place their prompts themselves.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    time::Duration,
+};
+
+use fuchsiaknot_core::{clock::Moment, id};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    cache::Cache,
+    choice,
+    engine::{self, Candidate, Choice, Estimate, Standing, Times},
+    load::Work,
+    prompt::Prompt,
+    registry::Key,
+    target::Stage,
+};
+
+/// Number of a request at the host that asks.
+pub type Number = u64;
+
+/// Work that is kept waiting at an engine, so that it never idles between two prompts.
+const RUN_AHEAD: Duration = Duration::from_millis(30);
+
+/// A request that is to be placed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ask {
+    /// Number at the host that asks.
+    pub number: Number,
+    /// Service that runs it.
+    pub service: id::Service,
+    /// Its prompt.
+    pub prompt: Prompt,
+    /// Rank among requests, 0 first.
+    pub priority: u8,
+    /// Time to the first event within which it is on time, from the caller's first attempt.
+    pub objective: Duration,
+    /// Time since the caller's first attempt.
+    pub elapsed: Duration,
+    /// Time that it may wait to be placed.
+    pub patience: Duration,
+    /// Engines that failed it, or that its host found failing.
+    pub avoid: Vec<id::Target>,
+}
+
+/// What becomes of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Decision {
+    /// It goes to an engine now.
+    Place(Placement),
+    /// It is refused; the work before it takes this long.
+    Refuse(Duration),
+}
+
+/// Where a request goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Placement {
+    /// Engine that reads the prompt.
+    pub reader: Choice,
+    /// Engine that generates, if another than the reader.
+    pub generator: Option<Key>,
+}
+
+/// Requests of all hosts that wait to be placed.
+#[derive(Debug, Default)]
+pub struct Queue {
+    waiting: BTreeMap<(id::Host, Number), Waiting>,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    ask: Ask,
+    arrived: Moment,
+}
+
+impl Waiting {
+    fn standing(&self, now: Moment) -> Standing {
+        let elapsed = self.ask.elapsed + now.saturating_sub(self.arrived);
+        Standing { objective: self.ask.objective, elapsed }
+    }
+
+    /// Returns its place in the queue; the lowest goes first.
+    fn order(&self, times: &Times, now: Moment) -> (bool, u8, Moment) {
+        let left = self.standing(now).left(times.least(self.ask.prompt.unshared()));
+        let must_start = left.map_or(self.arrived, |it| now + it);
+        (left.is_none(), self.ask.priority, must_start)
+    }
+}
+
+impl Queue {
+    /// Adds a request.
+    pub fn add(&mut self, host: id::Host, ask: Ask, now: Moment) {
+        let key = (host, ask.number);
+        self.waiting.insert(key, Waiting { ask, arrived: now });
+    }
+
+    /// Returns whether a request waits.
+    pub fn waits(&self, host: &id::Host, number: Number) -> bool {
+        self.waiting.contains_key(&(host.clone(), number))
+    }
+
+    /// Returns how many requests wait.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Returns whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Drops the requests of a host.
+    pub fn forget(&mut self, host: &id::Host) {
+        self.waiting.retain(|(it, _), _| it != host);
+    }
+
+    /// Returns the services for which requests wait.
+    pub fn services(&self) -> BTreeSet<id::Service> {
+        self.waiting.values().map(|it| it.ask.service.clone()).collect()
+    }
+
+    /// Takes the requests that start now or are refused, and counts them in `fleets`.
+    pub fn decide(
+        &mut self,
+        fleets: &mut HashMap<id::Service, Fleet>,
+        cache: &Cache,
+        now: Moment,
+    ) -> Vec<Decided> {
+        let mut order: Vec<_> = self
+            .waiting
+            .iter()
+            .filter_map(|(key, it)| {
+                let fleet = fleets.get(&it.ask.service)?;
+                Some((it.order(&fleet.times, now), key.clone()))
+            })
+            .collect();
+        order.sort();
+        let mut before = 0;
+        let mut decided = Vec::new();
+        for (_, key) in order {
+            let Some(waiting) = self.waiting.get(&key) else { continue };
+            let Some(fleet) = fleets.get_mut(&waiting.ask.service) else { continue };
+            let decision = fleet.decide(waiting, cache, before, now);
+            before += waiting.ask.prompt.unshared();
+            let Some(decision) = decision else { continue };
+            if let Some(waiting) = self.waiting.remove(&key) {
+                decided.push(Decided { host: key.0, ask: waiting.ask, decision });
+            }
+        }
+        decided
+    }
+}
+
+/// A request about which something was decided.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Decided {
+    /// Host that asked.
+    pub host: id::Host,
+    /// The request.
+    pub ask: Ask,
+    /// What becomes of it.
+    pub decision: Decision,
+}
+
+/// Engines of a service with the work that they have.
+#[derive(Debug, Clone)]
+pub struct Fleet {
+    /// Times that the engines take.
+    pub times: Times,
+    /// The engines.
+    pub engines: Vec<Engine>,
+}
+
+/// An engine with the work that it has.
+#[derive(Debug, Clone)]
+pub struct Engine {
+    /// Key in the registry.
+    pub key: Key,
+    /// Identity.
+    pub id: id::Target,
+    /// What it does.
+    pub stage: Stage,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Tokens of its memory.
+    pub memory: u64,
+    /// Work of all hosts.
+    pub work: Work,
+    /// Share of recent requests that failed there.
+    pub failures: f64,
+}
+
+impl Engine {
+    /// Returns what it would be for a prompt.
+    pub fn candidate(&self, prompt: &Prompt, cache: &Cache) -> Candidate {
+        Candidate {
+            key: self.key,
+            stage: self.stage,
+            rank: choice::rendezvous(&self.id, prompt.home()),
+            is_home: false,
+            unread: self.work.prompt_tokens,
+            missing: cache.missing(self.key, prompt),
+            requests: self.work.requests,
+            slots: self.slots,
+            memory_used: self.work.memory_tokens,
+            memory: self.memory,
+            memory_needed: prompt.tokens + prompt.output,
+            failures: self.failures,
+        }
+    }
+}
+
+impl Fleet {
+    /// Returns the engines for a request.
+    pub fn candidates(&self, ask: &Ask, cache: &Cache) -> Vec<Candidate> {
+        let eligible = self.engines.iter().filter(|it| !ask.avoid.contains(&it.id));
+        let mut candidates: Vec<Candidate> =
+            eligible.map(|it| it.candidate(&ask.prompt, cache)).collect();
+        engine::mark_homes(&mut candidates, None);
+        candidates
+    }
+
+    /// Returns whether an engine can take one more prompt now.
+    fn is_open(&self, stage: Stage, unread: u64) -> bool {
+        self.times.reading(stage, unread) <= RUN_AHEAD
+    }
+
+    /// Decides about one request, with `before` tokens in the queue before it.
+    fn decide(
+        &mut self,
+        waiting: &Waiting,
+        cache: &Cache,
+        before: u64,
+        now: Moment,
+    ) -> Option<Decision> {
+        if self.engines.iter().any(|it| self.is_open(it.stage, it.work.prompt_tokens)) {
+            let candidates = self.candidates(&waiting.ask, cache);
+            let open = candidates.iter().filter(|it| self.is_open(it.stage, it.unread));
+            let open: Vec<Candidate> = open.copied().collect();
+            if let Some(placement) = place(&open, &candidates, &self.times) {
+                self.count(&waiting.ask, placement, cache);
+                return Some(Decision::Place(placement));
+            }
+        }
+        let waited = now.saturating_sub(waiting.arrived);
+        let readers = self.engines.iter().filter(|it| it.stage == Stage::Prefill).count();
+        let ahead = self.times.reading(Stage::Prefill, before / readers.max(1) as u64);
+        let patience = waiting.ask.patience.saturating_sub(waited);
+        (patience < ahead || patience.is_zero()).then_some(Decision::Refuse(ahead))
+    }
+
+    fn count(&mut self, ask: &Ask, placement: Placement, cache: &Cache) {
+        for (key, work) in placement.work(&ask.prompt, cache) {
+            if let Some(engine) = self.engines.iter_mut().find(|it| it.key == key) {
+                engine.work = engine.work.plus(work);
+            }
+        }
+    }
+}
+
+impl Placement {
+    /// Returns the work that a prompt brings to the engines.
+    pub fn work(&self, prompt: &Prompt, cache: &Cache) -> Vec<(Key, Work)> {
+        let memory_tokens = prompt.tokens + prompt.output;
+        let prompt_tokens = cache.missing(self.reader.key, prompt);
+        let reader = (self.reader.key, Work { requests: 1, prompt_tokens, memory_tokens });
+        let generator = Work { requests: 1, prompt_tokens: 0, memory_tokens };
+        [reader].into_iter().chain(self.generator.map(|key| (key, generator))).collect()
+    }
+}
+
+/// Returns the cheapest placement, if there is room for one.
+pub fn place(open: &[Candidate], all: &[Candidate], times: &Times) -> Option<Placement> {
+    let generator = engine::choose_generator(all);
+    let readers = open.iter().filter(|it| it.stage == Stage::Decode || generator.is_some());
+    let readers: Vec<Candidate> = readers.copied().collect();
+    let reader = engine::choose(&readers, times)?;
+    let generator = generator.filter(|_| reader.stage == Stage::Prefill);
+    Some(Placement { reader, generator })
+}
+
+/// What a dispatcher tells the host that asked.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Verdict {
+    /// The request waits.
+    Queued,
+    /// It goes to these engines; the grant's number tells which grants a host has seen.
+    Granted {
+        /// Number of the grant among those to this host.
+        grant: u64,
+        /// Engine that reads the prompt.
+        reader: id::Target,
+        /// Engine that generates, if another.
+        generator: Option<id::Target>,
+        /// How long it would take.
+        estimate: Estimate,
+        /// Tokens that the reader reads until then, those of this prompt included.
+        tokens: u64,
+    },
+    /// It is refused; the work before it takes this long.
+    Refused(Duration),
+}
--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -6,12 +6,14 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::{registry::Key, target::Stage};
 
 /// Weight of the time that a prompt takes from the streams of an engine that also generates.
 const SLOWDOWN: f64 = 1.0;
-/// Time added for a target in another data centre.
-const REMOTE: Duration = Duration::from_millis(2);
+/// Time added for an engine that is not home to the prompt, so that equal ones are told apart.
+const STRANGE: Duration = Duration::from_millis(5);
 /// Time added to the estimate of an engine whose recent requests all failed.
 const FAILURE_TIME: Duration = Duration::from_millis(400);
 /// Part of the objective that others' prompts may take before a request that will be late anyway.
@@ -36,7 +38,7 @@
 ///
 /// Each time is a base and a part for each token that is read. The rate comes from engines that only
 /// read, where little else disturbs it.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Copy)]
 pub struct Times {
     /// Tokens that a reading engine reads in a millisecond.
     rate: f64,
@@ -78,8 +80,14 @@
         follow(&mut self.direct, took.as_secs_f64() * 1e3 - reading);
     }
 
+    /// Returns the least time to the first event of a prompt with so many tokens.
+    pub fn least(&self, tokens: u64) -> Duration {
+        let time = |stage| self.base(stage) + self.reading(stage, tokens);
+        time(Stage::Prefill).min(time(Stage::Decode))
+    }
+
     /// Returns the time in which an engine of a stage reads `tokens`.
-    fn reading(&self, stage: Stage, tokens: u64) -> Duration {
+    pub fn reading(&self, stage: Stage, tokens: u64) -> Duration {
         let share = match stage {
             Stage::Prefill => 1.0,
             Stage::Decode => DIRECT_SHARE,
@@ -129,8 +137,6 @@
     pub memory: u64,
     /// Tokens that this request takes there.
     pub memory_needed: u64,
-    /// Whether it stands in this host's data centre.
-    pub is_near: bool,
     /// Share of recent requests that failed there.
     pub failures: f64,
 }
@@ -143,18 +149,17 @@
 
     /// Returns the time until the first event.
     fn estimate(&self, times: &Times) -> Estimate {
-        let remote = if self.is_near { Duration::ZERO } else { REMOTE };
         let reading = times.reading(self.stage, self.unread + self.missing);
         let failures = FAILURE_TIME.mul_f64(self.failures);
         Estimate {
             wait: times.reading(self.stage, self.unread),
-            first_event: times.base(self.stage) + reading + remote + failures,
+            first_event: times.base(self.stage) + reading + failures,
         }
     }
 }
 
 /// How long a request would take at an engine.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Estimate {
     /// Time that others' prompts take before it.
     pub wait: Duration,
@@ -173,33 +178,31 @@
     pub estimate: Estimate,
 }
 
-/// Marks the engine of each stage that is home to a prompt, of which it lacks the unshared tokens.
-pub fn mark_homes(candidates: &mut [Candidate], unshared: u64) {
+/// Marks the engine of each stage that is home to a prompt.
+///
+/// With `unshared`, the home is taken to lack only so many tokens of the prompt, since all hosts send
+/// the shared ones there.
+pub fn mark_homes(candidates: &mut [Candidate], unshared: Option<u64>) {
     for stage in [Stage::Prefill, Stage::Decode] {
         let of_stage = candidates.iter_mut().filter(|it| it.stage == stage);
         if let Some(home) = of_stage.max_by_key(|it| it.rank) {
             home.is_home = true;
-            home.missing = home.missing.min(unshared.max(1));
+            home.missing = home.missing.min(unshared.unwrap_or(u64::MAX).max(1));
         }
     }
 }
 
-/// Returns the engine that a request goes to: a home that is in time, or else the soonest.
-pub fn choose(candidates: &[Candidate], times: &Times, standing: Standing) -> Option<Choice> {
+/// Returns the engine with room at which a request costs least.
+pub fn choose(candidates: &[Candidate], times: &Times) -> Option<Choice> {
     let open = candidates.iter().filter(|it| it.has_room());
-    let choices: Vec<Offer> = open.map(|it| Offer::new(it, times)).collect();
-    let cheapest = |homes_only: bool| {
-        let eligible = choices.iter().filter(|it| it.is_home || !homes_only);
-        eligible.min_by_key(|it| it.cost).map(|it| it.choice)
-    };
-    cheapest(true).filter(|it| is_on_time(standing, it.estimate)).or_else(|| cheapest(false))
+    let offers = open.map(|it| Offer::new(it, times));
+    offers.min_by_key(|it| it.cost).map(|it| it.choice)
 }
 
 /// A choice with what it costs the request and those that it slows down.
 #[derive(Debug, Clone, Copy)]
 struct Offer {
     choice: Choice,
-    is_home: bool,
     cost: Duration,
 }
 
@@ -211,7 +214,8 @@
             Stage::Decode => times.reading(Stage::Decode, candidate.missing).mul_f64(SLOWDOWN),
         };
         let choice = Choice { key: candidate.key, stage: candidate.stage, estimate };
-        Offer { choice, is_home: candidate.is_home, cost: estimate.first_event + slowed }
+        let strange = if candidate.is_home { Duration::ZERO } else { STRANGE };
+        Offer { choice, cost: estimate.first_event + slowed + strange }
     }
 }
 
@@ -224,6 +228,14 @@
     pub elapsed: Duration,
 }
 
+impl Standing {
+    /// Returns the time after which it can no longer be on time if it takes `least`; `None` when it
+    /// is late already.
+    pub fn left(self, least: Duration) -> Option<Duration> {
+        self.objective.mul_f64(ON_TIME).checked_sub(self.elapsed + least)
+    }
+}
+
 /// Returns whether a request should start now.
 pub fn starts(standing: Standing, estimate: Estimate) -> bool {
     is_on_time(standing, estimate) || estimate.wait <= standing.objective.mul_f64(SPARE)
@@ -234,8 +246,8 @@
 }
 
 /// Returns how long a request may wait for room; beyond it, it is refused.
-pub fn patience(standing: Standing, deadline: Duration) -> Duration {
-    deadline.mul_f64(PATIENCE).min(standing.objective)
+pub fn patience(objective: Duration, deadline: Duration) -> Duration {
+    deadline.mul_f64(PATIENCE).max(objective / 2)
 }
 
 /// Returns the engine that generates from a prompt which another has read: the least occupied.
@@ -248,15 +260,12 @@
 
 /// Weight of the tokens that wait to be read beside the slots taken, for each thousand.
 const UNREAD_COST: f64 = 0.02;
-/// Part of the slots by which an engine in another data centre must be freer.
-const REMOTE_COST: f64 = 0.05;
 
 impl Candidate {
     /// Returns how much would slow down one more generation here.
     fn occupancy(&self) -> f64 {
         let slots = f64::from(self.requests) / f64::from(self.slots.max(1));
         let memory = self.memory_used as f64 / self.memory.max(1) as f64;
-        let remote = if self.is_near { 0.0 } else { REMOTE_COST };
-        slots.max(memory) + self.unread as f64 / 1e3 * UNREAD_COST + remote + self.failures
+        slots.max(memory) + self.unread as f64 / 1e3 * UNREAD_COST + self.failures
     }
 }
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -144,7 +144,7 @@
                     version = Some(at);
                     let mut state = context.state_mut();
                     state.targets_seen = now;
-                    let beliefs = state.registry.replace(contents, now < settled, now);
+                    let beliefs = state.registry.replace(contents, settled, now);
                     drop(state);
                     context.note_targets(beliefs);
                 }
@@ -160,7 +160,7 @@
                     settled = now + context.settings.return_time;
                 }
                 version = Some(at);
-                apply(&context, contents, now < settled, now);
+                apply(&context, contents, settled, now);
             }
             Err(fault) => {
                 if fault == Fault::HistoryGone {
@@ -172,12 +172,11 @@
     }
 }
 
-fn apply(context: &Context, changes: Vec<Change>, after_outage: bool, now: Moment) {
+fn apply(context: &Context, changes: Vec<Change>, settled: Moment, now: Moment) {
     let mut state = context.state_mut();
     state.targets_seen = now;
     let registry = &mut state.registry;
-    let beliefs =
-        changes.into_iter().filter_map(|it| registry.apply(it, after_outage, now)).collect();
+    let beliefs = changes.into_iter().filter_map(|it| registry.apply(it, settled, now)).collect();
     drop(state);
     context.note_targets(beliefs);
 }
@@ -191,6 +190,7 @@
             context.note_targets(beliefs);
         }
         context.pool.expire();
+        context.state_mut().board.expire(clock::now());
     }
 }
 
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -8,12 +8,14 @@
 };
 use hyper::{Request, Response, StatusCode, body::Incoming, header};
 use smol_str::SmolStr;
-use tokio::{sync::mpsc, time::sleep};
+use tokio::sync::mpsc;
 
 use crate::{
-    attempt::{self, Failure, Options, Run},
+    attempt::{self, Failure, Options, Run, Ticket},
     context::Context,
-    engine::{self, Estimate, Standing},
+    desk,
+    dispatch::{Ask, Placement},
+    engine,
     event_stream::Splitter,
     job::Job,
     pick, prefill,
@@ -23,8 +25,6 @@
     target::Stage,
 };
 
-/// Time after which a waiting request looks again whether there is room.
-const LOOK_AGAIN: Duration = Duration::from_millis(40);
 /// Shortest time after which a refused caller is asked to come back.
 const LEAST_RETURN: Duration = Duration::from_millis(150);
 /// Pieces of a stream that wait for a slow caller; a full channel stops reading from the target.
@@ -103,6 +103,13 @@
     }
 }
 
+/// Places at the engines that a job was granted.
+struct Seats {
+    stage: Stage,
+    reader: Ticket,
+    generator: Option<Ticket>,
+}
+
 /// A job with the targets that were tried.
 pub(crate) struct Forward {
     pub(crate) context: Rc<Context>,
@@ -111,8 +118,8 @@
     connects: u32,
     /// Whether some target may have begun the job.
     may_have_run: bool,
-    /// Time until an engine would have read the prompt, as last estimated.
-    estimate: Option<Estimate>,
+    /// Time that the work before it takes, when it was refused.
+    ahead: Duration,
 }
 
 impl Forward {
@@ -123,7 +130,7 @@
             tried: Vec::new(),
             connects: 0,
             may_have_run: false,
-            estimate: None,
+            ahead: Duration::ZERO,
         }
     }
 
@@ -157,18 +164,13 @@
                 return Err(self.expired());
             }
             let sent = if self.is_for_engines() {
-                let choice = self.admit().await?;
-                match choice.stage {
-                    Stage::Decode => {
-                        self.send(choice.key, Options { last_event, prefilled: None }).await
-                    }
-                    Stage::Prefill => self.hand_over(choice.key, last_event).await,
-                }
+                let seats = self.admit().await?;
+                self.run_on_engines(seats, last_event).await
             } else {
-                let Some(key) = pick::plain(&self.context, &self.job, &self.tried) else {
-                    return Err(self.no_target());
-                };
-                self.send(key, Options { last_event, prefilled: None }).await
+                let key = pick::plain(&self.context, &self.job, &self.tried);
+                let key = key.ok_or_else(|| self.no_target())?;
+                let ticket = Ticket::new(&self.context, &self.job, key, 0);
+                self.send(ticket, Options { last_event, prefilled: None }).await
             };
             match sent {
                 Ok(run) => {
@@ -187,49 +189,91 @@
         service.is_some_and(|it| it.engine.is_some())
     }
 
-    /// Waits until an engine can read the prompt in time.
+    /// Waits until engines are granted to the job.
     ///
     /// # Errors
     /// Returns why the job is refused.
-    async fn admit(&mut self) -> Result<engine::Choice, Reason> {
-        let began = clock::now();
-        loop {
-            let candidates = pick::readers(&self.context, &self.job, &self.tried);
-            if candidates.is_empty() {
-                return Err(self.no_target());
-            }
-            let standing =
-                Standing { objective: self.job.route.objective, elapsed: self.job.elapsed() };
-            let choice = {
-                let mut state = self.context.state_mut();
-                let times = state.times.entry(self.job.service.clone()).or_default();
-                engine::choose(&candidates, times, standing)
-            };
-            self.estimate = choice.map(|it| it.estimate);
-            if let Some(choice) = choice.filter(|it| engine::starts(standing, it.estimate)) {
-                self.job.reader.set(Some(choice));
-                return Ok(choice);
-            }
-            let waited = clock::now().saturating_sub(began);
-            let patience = engine::patience(standing, self.job.deadline);
-            if patience <= waited {
-                return Err(if self.may_have_run {
-                    Reason::TargetFailed
-                } else {
-                    Reason::WouldBeLate
-                });
-            }
-            tokio::select! {
-                () = self.context.room.notified() => {}
-                () = sleep((patience - waited).min(LOOK_AGAIN)) => {}
+    async fn admit(&mut self) -> Result<Seats, Reason> {
+        let ask = self.ask();
+        if pick::fleet(&self.context.state(), &ask.service).engines.len() <= ask.avoid.len() {
+            return Err(self.no_target());
+        }
+        let (placement, grant, tokens) = match desk::ask(&self.context, ask).await {
+            desk::Outcome::Granted { grant, placement, tokens } => {
+                (placement, Some(grant), Some(tokens))
             }
+            desk::Outcome::Refused(ahead) => return Err(self.refused(ahead)),
+            desk::Outcome::Unanswered => (self.place_alone()?, None, None),
+        };
+        let seats = self.take_seats(placement, tokens);
+        if let Some((dispatcher, number)) = grant {
+            self.context.note_grant(&dispatcher, number);
+        }
+        self.job.reader.set(Some(placement.reader));
+        Ok(seats)
+    }
+
+    fn ask(&self) -> Ask {
+        let (job, now) = (&self.job, clock::now());
+        let state = self.context.state();
+        let paused = state
+            .registry
+            .usable(&job.service)
+            .filter(|(key, _)| self.tried.contains(key) || state.health.is_paused(*key, now));
+        Ask {
+            number: rand::random(),
+            service: job.service.clone(),
+            prompt: job.prompt.clone(),
+            priority: job.route.priority,
+            objective: job.route.objective,
+            elapsed: job.elapsed(),
+            patience: engine::patience(job.route.objective, job.deadline).min(job.time_left()),
+            avoid: paused.map(|(_, it)| it.id.clone()).collect(),
+        }
+    }
+
+    /// Places the job without the dispatcher, if that is in time.
+    fn place_alone(&mut self) -> Result<Placement, Reason> {
+        let placed = pick::alone(&self.context.state(), &self.ask());
+        match placed {
+            Some((placement, true)) => Ok(placement),
+            Some((placement, false)) => Err(self.refused(placement.reader.estimate.wait)),
+            None => Err(self.refused(Duration::ZERO)),
+        }
+    }
+
+    fn refused(&mut self, ahead: Duration) -> Reason {
+        self.ahead = ahead;
+        if self.may_have_run { Reason::TargetFailed } else { Reason::WouldBeLate }
+    }
+
+    fn take_seats(&self, placement: Placement, tokens: Option<u64>) -> Seats {
+        let Placement { reader, generator } = placement;
+        let missing = self.context.state().cache.missing(reader.key, &self.job.prompt);
+        let ticket = |key, unread| Ticket::new(&self.context, &self.job, key, unread);
+        Seats {
+            stage: reader.stage,
+            reader: ticket(reader.key, missing).with_unread(tokens),
+            generator: generator.map(|key| ticket(key, 0)),
+        }
+    }
+
+    async fn run_on_engines(
+        &mut self,
+        seats: Seats,
+        last_event: Option<u64>,
+    ) -> Result<Run, (Key, Failure)> {
+        match seats.stage {
+            Stage::Decode => self.send(seats.reader, Options { last_event, prefilled: None }).await,
+            Stage::Prefill => self.hand_over(seats, last_event).await,
         }
     }
 
     /// Sends the job to a target.
-    async fn send(&mut self, key: Key, options: Options<'_>) -> Result<Run, (Key, Failure)> {
+    async fn send(&mut self, ticket: Ticket, options: Options<'_>) -> Result<Run, (Key, Failure)> {
+        let key = ticket.key;
         self.tried.push(key);
-        let sent = attempt::send(&self.context, &self.job, key, options).await;
+        let sent = attempt::send(&self.context, &self.job, ticket, options).await;
         if !matches!(sent, Err(Failure::NotSent(_))) {
             self.job.sent.set(self.job.sent.get() + 1);
         }
@@ -239,19 +283,18 @@
     /// Has one engine read the prompt and another generate.
     async fn hand_over(
         &mut self,
-        reader: Key,
+        seats: Seats,
         last_event: Option<u64>,
     ) -> Result<Run, (Key, Failure)> {
-        let read = prefill::read(&self.context, &self.job, reader).await;
+        let reader = seats.reader.key;
+        let read = prefill::read(&self.context, &self.job, seats.reader).await;
         let mut prefilled = read.map_err(|failure| {
             self.tried.push(reader);
             (reader, failure.before_run())
         })?;
-        let generator = pick::generator(&self.context, &self.job, &self.tried);
-        let generator = generator.ok_or_else(|| {
-            (reader, Failure::NotSent("no engine has room to generate".to_owned()))
-        })?;
         self.job.read_at.set(Some(clock::now()));
+        let no_room = || (reader, Failure::NotSent("no engine has room to generate".to_owned()));
+        let generator = seats.generator.ok_or_else(no_room)?;
         let options = Options { last_event, prefilled: Some(&prefilled) };
         let run = self.send(generator, options).await?;
         prefilled.take();
@@ -332,7 +375,6 @@
         let mut splitter = Splitter::default();
         let first = next_event(&mut run, &mut splitter, &self.job).await?;
         run.ticket.prompt_read();
-        self.context.room.notify_waiters();
         let waited = clock::now().saturating_sub(self.job.arrived);
         self.job.first_event.set(Some(waited));
         self.measure(run.ticket.unread());
@@ -347,7 +389,7 @@
             tried: std::mem::take(&mut self.tried),
             connects: self.connects,
             may_have_run: true,
-            estimate: None,
+            ahead: Duration::ZERO,
         };
         let stream = Stream::new(rest, sender);
         tokio::task::spawn_local(stream.pump(run, splitter, first));
@@ -357,8 +399,7 @@
     /// Returns when the caller should come back: once the work that waits now is done.
     fn retry_after(&self) -> Duration {
         let spread = 1.0 + rand::random::<f64>();
-        let estimate = self.estimate.unwrap_or_default();
-        let wait = estimate.wait.max(LEAST_RETURN);
+        let wait = self.ahead.max(LEAST_RETURN);
         wait.mul_f64(spread).min(self.job.deadline / 3)
     }
 
@@ -389,7 +430,7 @@
             reason = reason.code(),
             verdict = reason.verdict().as_str(),
             sent = self.job.sent.get(),
-            estimate_ms = self.estimate.map(|it| it.first_event.as_millis() as u64),
+            ahead_ms = self.ahead.as_millis() as u64,
             waited_ms = waited.as_millis() as u64,
             "request given up"
         );
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -13,7 +13,9 @@
 pub mod configuration;
 pub mod context;
 pub mod deadline;
+pub mod desk;
 pub mod directory;
+pub mod dispatch;
 pub mod engine;
 pub mod event_stream;
 pub mod follow;
@@ -79,6 +81,8 @@
     spawn_local(follow::hosts(Rc::clone(&context), store.clone()));
     spawn_local(follow::tidy(Rc::clone(&context)));
     spawn_local(keep_peers(Rc::clone(&context)));
+    spawn_local(peers::report(Rc::clone(&context)));
+    spawn_local(desk::run(Rc::clone(&context)));
     let mut terminate = signal(SignalKind::terminate())?;
     tracing::info!(host = %context.settings.host.name, front = %context.settings.host.front, "started");
     terminate.recv().await;
--- a/gateway/src/membership.rs
+++ b/gateway/src/membership.rs
@@ -33,6 +33,10 @@
     pub ready: bool,
     /// Whether it shuts down and will send no more.
     pub leaving: bool,
+    /// Whether its picture of the targets is fresh, so that it can place requests for others.
+    pub fit: bool,
+    /// Host that places its requests.
+    pub follows: id::Host,
 }
 
 /// A change of what this host believes of the others.
@@ -50,6 +54,9 @@
     own: Host,
     silence: Duration,
     peers: BTreeMap<id::Host, Peer>,
+    dispatcher: id::Host,
+    /// Hosts that did not answer, and until when they are not asked.
+    suspects: BTreeMap<id::Host, Moment>,
 }
 
 #[derive(Debug)]
@@ -57,6 +64,8 @@
     host: Host,
     ready: bool,
     leaving: bool,
+    fit: bool,
+    follows: Option<id::Host>,
     /// When it was last heard; `None` when only the store names it.
     heard: Option<Moment>,
     up: bool,
@@ -65,7 +74,13 @@
 impl Membership {
     /// Creates a membership of this host alone; a host unheard for `silence` is down.
     pub fn new(own: Host, silence: Duration) -> Membership {
-        Membership { own, silence, peers: BTreeMap::new() }
+        Membership {
+            dispatcher: own.name.clone(),
+            own,
+            silence,
+            peers: BTreeMap::new(),
+            suspects: BTreeMap::new(),
+        }
     }
 
     /// Returns this host.
@@ -78,8 +93,15 @@
         if host.name == self.own.name {
             return;
         }
-        let fresh =
-            Peer { host: host.clone(), ready: false, leaving: false, heard: None, up: false };
+        let fresh = Peer {
+            host: host.clone(),
+            ready: false,
+            leaving: false,
+            fit: false,
+            follows: None,
+            heard: None,
+            up: false,
+        };
         let peer = self.peers.entry(host.name.clone()).or_insert(fresh);
         if peer.heard.is_none() {
             peer.host = host;
@@ -96,6 +118,8 @@
             host: beat.host,
             ready: beat.ready,
             leaving: beat.leaving,
+            fit: beat.fit,
+            follows: Some(beat.follows),
             heard: Some(now),
             up: !beat.leaving,
         };
@@ -121,6 +145,46 @@
         changes
     }
 
+    /// Returns the host that places this host's requests.
+    pub fn dispatcher(&self) -> &id::Host {
+        &self.dispatcher
+    }
+
+    /// Returns where a host that is there hears datagrams.
+    pub fn address(&self, host: &id::Host) -> Option<SocketAddr> {
+        self.peers.get(host).filter(|it| it.up).map(|it| it.host.peers)
+    }
+
+    /// Notes that a host did not answer; it is not asked until `until`.
+    pub fn suspect(&mut self, host: id::Host, until: Moment) {
+        self.suspects.insert(host, until);
+    }
+
+    /// Chooses the host that places this host's requests; returns whether it changed.
+    ///
+    /// It is the fit host that most follow, so that one that returns does not take over. Hosts may
+    /// differ for a while; that is only a matter of how well requests are placed.
+    pub fn elect(&mut self, own_fit: bool, now: Moment) -> bool {
+        self.suspects.retain(|_, until| now < *until);
+        let own = own_fit.then_some(&self.own.name);
+        let peers = self.peers.iter().filter(|(_, it)| it.up && it.fit).map(|(name, _)| name);
+        let eligible = own.into_iter().chain(peers);
+        let eligible: Vec<&id::Host> =
+            eligible.filter(|it| !self.suspects.contains_key(*it)).collect();
+        let votes = |name: &id::Host| {
+            let peers = self.peers.values().filter(|it| it.up);
+            let followers = peers.filter(|it| it.follows.as_ref() == Some(name)).count();
+            followers + usize::from(self.dispatcher == *name)
+        };
+        let best = eligible.iter().max_by_key(|it| (votes(it), std::cmp::Reverse(**it)));
+        let Some(best) = best.map(|it| (*it).clone()) else { return false };
+        if best == self.dispatcher {
+            return false;
+        }
+        self.dispatcher = best;
+        true
+    }
+
     /// Returns where heartbeats go: to every host known that did not say it was leaving.
     pub fn recipients(&self) -> impl Iterator<Item = (&Host, bool)> {
         self.peers.values().filter(|it| !it.leaving).map(|it| (&it.host, it.up))
--- a/gateway/src/pick.rs
+++ b/gateway/src/pick.rs
@@ -3,9 +3,10 @@
 use fuchsiaknot_core::{clock, id};
 
 use crate::{
-    choice::{self, Candidate},
+    choice,
     context::{Context, State},
-    engine,
+    dispatch::{self, Ask, Engine, Fleet, Placement},
+    engine::{self, Standing},
     job::Job,
     registry::Key,
     target::{Stage, Target},
@@ -14,9 +15,9 @@
 /// Returns the target of a plain service that a job goes to next.
 pub fn plain(context: &Context, job: &Job, tried: &[Key]) -> Option<Key> {
     let state = context.state();
-    let candidates: Vec<Candidate> = untried(&state, &job.service, tried)
+    let candidates: Vec<choice::Candidate> = untried(&state, &job.service, tried)
         .into_iter()
-        .map(|(key, target)| Candidate {
+        .map(|(key, target)| choice::Candidate {
             key,
             requests: state.work(key).requests,
             slots: target.slots,
@@ -27,46 +28,31 @@
     choice::choose(&candidates, rand::random())
 }
 
-/// Returns the engines that could read a job's prompt.
-pub fn readers(context: &Context, job: &Job, tried: &[Key]) -> Vec<engine::Candidate> {
-    engines(context, job, tried)
+/// Returns the engines of a service with their work.
+pub fn fleet(state: &State, service: &id::Service) -> Fleet {
+    let memory = state.memory_tokens(service);
+    let engines = untried(state, service, &[]).into_iter().map(|(key, target)| Engine {
+        key,
+        id: target.id.clone(),
+        stage: target.stage.unwrap_or(Stage::Decode),
+        slots: target.slots,
+        memory,
+        work: state.work(key),
+        failures: state.health.failures(key),
+    });
+    let times = state.times.get(service).copied().unwrap_or_default();
+    Fleet { times, engines: engines.collect() }
 }
 
-/// Returns the engine that generates from a prompt which another has read.
-pub fn generator(context: &Context, job: &Job, tried: &[Key]) -> Option<Key> {
-    let candidates = engines(context, job, tried);
-    engine::choose_generator(&candidates)
-}
-
-fn engines(context: &Context, job: &Job, tried: &[Key]) -> Vec<engine::Candidate> {
-    let state = context.state();
-    let configuration = state.configuration.as_ref();
-    let figures = configuration.and_then(|it| it.services.get(&job.service)?.engine);
-    let memory = figures.map_or(u64::MAX, |it| it.memory_tokens);
-    let usable = untried(&state, &job.service, tried);
-    let mut candidates: Vec<engine::Candidate> = usable
-        .into_iter()
-        .map(|(key, target)| {
-            let work = state.work(key);
-            engine::Candidate {
-                key,
-                stage: target.stage.unwrap_or(Stage::Decode),
-                rank: choice::rendezvous(&target.id, job.prompt.home()),
-                is_home: false,
-                unread: work.prompt_tokens,
-                missing: state.missing(key, job),
-                requests: work.requests,
-                slots: target.slots,
-                memory_used: work.memory_tokens,
-                memory,
-                memory_needed: job.prompt.tokens + job.prompt.output,
-                is_near: target.data_centre == context.settings.host.data_centre,
-                failures: state.health.failures(key),
-            }
-        })
-        .collect();
-    engine::mark_homes(&mut candidates, job.prompt.unshared());
-    candidates
+/// Returns where a host places a request by itself, and whether that is in time.
+pub fn alone(state: &State, ask: &Ask) -> Option<(Placement, bool)> {
+    let fleet = fleet(state, &ask.service);
+    let mut candidates = fleet.candidates(ask, &state.cache);
+    engine::mark_homes(&mut candidates, Some(ask.prompt.unshared()));
+    let placement = dispatch::place(&candidates, &candidates, &fleet.times)?;
+    let standing = Standing { objective: ask.objective, elapsed: ask.elapsed };
+    let starts = engine::starts(standing, placement.reader.estimate);
+    Some((placement, starts))
 }
 
 /// Returns the targets of a service that were not tried; paused ones only when there is no other.
--- a/gateway/src/prefill.rs
+++ b/gateway/src/prefill.rs
@@ -80,13 +80,8 @@
 ///
 /// # Errors
 /// Fails when the engine does not keep the prompt; the job itself did not run.
-pub async fn read(context: &Rc<Context>, job: &Job, key: Key) -> Result<Prefilled, Failure> {
-    let (missing, waiting) = {
-        let state = context.state();
-        let waiting = state.work(key).prompt_tokens;
-        (state.missing(key, job), waiting)
-    };
-    let _ticket = Ticket::new(context, job, key, missing);
+pub async fn read(context: &Rc<Context>, job: &Job, ticket: Ticket) -> Result<Prefilled, Failure> {
+    let (key, tokens) = (ticket.key, ticket.unread());
     let mut headers = HeaderMap::new();
     headers.insert(context.headers.stage.clone(), context.headers.prefill.clone());
     let began = clock::now();
@@ -99,8 +94,7 @@
     tracing::info!(
         id = %job.id,
         target = %target.id,
-        missing,
-        waiting,
+        tokens,
         prompt = job.prompt.tokens,
         took_ms = took.as_millis() as u64,
         "prompt read"
@@ -108,7 +102,8 @@
     let mut state = context.state_mut();
     state.health.succeeded(key);
     let times = state.times.entry(job.service.clone()).or_default();
-    times.read(waiting + missing, took);
+    times.read(tokens, took);
     drop(state);
+    drop(ticket);
     Ok(Prefilled { context: Rc::clone(context), key, target, handle, taken: false })
 }
--- a/gateway/src/prompt.rs
+++ b/gateway/src/prompt.rs
@@ -1,12 +1,13 @@
 //! What a request says of its prompt.
 
 use hyper::HeaderMap;
+use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
 use crate::headers::Headers;
 
 /// One part of a prompt; requests that begin with the same parts share their cache.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Part {
     /// Identity of the part.
     pub id: SmolStr,
@@ -15,7 +16,7 @@
 }
 
 /// A prompt's parts and sizes.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Prompt {
     /// Parts in order; the last belongs to the request or its session.
     pub parts: Vec<Part>,
--- a/gateway/src/registry.rs
+++ b/gateway/src/registry.rs
@@ -1,6 +1,6 @@
 //! Which targets there are, from what the store showed last.
 
-use std::{collections::HashMap, time::Duration};
+use std::collections::HashMap;
 
 use slotmap::SlotMap;
 
@@ -33,9 +33,8 @@
 }
 
 /// Targets by service.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Registry {
-    return_time: Duration,
     entries: SlotMap<Key, Entry>,
     by_id: HashMap<id::Target, Key>,
     by_service: HashMap<id::Service, Vec<Key>>,
@@ -50,25 +49,14 @@
 
 impl Registry {
     /// Creates an empty registry.
-    ///
-    /// `return_time` is how long a target that lapsed during an outage of the store may take to
-    /// announce itself again.
-    pub fn new(return_time: Duration) -> Registry {
-        Registry {
-            return_time,
-            entries: SlotMap::with_key(),
-            by_id: HashMap::new(),
-            by_service: HashMap::new(),
-        }
+    pub fn new() -> Registry {
+        Registry::default()
     }
 
-    /// Takes over the whole list; `after_outage` tells that entries may have lapsed unseen.
-    pub fn replace(
-        &mut self,
-        targets: Vec<Target>,
-        after_outage: bool,
-        now: Moment,
-    ) -> Vec<Belief> {
+    /// Takes over the whole list.
+    ///
+    /// Until `settled`, a target that is missing may have lapsed in an outage of the store and return.
+    pub fn replace(&mut self, targets: Vec<Target>, settled: Moment, now: Moment) -> Vec<Belief> {
         let listed: HashMap<id::Target, ()> =
             targets.iter().map(|it| (it.id.clone(), ())).collect();
         let mut beliefs: Vec<Belief> =
@@ -79,18 +67,18 @@
             .filter_map(|(key, entry)| (!listed.contains_key(&entry.target.id)).then_some(key))
             .collect();
         for key in missing {
-            beliefs.extend(self.miss(key, after_outage, now));
+            beliefs.extend(self.miss(key, settled, now));
         }
         beliefs
     }
 
-    /// Takes over one change.
-    pub fn apply(&mut self, change: Change, after_outage: bool, now: Moment) -> Option<Belief> {
+    /// Takes over one change; `settled` as in [`Registry::replace`].
+    pub fn apply(&mut self, change: Change, settled: Moment, now: Moment) -> Option<Belief> {
         match change {
             Change::Announced(target) => self.announce(target),
             Change::Removed(id) => {
                 let key = *self.by_id.get(&id)?;
-                self.miss(key, after_outage, now)
+                self.miss(key, settled, now)
             }
         }
     }
@@ -156,12 +144,12 @@
         Some(if draining { Belief::Draining(key, id) } else { Belief::Added(key, id) })
     }
 
-    fn miss(&mut self, key: Key, after_outage: bool, now: Moment) -> Option<Belief> {
+    fn miss(&mut self, key: Key, settled: Moment, now: Moment) -> Option<Belief> {
         let entry = self.entries.get_mut(key)?;
-        if !after_outage || entry.target.draining {
+        if settled <= now || entry.target.draining {
             return self.remove(key);
         }
-        entry.missing_until.get_or_insert(now + self.return_time);
+        entry.missing_until = Some(settled);
         None
     }
 
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -146,6 +146,5 @@
         context.state_mut().health.succeeded(answer.key);
         log_answer(context, &self.forward.job, &answer.target.id, answer.head.status, "stream");
         answer.finish(context);
-        context.room.notify_waiters();
     }
 }
