--- a/gateway/src/dispatch.rs
+++ b/gateway/src/dispatch.rs
@@ -30,6 +30,9 @@
 /// Work that is kept waiting at an engine, so that it never idles between two prompts.
 const RUN_AHEAD: Duration = Duration::from_millis(30);
 
+/// Time for which a request that is late lets others go first.
+const LATE_YIELDS: Duration = Duration::from_millis(300);
+
 /// A request that is to be placed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ask {
@@ -88,10 +91,16 @@
     }
 
     /// Returns its place in the queue; the lowest goes first.
-    fn order(&self, times: &Times, now: Moment) -> (bool, Moment, u8) {
-        let left = self.standing(now).left(times.least(self.ask.prompt.unshared()));
-        let must_start = left.map_or(self.arrived, |it| now + it);
-        (left.is_none(), must_start, self.ask.priority)
+    ///
+    /// What cannot be on time any more, or never could, yields for a while but not for good.
+    fn order(&self, times: &Times, now: Moment) -> (Moment, u8) {
+        let standing = self.standing(now);
+        let left = standing.left(times.least(self.ask.prompt.unshared()));
+        let start = match left {
+            Some(left) => now + left,
+            None => self.arrived + LATE_YIELDS,
+        };
+        (start, self.ask.priority)
     }
 }
 
