--- a/gateway/src/dispatch.rs
+++ b/gateway/src/dispatch.rs
@@ -30,9 +30,6 @@
 /// Work that is kept waiting at an engine, so that it never idles between two prompts.
 const RUN_AHEAD: Duration = Duration::from_millis(30);
 
-/// Time for which a request that is late lets others go first.
-const LATE_YIELDS: Duration = Duration::from_millis(300);
-
 /// A request that is to be placed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ask {
@@ -92,15 +89,18 @@
 
     /// Returns its place in the queue; the lowest goes first.
     ///
-    /// What cannot be on time any more, or never could, yields for a while but not for good.
-    fn order(&self, times: &Times, now: Moment) -> (Moment, u8) {
-        let standing = self.standing(now);
-        let left = standing.left(times.least(self.ask.prompt.unshared()));
-        let start = match left {
-            Some(left) => now + left,
-            None => self.arrived + LATE_YIELDS,
-        };
-        (start, self.ask.priority)
+    /// What is late gets what the others leave. A request too large to be on time even alone is not
+    /// late but has the objective to start in, so that size alone does not starve it.
+    fn order(&self, times: &Times, now: Moment) -> (bool, Moment, u8) {
+        let least = times.least(self.ask.prompt.unshared());
+        let fresh = Standing { objective: self.ask.objective, elapsed: Duration::ZERO };
+        if fresh.left(least).is_none() {
+            return (false, self.arrived + self.ask.objective, self.ask.priority);
+        }
+        match self.standing(now).left(least) {
+            Some(left) => (false, now + left, self.ask.priority),
+            None => (true, self.arrived, self.ask.priority),
+        }
     }
 }
 
@@ -248,7 +248,7 @@
     /// short wait for the engine whose cache holds the prompt's beginning beats reading it again.
     fn decide(&mut self, waiting: &Waiting, cache: &Cache, now: Moment) -> Option<Decision> {
         let candidates = self.candidates(&waiting.ask, cache);
-        let placement = place(&candidates, &self.times);
+        let placement = place(&candidates, &self.times, waiting.standing(now));
         if let Some(placement) = placement {
             let is_open = self.is_open(placement.reader.key);
             self.count(&waiting.ask, placement, cache);
@@ -284,11 +284,11 @@
 }
 
 /// Returns the cheapest placement, if there is room for one.
-pub fn place(candidates: &[Candidate], times: &Times) -> Option<Placement> {
+pub fn place(candidates: &[Candidate], times: &Times, standing: Standing) -> Option<Placement> {
     let generator = engine::choose_generator(candidates);
     let readers = candidates.iter().filter(|it| it.stage == Stage::Decode || generator.is_some());
     let readers: Vec<Candidate> = readers.copied().collect();
-    let reader = engine::choose(&readers, times)?;
+    let reader = engine::choose(&readers, times, standing)?;
     let generator = generator.filter(|_| reader.stage == Stage::Prefill);
     Some(Placement { reader, generator })
 }
--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -209,11 +209,12 @@
     }
 }
 
-/// Returns the engine with room at which a request costs least.
-pub fn choose(candidates: &[Candidate], times: &Times) -> Option<Choice> {
+/// Returns the engine with room at which a request costs least, among those that are in time if any.
+pub fn choose(candidates: &[Candidate], times: &Times, standing: Standing) -> Option<Choice> {
     let open = candidates.iter().filter(|it| it.has_room());
     let offers = open.map(|it| Offer::new(it, times));
-    offers.min_by_key(|it| it.cost).map(|it| it.choice)
+    let rank = |it: &Offer| (!is_on_time(standing, it.choice.estimate), it.cost);
+    offers.min_by_key(rank).map(|it| it.choice)
 }
 
 /// A choice with what it costs the request and those that it slows down.
--- a/gateway/src/pick.rs
+++ b/gateway/src/pick.rs
@@ -49,8 +49,8 @@
     let fleet = fleet(state, &ask.service);
     let mut candidates = fleet.candidates(ask, &state.cache);
     engine::mark_homes(&mut candidates, Some(ask.prompt.unshared()));
-    let placement = dispatch::place(&candidates, &fleet.times)?;
     let standing = Standing { objective: ask.objective, elapsed: ask.elapsed };
+    let placement = dispatch::place(&candidates, &fleet.times, standing)?;
     let starts = engine::starts(standing, placement.reader.estimate);
     Some((placement, starts))
 }
