--- a/gateway/src/dispatch.rs
+++ b/gateway/src/dispatch.rs
@@ -30,6 +30,11 @@
 /// Work that is kept waiting at an engine, so that it never idles between two prompts.
 const RUN_AHEAD: Duration = Duration::from_millis(30);
 
+/// Part of the tokens that goes to late requests when others would take everything.
+const LATE_SHARE: f64 = 0.15;
+/// Part that is kept of the tokens placed lately with each further placement.
+const SHARES_KEPT: f64 = 0.99;
+
 /// A request that is to be placed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ask {
@@ -73,6 +78,27 @@
 #[derive(Debug, Default)]
 pub struct Queue {
     waiting: BTreeMap<(id::Host, Number), Waiting>,
+    shares: Shares,
+}
+
+/// Tokens placed lately, of requests on time and of late ones.
+#[derive(Debug, Default)]
+struct Shares {
+    all: f64,
+    late: f64,
+}
+
+impl Shares {
+    fn count(&mut self, tokens: u64, is_late: bool) {
+        let tokens = tokens as f64;
+        self.all = self.all * SHARES_KEPT + tokens;
+        self.late = self.late * SHARES_KEPT + if is_late { tokens } else { 0.0 };
+    }
+
+    /// Returns whether late requests have had less than their share.
+    fn late_is_due(&self) -> bool {
+        self.late < LATE_SHARE * self.all
+    }
 }
 
 #[derive(Debug)]
@@ -151,13 +177,19 @@
                 Some((it.order(&fleet.times, now), key.clone()))
             })
             .collect();
-        order.sort();
+        let late_first = self.shares.late_is_due();
+        order.sort_by_key(|((is_late, start, priority), key)| {
+            (*is_late != late_first, *start, *priority, key.clone())
+        });
         let mut decided = Vec::new();
-        for (_, key) in order {
+        for ((is_late, ..), key) in order {
             let Some(waiting) = self.waiting.get(&key) else { continue };
             let Some(fleet) = fleets.get_mut(&waiting.ask.service) else { continue };
             let decision = fleet.decide(waiting, cache, now);
             let Some(decision) = decision else { continue };
+            if matches!(decision, Decision::Place(_)) {
+                self.shares.count(waiting.ask.prompt.unshared(), is_late);
+            }
             if let Some(waiting) = self.waiting.remove(&key) {
                 decided.push(Decided { host: key.0, ask: waiting.ask, decision });
             }
--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -21,10 +21,8 @@
 const SPARE: f64 = 0.3;
 /// Part of the objective that a request may use up to its first event.
 const ON_TIME: f64 = 0.9;
-/// Part of a caller's deadline for which a request waits for room at least, where it helps.
-const LEAST_PATIENCE: f64 = 0.08;
 /// Part of a caller's deadline for which a request waits for room at most.
-const MOST_PATIENCE: f64 = 0.2;
+const PATIENCE: f64 = 0.08;
 
 /// Tokens that an engine is taken to read in a millisecond before any were measured.
 const FIRST_RATE: f64 = 120.0;
@@ -269,7 +267,7 @@
 
 /// Returns how long a request may wait for room; beyond it, it is refused.
 pub fn patience(objective: Duration, deadline: Duration) -> Duration {
-    (2 * objective).clamp(deadline.mul_f64(LEAST_PATIENCE), deadline.mul_f64(MOST_PATIENCE))
+    deadline.mul_f64(PATIENCE).max(objective / 2)
 }
 
 /// Returns the engine that generates from a prompt which another has read: the least occupied.
