--- a/gateway/src/dispatch.rs
+++ b/gateway/src/dispatch.rs
@@ -125,7 +125,7 @@
         }
         match self.standing(now).left(least) {
             Some(left) => (false, now + left, self.ask.priority),
-            None => (true, self.arrived, self.ask.priority),
+            None => (true, self.arrived + self.ask.patience, self.ask.priority),
         }
     }
 }
