--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -137,7 +137,10 @@
     });
     let (recipients, live) = {
         let state = context.state();
-        let due = state.membership.recipients().filter(|(_, up)| *up || beats % ABSENT_EVERY == 0);
+        let due = state
+            .membership
+            .recipients()
+            .filter(|(_, up)| *up || beats.is_multiple_of(ABSENT_EVERY));
         (due.map(|(host, _)| host.peers).collect::<Vec<_>>(), state.membership.live())
     };
     let bytes = match postcard::to_stdvec(&packet) {
--- /dev/null
+++ b/gateway/tests/cache.rs
@@ -0,0 +1,40 @@
+//! What an engine's cache is believed to hold.
+
+mod common;
+
+use fuchsiaknot_gateway::cache::Cache;
+
+use common::{keys, prompt};
+
+#[test]
+fn leading_parts() {
+    let key = keys(1)[0];
+    let mut cache = Cache::default();
+    let first = prompt("shared", 1000, "own", 200);
+    cache.read(key, &first.parts, 10_000);
+    assert_eq!(cache.held(key, &first.parts), 1200);
+    assert_eq!(cache.missing(key, &prompt("shared", 1000, "other", 300)), 300);
+    assert_eq!(cache.missing(key, &prompt("unknown", 1000, "own", 200)), 1200);
+}
+
+#[test]
+fn least_recent_yields() {
+    let key = keys(1)[0];
+    let mut cache = Cache::default();
+    for at in 0..20 {
+        cache.read(key, &prompt(&format!("s{at}"), 900, &format!("o{at}"), 100).parts, 5000);
+    }
+    assert_eq!(cache.held(key, &prompt("s19", 900, "x", 1).parts), 900);
+    assert_eq!(cache.held(key, &prompt("s2", 900, "x", 1).parts), 0);
+}
+
+#[test]
+fn deadline_shows_return() {
+    use common::ms;
+    use fuchsiaknot_gateway::deadline::Deadlines;
+    let mut deadlines = Deadlines::default();
+    assert_eq!(deadlines.earlier(&"r".into(), ms(2500)), ms(0));
+    assert_eq!(deadlines.earlier(&"r".into(), ms(2000)), ms(500));
+    assert_eq!(deadlines.earlier(&"r".into(), ms(2495)), ms(0));
+    assert_eq!(deadlines.earlier(&"other".into(), ms(1000)), ms(0));
+}
--- /dev/null
+++ b/gateway/tests/dispatch.rs
@@ -0,0 +1,178 @@
+//! Which prompts go to which engines, and in which order.
+
+mod common;
+
+use std::{collections::HashMap, time::Duration};
+
+use fuchsiaknot_core::id;
+use fuchsiaknot_gateway::{
+    cache::Cache,
+    dispatch::{Ask, Decided, Decision, Engine, Fleet, Queue},
+    engine::Times,
+    load::Work,
+    prompt::Prompt,
+    registry::Key,
+    target::Stage,
+};
+
+use common::{keys, ms, prompt};
+
+const SERVICE: &str = "models";
+
+fn engine(key: Key, name: &str, stage: Stage) -> Engine {
+    Engine {
+        key,
+        id: name.into(),
+        stage,
+        slots: 32,
+        memory: 700_000,
+        work: Work::default(),
+        failures: 0.0,
+    }
+}
+
+/// Returns two engines that read and two that generate.
+fn fleet(keys: &[Key]) -> HashMap<id::Service, Fleet> {
+    let stages = [Stage::Prefill, Stage::Prefill, Stage::Decode, Stage::Decode];
+    let engines =
+        stages.iter().enumerate().map(|(at, it)| engine(keys[at], &format!("e{at}"), *it));
+    let fleet = Fleet { times: Times::default(), engines: engines.collect() };
+    HashMap::from([(SERVICE.into(), fleet)])
+}
+
+fn ask(number: u64, prompt: Prompt, objective: Duration) -> Ask {
+    Ask {
+        number,
+        service: SERVICE.into(),
+        prompt,
+        priority: 1,
+        objective,
+        elapsed: Duration::ZERO,
+        patience: ms(400),
+        avoid: Vec::new(),
+    }
+}
+
+fn placed(decided: &[Decided]) -> Vec<u64> {
+    let placed = decided.iter().filter(|it| matches!(it.decision, Decision::Place(_)));
+    placed.map(|it| it.ask.number).collect()
+}
+
+/// Pattern: four hosts send long prompts in the same moment. Each idle engine gets one and the rest
+/// wait in the queue instead of behind each other.
+#[test]
+fn simultaneous_prompts() {
+    let keys = keys(4);
+    let mut queue = Queue::default();
+    for number in 0..8 {
+        let prompt = prompt(&format!("s{number}"), 10, &format!("p{number}"), 12_000);
+        queue.add(format!("h{number}").into(), ask(number, prompt, ms(400)), ms(0));
+    }
+    let decided = queue.decide(&mut fleet(&keys), &Cache::default(), ms(0));
+    let mut readers: Vec<Key> = decided
+        .iter()
+        .filter_map(|it| match it.decision {
+            Decision::Place(placement) => Some(placement.reader.key),
+            Decision::Refuse(_) => None,
+        })
+        .collect();
+    readers.sort();
+    let count = readers.len();
+    readers.dedup();
+    assert_eq!(count, readers.len(), "two prompts for one engine");
+    assert!(2 <= count);
+}
+
+/// Pattern: long prompts beside short ones. A short prompt is not sent behind a long one.
+#[test]
+fn short_beside_long() {
+    let keys = keys(4);
+    let mut queue = Queue::default();
+    let mut fleets = fleet(&keys);
+    for engine in &mut fleets.get_mut(SERVICE).unwrap().engines[..2] {
+        engine.work.prompt_tokens = 40_000;
+    }
+    queue.add("h1".into(), ask(1, prompt("s", 10, "p", 600), ms(200)), ms(0));
+    let decided = queue.decide(&mut fleets, &Cache::default(), ms(0));
+    let Decision::Place(placement) = decided[0].decision else { panic!("{decided:?}") };
+    assert_eq!(placement.reader.stage, Stage::Decode);
+}
+
+/// Pattern: prompts that share a long beginning. The second goes to the engine that holds it, though
+/// another is idle.
+#[test]
+fn shared_beginning() {
+    let keys = keys(4);
+    let mut cache = Cache::default();
+    let shared = prompt("contract", 6000, "first", 500);
+    cache.read(keys[0], &shared.parts, 700_000);
+    let mut fleets = fleet(&keys);
+    fleets.get_mut(SERVICE).unwrap().engines[0].work.prompt_tokens = 1500;
+    let mut queue = Queue::default();
+    queue.add("h1".into(), ask(1, prompt("contract", 6000, "second", 500), ms(400)), ms(0));
+    let decided = queue.decide(&mut fleets, &cache, ms(0));
+    let Decision::Place(placement) = decided[0].decision else { panic!("{decided:?}") };
+    assert_eq!(placement.reader.key, keys[0]);
+}
+
+/// Pattern: a burst beyond what can be read in time. What can still be on time goes before what is
+/// late already.
+#[test]
+fn late_goes_last() {
+    let keys = keys(4);
+    let mut fleets = fleet(&keys);
+    let fleet = fleets.get_mut(SERVICE).unwrap();
+    fleet.engines.truncate(1);
+    fleet.engines.push(engine(keys[2], "e2", Stage::Decode));
+    fleet.engines[1].work.prompt_tokens = 60_000;
+    let mut queue = Queue::default();
+    let late = Ask { elapsed: ms(900), ..ask(1, prompt("a", 10, "b", 9000), ms(300)) };
+    queue.add("h1".into(), late, ms(0));
+    queue.add("h2".into(), ask(2, prompt("c", 10, "d", 9000), ms(300)), ms(1));
+    let mut first = Vec::new();
+    for _ in 0..40 {
+        let mut engines = fleets.clone();
+        let decided = queue.decide(&mut engines, &Cache::default(), ms(2));
+        first.extend(placed(&decided));
+    }
+    assert_eq!(first.first(), Some(&2), "{first:?}");
+}
+
+/// Pattern: overload. What waits longer than its patience, or would, is refused at once with the
+/// time that the work before it takes.
+#[test]
+fn overload_refuses() {
+    let keys = keys(4);
+    let mut fleets = fleet(&keys);
+    for engine in &mut fleets.get_mut(SERVICE).unwrap().engines {
+        engine.work.prompt_tokens = 500_000;
+    }
+    let mut queue = Queue::default();
+    queue.add("h1".into(), ask(1, prompt("a", 10, "b", 2000), ms(200)), ms(0));
+    let decided = queue.decide(&mut fleets, &Cache::default(), ms(0));
+    assert!(matches!(decided[0].decision, Decision::Refuse(ahead) if ms(400) < ahead));
+    assert!(queue.is_empty());
+}
+
+/// Nothing is refused while an engine is idle.
+#[test]
+fn idle_engine() {
+    let keys = keys(4);
+    let mut queue = Queue::default();
+    let late = Ask { elapsed: ms(5000), ..ask(1, prompt("a", 10, "b", 50_000), ms(200)) };
+    queue.add("h1".into(), late, ms(0));
+    let decided = queue.decide(&mut fleet(&keys), &Cache::default(), ms(0));
+    assert_eq!(placed(&decided), [1]);
+}
+
+/// An engine that failed a request is not chosen for it again.
+#[test]
+fn avoided_engine() {
+    let keys = keys(4);
+    let mut queue = Queue::default();
+    let avoid = vec!["e0".into(), "e1".into(), "e2".into()];
+    queue.add("h1".into(), Ask { avoid, ..ask(1, prompt("a", 10, "b", 500), ms(400)) }, ms(0));
+    let decided = queue.decide(&mut fleet(&keys), &Cache::default(), ms(0));
+    let Decision::Place(placement) = decided[0].decision else { panic!("{decided:?}") };
+    assert_eq!(placement.reader.key, keys[3]);
+}
--- /dev/null
+++ b/gateway/tests/registry.rs
@@ -0,0 +1,84 @@
+//! Which targets take new requests, from what the store shows.
+
+mod common;
+
+use fuchsiaknot_gateway::registry::{Belief, Change, Registry};
+
+use common::{ms, target};
+
+fn usable(registry: &Registry) -> Vec<String> {
+    let mut ids: Vec<String> = registry.usable("models").map(|(_, it)| it.id.to_string()).collect();
+    ids.sort();
+    ids
+}
+
+#[test]
+fn draining_takes_nothing() {
+    let mut registry = Registry::new();
+    registry.replace(vec![target("one", 1), target("two", 1)], ms(0), ms(10));
+    let mut leaving = target("one", 2);
+    leaving.draining = true;
+    let belief = registry.apply(Change::Announced(leaving), ms(0), ms(20));
+    assert!(matches!(belief, Some(Belief::Draining(_, id)) if id == "one"));
+    assert_eq!(usable(&registry), ["two"]);
+}
+
+#[test]
+fn removed_at_once() {
+    let mut registry = Registry::new();
+    registry.replace(vec![target("one", 1)], ms(0), ms(10));
+    let belief = registry.apply(Change::Removed("one".into()), ms(0), ms(20));
+    assert!(matches!(belief, Some(Belief::Gone(..))));
+    assert!(usable(&registry).is_empty());
+}
+
+/// After an outage that ended at 0 ms, entries have until 2,000 ms to return.
+#[test]
+fn lapsed_in_outage() {
+    let mut registry = Registry::new();
+    registry.replace(vec![target("one", 1), target("two", 1)], ms(0), ms(10));
+    registry.replace(vec![], ms(2000), ms(100));
+    assert_eq!(usable(&registry), ["one", "two"]);
+    registry.apply(Change::Announced(target("one", 2)), ms(2000), ms(900));
+    assert!(registry.expire(ms(1999)).is_empty());
+    assert_eq!(registry.expire(ms(2000)).len(), 1);
+    assert_eq!(usable(&registry), ["one"]);
+}
+
+/// A target that leaves shortly after the outage has no more time than those that lapsed in it.
+#[test]
+fn removed_after_outage() {
+    let mut registry = Registry::new();
+    registry.replace(vec![target("one", 1)], ms(0), ms(10));
+    assert_eq!(registry.apply(Change::Removed("one".into()), ms(2000), ms(900)), None);
+    assert_eq!(registry.expire(ms(2000)).len(), 1);
+}
+
+/// An announcement that was written late does not undo a newer one.
+#[test]
+fn late_announcement() {
+    let mut registry = Registry::new();
+    let mut leaving = target("one", 5);
+    leaving.draining = true;
+    registry.replace(vec![leaving], ms(0), ms(10));
+    registry.apply(Change::Announced(target("one", 4)), ms(0), ms(20));
+    assert!(usable(&registry).is_empty());
+    let mut older = target("one", 9);
+    older.incarnation = Some(0);
+    registry.apply(Change::Announced(older), ms(0), ms(30));
+    assert!(usable(&registry).is_empty());
+}
+
+#[test]
+fn new_incarnation() {
+    let mut registry = Registry::new();
+    registry.replace(vec![target("one", 9)], ms(0), ms(10));
+    let before = registry.key(&"one".into()).unwrap();
+    let mut again = target("one", 1);
+    again.incarnation = Some(2);
+    registry.apply(Change::Announced(again), ms(0), ms(20));
+    let after = registry.key(&"one".into()).unwrap();
+    assert_ne!(before, after);
+    assert!(registry.get(before).is_none());
+    assert_eq!(usable(&registry), ["one"]);
+}
