--- a/gateway/src/budget.rs
+++ b/gateway/src/budget.rs
@@ -43,6 +43,11 @@
         Budget { config, slices: VecDeque::new() }
     }
 
+    /// Puts another bound in force; what was counted stays.
+    pub fn set_config(&mut self, config: Config) {
+        self.config = config;
+    }
+
     /// Counts a request that a caller sent.
     pub fn request(&mut self, now: Moment) {
         self.slice(now).requests += 1;
--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -23,6 +23,7 @@
     logging::Log,
     membership::{Host, Membership},
     metric::Metrics,
+    poison::Poison,
     registry::{Belief, Key, Registry},
     upstream::Pool,
 };
@@ -42,16 +43,23 @@
     pub directory: Option<SocketAddr>,
     /// Where metrics are served; `None` for nowhere.
     pub metrics: Option<SocketAddr>,
+    /// Bounds as they stood at the start.
+    pub bounds: Bounds,
+    /// Time that targets which lapsed during an outage of the store may take to return.
+    pub return_time: Duration,
+    /// Time to wait for a change in one call to the store.
+    pub feed_wait: Duration,
+}
+
+/// Bounds that may change while the process runs.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Bounds {
     /// Bound on retries towards one service, over all hosts.
     pub retries: budget::Config,
     /// Time that a shutdown may take.
     pub grace: Duration,
     /// Time that callers may keep an answer of the directory at most.
     pub directory_time: Duration,
-    /// Time that targets which lapsed during an outage of the store may take to return.
-    pub return_time: Duration,
-    /// Time to wait for a change in one call to the store.
-    pub feed_wait: Duration,
 }
 
 /// Shared state of the request path; it runs on one thread.
@@ -75,6 +83,7 @@
     pub desk: Desk,
     /// Told when this host's own work at targets changed.
     pub work_changed: Notify,
+    bounds: Cell<Bounds>,
     grants: RefCell<HashMap<id::Host, u64>>,
     socket: RefCell<Option<Rc<UdpSocket>>>,
     leaving: Cell<bool>,
@@ -115,6 +124,8 @@
     pub budgets: HashMap<id::Service, Budget>,
     /// Times that engines take, by service.
     pub times: HashMap<id::Service, Times>,
+    /// Requests that may be what crashes targets.
+    pub poison: Poison,
     /// Deadlines that callers begin with, by route.
     pub deadlines: Deadlines,
 }
@@ -166,10 +177,12 @@
             membership: Membership::new(settings.host.clone(), PEER_SILENCE),
             budgets: HashMap::new(),
             times: HashMap::new(),
+            poison: Poison::default(),
             deadlines: Deadlines::default(),
         };
         let pool = Pool::new(metrics.connections.clone());
         Context {
+            bounds: Cell::new(settings.bounds),
             settings,
             headers,
             calls,
@@ -197,6 +210,16 @@
         self.state.borrow_mut()
     }
 
+    /// Returns the bounds in force.
+    pub fn bounds(&self) -> Bounds {
+        self.bounds.get()
+    }
+
+    /// Puts other bounds in force; returns whether they differ.
+    pub fn set_bounds(&self, bounds: Bounds) -> bool {
+        self.bounds.replace(bounds) != bounds
+    }
+
     /// Returns whether the host shuts down.
     pub fn is_leaving(&self) -> bool {
         self.leaving.get()
@@ -255,8 +278,9 @@
     pub fn take_retry(&self, service: &id::Service) -> bool {
         let mut state = self.state_mut();
         let hosts = state.membership.live();
-        let config = self.settings.retries;
+        let config = self.bounds().retries;
         let budget = state.budgets.entry(service.clone()).or_insert_with(|| Budget::new(config));
+        budget.set_config(config);
         budget.take(hosts, clock::now())
     }
 
--- a/gateway/src/directory.rs
+++ b/gateway/src/directory.rs
@@ -28,7 +28,7 @@
     if addresses.is_empty() {
         return reply::own(StatusCode::SERVICE_UNAVAILABLE, "no host is ready", None);
     }
-    let keep = ANSWER_TIME.min(context.settings.directory_time);
+    let keep = ANSWER_TIME.min(context.bounds().directory_time);
     let mut response = Response::new(Body::whole(directory.answer(&addresses, keep)));
     let json = header::HeaderValue::from_static("application/json");
     response.headers_mut().insert(header::CONTENT_TYPE, json);
--- a/gateway/src/dispatch.rs
+++ b/gateway/src/dispatch.rs
@@ -52,6 +52,8 @@
     pub elapsed: Duration,
     /// Time that it may wait to be placed.
     pub patience: Duration,
+    /// Whether its caller already has a part of the answer.
+    pub resumes: bool,
     /// Engines that failed it, or that its host found failing.
     pub avoid: Vec<id::Target>,
 }
@@ -116,8 +118,12 @@
     /// Returns its place in the queue; the lowest goes first.
     ///
     /// What is late gets what the others leave. A request too large to be on time even alone is not
-    /// late but has the objective to start in, so that size alone does not starve it.
+    /// late but has the objective to start in, so that size alone does not starve it. A stream that
+    /// broke off goes first: its caller waits within the answer.
     fn order(&self, times: &Times, now: Moment) -> (bool, Moment, u8) {
+        if self.ask.resumes {
+            return (false, Moment::ZERO, self.ask.priority);
+        }
         let least = times.least(self.ask.prompt.unshared());
         let fresh = Standing { objective: self.ask.objective, elapsed: Duration::ZERO };
         if fresh.left(least).is_none() {
--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -21,6 +21,8 @@
 const SPARE: f64 = 0.3;
 /// Part of the objective that a request may use up to its first event.
 const ON_TIME: f64 = 0.9;
+/// Time that a stream which broke off may wait to go on; callers leave after two seconds of silence.
+pub const RESUME_PATIENCE: Duration = Duration::from_millis(1200);
 /// Part of a caller's deadline for which a request waits for room at most.
 const PATIENCE: f64 = 0.08;
 
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -202,7 +202,10 @@
             context.note_targets(beliefs);
         }
         context.pool.expire();
-        context.state_mut().board.expire(clock::now());
+        let now = clock::now();
+        let mut state = context.state_mut();
+        state.board.expire(now);
+        state.poison.expire(now);
     }
 }
 
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -4,7 +4,7 @@
 
 use fuchsiaknot_core::{
     clock::{self, Moment},
-    verdict::{Reason, Verdict},
+    verdict::{Reason, Retry, Verdict},
 };
 use hyper::{Request, Response, StatusCode, body::Incoming, header};
 use smol_str::SmolStr;
@@ -12,12 +12,14 @@
 
 use crate::{
     attempt::{self, Failure, Options, Run, Ticket},
+    configuration::Repeat,
     context::Context,
     desk,
     dispatch::{Ask, Placement},
     engine,
     event_stream::Splitter,
     job::Job,
+    peers::{self, Packet},
     pick, prefill,
     registry::Key,
     reply::{self, Body},
@@ -44,14 +46,19 @@
     count_request(&context, &job);
     let mut gone = CallerGone::new(&context, &job.id);
     let job = Rc::new(job);
-    let answer = Forward::new(&context, &job).run().await;
+    let forward = Forward::new(&context, &job);
+    let answer = if context.state().poison.is_refused(job.fingerprint(), clock::now()) {
+        forward.give_up(Reason::CrashesTargets)
+    } else {
+        forward.run().await
+    };
     gone.answered = true;
     finish(&context, answer)
 }
 
 fn count_request(context: &Context, job: &Job) {
     let mut state = context.state_mut();
-    let config = context.settings.retries;
+    let config = context.bounds().retries;
     let budget = state.budgets.entry(job.service.clone());
     budget.or_insert_with(|| crate::budget::Budget::new(config)).request(clock::now());
 }
@@ -135,18 +142,26 @@
     }
 
     async fn run(mut self) -> Response<Body> {
+        // Answer of a target that failed the request, to be passed on if no other does better.
+        let mut failed = None;
         loop {
-            let run = match self.attempt(None).await {
-                Ok(run) => run,
-                Err(reason) => return self.give_up(reason),
+            let run = match (self.attempt(None).await, failed.take()) {
+                (Ok(run), _) => run,
+                (Err(_), Some(answer)) => return answer,
+                (Err(reason), None) => return self.give_up(reason),
             };
             let key = run.answer.key;
+            let erred = run.answer.head.status.is_server_error();
             let outcome = if run.answer.is_stream() && run.answer.head.status.is_success() {
                 self.begin_stream(run).await
             } else {
                 self.whole(run).await
             };
             match outcome {
+                Ok(response) if erred && self.may_try_again() => {
+                    self.context.state_mut().health.erred(key);
+                    failed = Some(response);
+                }
                 Ok(response) => return response,
                 Err(failure) => {
                     if let Err(reason) = self.note_failure(key, failure) {
@@ -157,6 +172,18 @@
         }
     }
 
+    /// Takes a retry for a request that a target ran and failed, if it may run again.
+    fn may_try_again(&self) -> bool {
+        let retry = Retry::TargetFailed.code();
+        let again = self.job.route.repeat == Repeat::Idempotent
+            && !self.job.attempts_used()
+            && self.context.take_retry(&self.job.service);
+        if again {
+            self.context.metrics.retried.with_label_values(&[retry]).inc();
+        }
+        again
+    }
+
     /// Sends the job to targets until one answers with a head that may be passed on.
     pub(crate) async fn attempt(&mut self, last_event: Option<u64>) -> Result<Run, Reason> {
         loop {
@@ -164,7 +191,7 @@
                 return Err(self.expired());
             }
             let sent = if self.is_for_engines() {
-                let seats = self.admit().await?;
+                let seats = self.admit(last_event.is_some()).await?;
                 self.run_on_engines(seats, last_event).await
             } else {
                 let key = pick::plain(&self.context, &self.job, &self.tried);
@@ -193,8 +220,8 @@
     ///
     /// # Errors
     /// Returns why the job is refused.
-    async fn admit(&mut self) -> Result<Seats, Reason> {
-        let ask = self.ask();
+    async fn admit(&mut self, resumes: bool) -> Result<Seats, Reason> {
+        let ask = self.ask(resumes);
         if pick::fleet(&self.context.state(), &ask.service).engines.len() <= ask.avoid.len() {
             return Err(self.no_target());
         }
@@ -203,7 +230,7 @@
                 (placement, Some(grant), Some(tokens))
             }
             desk::Outcome::Refused(ahead) => return Err(self.refused(ahead)),
-            desk::Outcome::Unanswered => (self.place_alone()?, None, None),
+            desk::Outcome::Unanswered => (self.place_alone(resumes)?, None, None),
         };
         let seats = self.take_seats(placement, tokens);
         if let Some((dispatcher, number)) = grant {
@@ -213,13 +240,17 @@
         Ok(seats)
     }
 
-    fn ask(&self) -> Ask {
+    fn ask(&self, resumes: bool) -> Ask {
         let (job, now) = (&self.job, clock::now());
         let state = self.context.state();
         let paused = state
             .registry
             .usable(&job.service)
             .filter(|(key, _)| self.tried.contains(key) || state.health.is_paused(*key, now));
+        let patience = match resumes {
+            true => engine::RESUME_PATIENCE,
+            false => engine::patience(job.route.objective, job.deadline),
+        };
         Ask {
             number: rand::random(),
             service: job.service.clone(),
@@ -227,17 +258,18 @@
             priority: job.route.priority,
             objective: job.route.objective,
             elapsed: job.elapsed(),
-            patience: engine::patience(job.route.objective, job.deadline).min(job.time_left()),
+            patience: patience.min(job.time_left()),
+            resumes,
             avoid: paused.map(|(_, it)| it.id.clone()).collect(),
         }
     }
 
     /// Places the job without the dispatcher, if that is in time.
-    fn place_alone(&mut self) -> Result<Placement, Reason> {
-        let placed = pick::alone(&self.context.state(), &self.ask());
+    fn place_alone(&mut self, resumes: bool) -> Result<Placement, Reason> {
+        let placed = pick::alone(&self.context.state(), &self.ask(resumes));
         match placed {
-            Some((placement, true)) => Ok(placement),
-            Some((placement, false)) => Err(self.refused(placement.reader.estimate.wait)),
+            Some((placement, starts)) if starts || resumes => Ok(placement),
+            Some((placement, _)) => Err(self.refused(placement.reader.estimate.wait)),
             None => Err(self.refused(Duration::ZERO)),
         }
     }
@@ -311,6 +343,9 @@
         let retry = failure.retry();
         context.metrics.attempts.with_label_values(&[retry.code()]).inc();
         self.may_have_run |= failure.may_have_run();
+        if matches!(failure, Failure::Broken(_)) {
+            self.note_broken(key);
+        }
         let stop = self.stop_reason(&failure);
         tracing::info!(
             id = %self.job.id,
@@ -333,6 +368,15 @@
         Ok(())
     }
 
+    /// Tells all hosts that the request broke off at a target.
+    fn note_broken(&self, key: Key) {
+        let target = self.context.state().registry.get(key).map(|it| it.id.clone());
+        let Some(target) = target else { return };
+        let request = self.job.fingerprint();
+        self.context.state_mut().poison.broke(request, target.clone(), clock::now());
+        peers::send_to_all(&self.context, &Packet::Broke(request, target));
+    }
+
     fn stop_reason(&mut self, failure: &Failure) -> Option<Reason> {
         match failure {
             Failure::Expired => return Some(Reason::DeadlineExceeded),
--- a/gateway/src/job.rs
+++ b/gateway/src/job.rs
@@ -1,6 +1,11 @@
 //! One request of a caller, read whole and matched to its route.
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{
+    cell::Cell,
+    hash::{Hash, Hasher},
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -121,6 +126,13 @@
         self.expires.saturating_sub(clock::now())
     }
 
+    /// Returns a number that all attempts at the same request share.
+    pub fn fingerprint(&self) -> id::Fingerprint {
+        let mut hasher = std::hash::DefaultHasher::new();
+        (self.uri.path(), self.uri.query(), &self.body).hash(&mut hasher);
+        hasher.finish()
+    }
+
     /// Returns whether no target may be tried any more.
     pub fn attempts_used(&self) -> bool {
         self.route.attempts <= self.sent.get()
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod metric;
 pub mod peers;
 pub mod pick;
+pub mod poison;
 pub mod port;
 pub mod prefill;
 pub mod prompt;
@@ -43,16 +44,16 @@
 
 use hyper::Request;
 use tokio::{
-    signal::unix::{SignalKind, signal},
+    signal::unix::{Signal, SignalKind, signal},
     sync::watch,
     task::spawn_local,
     time::{Instant, sleep},
 };
 
 use crate::{
-    context::Context,
+    context::{Bounds, Context},
     directory::Directory,
-    port::{Bounds, Phase},
+    port::Phase,
     store::Store,
 };
 
@@ -60,6 +61,8 @@
 const FAREWELL: Duration = Duration::from_millis(2500);
 /// Time before the end of the grace period at which a leaving host stops waiting.
 const GRACE_MARGIN: Duration = Duration::from_millis(500);
+/// Interval at which the settings are read again without a signal.
+const RELOAD_INTERVAL: Duration = Duration::from_secs(3);
 /// Interval at which a leaving host looks whether its last request ended.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 /// Time that the withdrawal from the store may take.
@@ -67,12 +70,15 @@
 
 /// Serves until the process is told to stop and its requests have ended.
 ///
+/// `read_bounds` reads the settings again, on a signal and from time to time.
+///
 /// # Errors
 /// Fails when a port cannot be bound or signals cannot be watched.
 pub async fn run<S: Store, D: Directory + 'static>(
     context: Rc<Context>,
     store: S,
     directory: D,
+    read_bounds: impl Fn() -> Result<Bounds, String> + 'static,
 ) -> io::Result<()> {
     let (phase, watched) = watch::channel(Phase::Open);
     serve_ports(&context, directory, &watched)?;
@@ -84,6 +90,7 @@
     spawn_local(keep_peers(Rc::clone(&context)));
     spawn_local(peers::report(Rc::clone(&context)));
     spawn_local(desk::run(Rc::clone(&context)));
+    spawn_local(reload(Rc::clone(&context), signal(SignalKind::hangup())?, read_bounds));
     let mut terminate = signal(SignalKind::terminate())?;
     tracing::info!(host = %context.settings.host.name, front = %context.settings.host.front, "started");
     terminate.recv().await;
@@ -101,7 +108,7 @@
     let bounds = move || {
         let limits = bounds_of.state().configuration.as_ref().map(|it| it.limits);
         let limits = limits.unwrap_or_default();
-        Bounds { header_bytes: limits.header_bytes, idle_time: limits.idle_time }
+        port::Bounds { header_bytes: limits.header_bytes, idle_time: limits.idle_time }
     };
     let forwarding = Rc::clone(context);
     let front = port::bind(context.settings.host.front)?;
@@ -131,6 +138,35 @@
     Ok(())
 }
 
+/// Reads the settings again on a signal, and from time to time since they also change without one.
+async fn reload(
+    context: Rc<Context>,
+    mut hangup: Signal,
+    read_bounds: impl Fn() -> Result<Bounds, String>,
+) {
+    let mut last_fault = None;
+    loop {
+        tokio::select! {
+            _ = hangup.recv() => {}
+            () = sleep(RELOAD_INTERVAL) => {}
+        }
+        match read_bounds() {
+            Ok(bounds) => {
+                last_fault = None;
+                if context.set_bounds(bounds) {
+                    tracing::info!(?bounds, "settings reloaded");
+                }
+            }
+            Err(fault) => {
+                if last_fault.as_ref() != Some(&fault) {
+                    tracing::error!(%fault, "the settings file has a fault; the last settings stay");
+                }
+                last_fault = Some(fault);
+            }
+        }
+    }
+}
+
 /// Keeps the heartbeats going.
 async fn keep_peers(context: Rc<Context>) {
     loop {
@@ -153,7 +189,7 @@
     }
     sleep(FAREWELL.saturating_sub(begun.elapsed())).await;
     phase.send_replace(Phase::Closing);
-    let end = begun + context.settings.grace.saturating_sub(GRACE_MARGIN);
+    let end = begun + context.bounds().grace.saturating_sub(GRACE_MARGIN);
     while Instant::now() < end && 0 < context.open_requests() {
         sleep(DRAIN_POLL).await;
     }
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -33,6 +33,8 @@
     Beat(Beat),
     /// What changed of a host's work, with the last grant that it includes.
     Changes(id::Host, u64, Vec<(id::Target, Work)>),
+    /// A request broke off at a target.
+    Broke(id::Fingerprint, id::Target),
     /// A host asks where a request goes.
     Ask(id::Host, Ask),
     /// A dispatcher's word about a request.
@@ -70,6 +72,18 @@
     }
 }
 
+/// Sends a datagram to every host that is there.
+pub fn send_to_all(context: &Context, packet: &Packet) {
+    let hosts: Vec<id::Host> = {
+        let state = context.state();
+        let live = state.membership.recipients().filter(|(_, up)| *up);
+        live.map(|(host, _)| host.name.clone()).collect()
+    };
+    for host in hosts {
+        send(context, &host, packet);
+    }
+}
+
 /// Tells the dispatcher of changes of this host's work, forever.
 pub async fn report(context: Rc<Context>) {
     loop {
@@ -192,6 +206,9 @@
             drop(state);
             desk::look(context);
         }
+        Packet::Broke(request, target) => {
+            context.state_mut().poison.broke(request, target, clock::now());
+        }
         Packet::Ask(host, ask) => desk::receive(context, host, ask),
         Packet::Verdict(host, number, verdict) => desk::hear(context, host, number, verdict),
     }
--- a/gateway/tests/dispatch.rs
+++ b/gateway/tests/dispatch.rs
@@ -49,6 +49,7 @@
         objective,
         elapsed: Duration::ZERO,
         patience: ms(400),
+        resumes: false,
         avoid: Vec::new(),
     }
 }
@@ -176,3 +177,21 @@
     let Decision::Place(placement) = decided[0].decision else { panic!("{decided:?}") };
     assert_eq!(placement.reader.key, keys[3]);
 }
+
+/// Pattern: an engine dies with many streams. They go on before anything new starts.
+#[test]
+fn broken_streams_first() {
+    let keys = keys(4);
+    let mut fleets = fleet(&keys);
+    let fleet = fleets.get_mut(SERVICE).unwrap();
+    fleet.engines.truncate(1);
+    fleet.engines.push(engine(keys[2], "e2", Stage::Decode));
+    fleet.engines[1].work.prompt_tokens = 60_000;
+    let mut queue = Queue::default();
+    queue.add("h1".into(), ask(1, prompt("a", 10, "b", 9000), ms(200)), ms(0));
+    let broken =
+        Ask { resumes: true, elapsed: ms(5000), ..ask(2, prompt("c", 10, "d", 9000), ms(200)) };
+    queue.add("h2".into(), broken, ms(1));
+    let decided = queue.decide(&mut fleets, &Cache::default(), ms(2));
+    assert_eq!(placed(&decided), [2]);
+}
--- a/gateway/tests/membership.rs
+++ b/gateway/tests/membership.rs
@@ -10,7 +10,7 @@
     Host {
         name: name.into(),
         incarnation: 1,
-        data_centre: if port % 2 == 0 { "a".into() } else { "b".into() },
+        data_centre: if port.is_multiple_of(2) { "a".into() } else { "b".into() },
         front: ([127, 0, 0, 1], port).into(),
         peers: ([127, 0, 0, 1], port + 1000).into(),
     }
