--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -25,6 +25,8 @@
 pub const RESUME_PATIENCE: Duration = Duration::from_millis(1200);
 /// Part of a caller's deadline for which a request waits for room at most.
 const PATIENCE: f64 = 0.08;
+/// Part of the deadline for which a request that returned waits at most.
+const LAST_PATIENCE: f64 = 0.25;
 
 /// Tokens that an engine is taken to read in a millisecond before any were measured.
 const FIRST_RATE: f64 = 120.0;
@@ -268,8 +270,11 @@
 }
 
 /// Returns how long a request may wait for room; beyond it, it is refused.
-pub fn patience(objective: Duration, deadline: Duration) -> Duration {
-    deadline.mul_f64(PATIENCE).max(objective / 2)
+///
+/// One that was refused before has no further chance, so it may wait for longer.
+pub fn patience(objective: Duration, deadline: Duration, returns: bool) -> Duration {
+    let part = if returns { LAST_PATIENCE } else { PATIENCE };
+    deadline.mul_f64(part).max(objective / 2)
 }
 
 /// Returns the engine that generates from a prompt which another has read: the least occupied.
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -249,7 +249,7 @@
             .filter(|(key, _)| self.tried.contains(key) || state.health.is_paused(*key, now));
         let patience = match resumes {
             true => engine::RESUME_PATIENCE,
-            false => engine::patience(job.route.objective, job.deadline),
+            false => engine::patience(job.route.objective, job.deadline, !job.before.is_zero()),
         };
         Ask {
             number: rand::random(),
@@ -474,6 +474,8 @@
             reason = reason.code(),
             verdict = reason.verdict().as_str(),
             sent = self.job.sent.get(),
+            prompt = self.job.prompt.tokens,
+            elapsed_ms = self.job.elapsed().as_millis() as u64,
             ahead_ms = self.ahead.as_millis() as u64,
             waited_ms = waited.as_millis() as u64,
             "request given up"
