--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -26,12 +26,12 @@
 /// Part of a caller's deadline for which a request waits for room at most.
 const PATIENCE: f64 = 0.08;
 /// Part of the deadline for which a request that returned waits at most.
-const LAST_PATIENCE: f64 = 0.25;
+const LAST_PATIENCE: f64 = 0.08;
 
 /// Tokens that an engine is taken to read in a millisecond before any were measured.
 const FIRST_RATE: f64 = 120.0;
 /// Part of that rate which an engine reaches that also generates.
-const DIRECT_SHARE: f64 = 0.3;
+pub const DIRECT_SHARE: f64 = 0.3;
 /// Weight of the newest measurement in a rate or base.
 const NEWEST: f64 = 0.03;
 /// Tokens below which a measurement says little about the rate.
