fix(gateway): requests wait a twentieth of their deadline, not a twelfth

Cause: late work is not free: it holds an engine for 50 to 300 ms while requests arrive that could be on time.

--- a/gateway/src/dispatch.rs
+++ b/gateway/src/dispatch.rs
@@ -188,12 +188,10 @@
             (*is_late != late_first, *start, *priority, key.clone())
         });
         let mut decided = Vec::new();
-        let mut before = 0;
         for ((is_late, ..), key) in order {
             let Some(waiting) = self.waiting.get(&key) else { continue };
             let Some(fleet) = fleets.get_mut(&waiting.ask.service) else { continue };
-            let decision = fleet.decide(waiting, cache, before, now);
-            before += waiting.ask.prompt.unshared();
+            let decision = fleet.decide(waiting, cache, now);
             let Some(decision) = decision else { continue };
             if matches!(decision, Decision::Place(_)) {
                 self.shares.count(waiting.ask.prompt.unshared(), is_late);
@@ -282,43 +280,24 @@
         engine.is_some_and(|it| self.times.reading(it.stage, it.work.prompt_tokens) <= RUN_AHEAD)
     }
 
-    /// Returns whether any engine can take one more prompt now.
-    fn any_open(&self) -> bool {
-        let open = |it: &Engine| self.times.reading(it.stage, it.work.prompt_tokens) <= RUN_AHEAD;
-        self.engines.iter().any(open)
-    }
-
-    /// Returns the time that all engines together need for so many tokens.
-    fn time_for(&self, tokens: u64) -> Duration {
-        let count = |stage| self.engines.iter().filter(|it| it.stage == stage).count() as f64;
-        let at_once = count(Stage::Prefill) + count(Stage::Decode) * engine::DIRECT_SHARE;
-        self.times.reading(Stage::Prefill, tokens).div_f64(at_once.max(1.0))
-    }
-
-    /// Decides about one request, with `before` tokens in the queue before it.
+    /// Decides about one request.
     ///
     /// One that waits for a busy engine is counted there, so that those behind it see its work: a
     /// short wait for the engine whose cache holds the prompt's beginning beats reading it again.
-    fn decide(
-        &mut self,
-        waiting: &Waiting,
-        cache: &Cache,
-        before: u64,
-        now: Moment,
-    ) -> Option<Decision> {
-        if self.any_open() {
-            let candidates = self.candidates(&waiting.ask, cache);
-            if let Some(placement) = place(&candidates, &self.times, waiting.standing(now)) {
-                let is_open = self.is_open(placement.reader.key);
-                self.count(&waiting.ask, placement, cache);
-                if is_open {
-                    return Some(Decision::Place(placement));
-                }
+    fn decide(&mut self, waiting: &Waiting, cache: &Cache, now: Moment) -> Option<Decision> {
+        let candidates = self.candidates(&waiting.ask, cache);
+        let placement = place(&candidates, &self.times, waiting.standing(now));
+        if let Some(placement) = placement {
+            let is_open = self.is_open(placement.reader.key);
+            self.count(&waiting.ask, placement, cache);
+            if is_open {
+                return Some(Decision::Place(placement));
             }
         }
         let waited = now.saturating_sub(waiting.arrived);
         let patience = waiting.ask.patience.saturating_sub(waited);
-        let ahead = self.time_for(before);
+        let ahead =
+            placement.map_or(patience, |it| it.reader.estimate.wait.saturating_sub(RUN_AHEAD));
         (patience < ahead || patience.is_zero()).then_some(Decision::Refuse(ahead))
     }
 
--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -24,14 +24,12 @@
 /// Time that a stream which broke off may wait to go on; callers leave after two seconds of silence.
 pub const RESUME_PATIENCE: Duration = Duration::from_millis(1200);
 /// Part of a caller's deadline for which a request waits for room at most.
-const PATIENCE: f64 = 0.08;
-/// Part of the deadline for which a request that returned waits at most.
-const LAST_PATIENCE: f64 = 0.08;
+const PATIENCE: f64 = 0.05;
 
 /// Tokens that an engine is taken to read in a millisecond before any were measured.
 const FIRST_RATE: f64 = 120.0;
 /// Part of that rate which an engine reaches that also generates.
-pub const DIRECT_SHARE: f64 = 0.3;
+const DIRECT_SHARE: f64 = 0.3;
 /// Weight of the newest measurement in a rate or base.
 const NEWEST: f64 = 0.03;
 /// Tokens below which a measurement says little about the rate.
@@ -270,11 +268,8 @@
 }
 
 /// Returns how long a request may wait for room; beyond it, it is refused.
-///
-/// One that was refused before has no further chance, so it may wait for longer.
-pub fn patience(objective: Duration, deadline: Duration, returns: bool) -> Duration {
-    let part = if returns { LAST_PATIENCE } else { PATIENCE };
-    deadline.mul_f64(part).max(objective / 2)
+pub fn patience(objective: Duration, deadline: Duration) -> Duration {
+    deadline.mul_f64(PATIENCE).max(objective / 2)
 }
 
 /// Returns the engine that generates from a prompt which another has read: the least occupied.
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -249,7 +249,7 @@
             .filter(|(key, _)| self.tried.contains(key) || state.health.is_paused(*key, now));
         let patience = match resumes {
             true => engine::RESUME_PATIENCE,
-            false => engine::patience(job.route.objective, job.deadline, !job.before.is_zero()),
+            false => engine::patience(job.route.objective, job.deadline),
         };
         Ask {
             number: rand::random(),
