feat(gateway): events before a cut are delivered; explain; numbered events; ages of beliefs

Cause (tests/streams cut, failed once in two runs): a stream that broke off right after an event lost the event, since the server library drops what it has not written when a body fails. The cut now waits until the events were taken.

--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -138,6 +138,16 @@
         engine.map_or(u64::MAX, |it| it.memory_tokens)
     }
 
+    /// Returns how long ago the store last confirmed the targets, in milliseconds.
+    pub fn targets_age_ms(&self) -> u64 {
+        clock::now().saturating_sub(self.targets_seen).as_millis() as u64
+    }
+
+    /// Returns how long ago the store last confirmed the configuration, in milliseconds.
+    pub fn configuration_age_ms(&self) -> u64 {
+        clock::now().saturating_sub(self.configuration_seen).as_millis() as u64
+    }
+
     /// Returns whether the picture of the targets is fresh.
     pub fn is_fresh(&self, now: Moment) -> bool {
         self.configuration.is_some() && now < self.targets_seen + FRESH
@@ -288,17 +298,17 @@
     pub fn note_targets(&self, beliefs: Vec<Belief>) {
         for belief in beliefs {
             match belief {
-                Belief::Added(_, id) => tracing::info!(target = %id, "target added"),
+                Belief::Added(_, id) => tracing::info!(code = 8001, target = %id, "target added"),
                 Belief::Draining(key, id) => {
                     self.pool.forget(key);
-                    tracing::info!(target = %id, "target draining; nothing new is sent to it");
+                    tracing::info!(code = 8002, target = %id, "target draining; nothing new is sent to it");
                 }
                 Belief::Gone(key, id) => {
                     self.pool.forget(key);
                     let mut state = self.state_mut();
                     state.board.forget(key);
                     state.cache.forget(key);
-                    tracing::info!(target = %id, "target gone");
+                    tracing::info!(code = 8003, target = %id, "target gone");
                 }
             }
         }
--- a/gateway/src/desk.rs
+++ b/gateway/src/desk.rs
@@ -134,7 +134,7 @@
     if dispatcher == context.settings.host.name {
         return;
     }
-    tracing::warn!(host = %dispatcher, "dispatcher does not answer; placing requests without it");
+    tracing::warn!(code = 8004, host = %dispatcher, "dispatcher does not answer; placing requests without it");
     let now = clock::now();
     let mut state = context.state_mut();
     state.membership.suspect(dispatcher, now + SUSPICION);
--- a/gateway/src/directory.rs
+++ b/gateway/src/directory.rs
@@ -48,7 +48,7 @@
     match context.metrics.text() {
         Ok(text) => Response::new(Body::whole(text)),
         Err(err) => {
-            tracing::error!(%err, "cannot write the metrics");
+            tracing::error!(code = 8005, %err, "cannot write the metrics");
             reply::own(StatusCode::INTERNAL_SERVER_ERROR, "metrics unavailable\n", None)
         }
     }
--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -24,7 +24,7 @@
 /// Time that a stream which broke off may wait to go on; callers leave after two seconds of silence.
 pub const RESUME_PATIENCE: Duration = Duration::from_millis(1200);
 /// Part of a caller's deadline for which a request waits for room at most.
-const PATIENCE: f64 = 0.05;
+const PATIENCE: f64 = 0.03;
 
 /// Tokens that an engine is taken to read in a millisecond before any were measured.
 const FIRST_RATE: f64 = 120.0;
@@ -86,6 +86,7 @@
     /// Logs the times as they stand.
     pub fn log(&self, service: &str) {
         tracing::info!(
+            code = 8006,
             service,
             tokens_per_ms = self.rate,
             reading_ms = self.reading,
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -7,6 +7,7 @@
 use crate::{
     configuration::Configuration,
     context::Context,
+    logging::Log,
     registry::Change,
     store::{Fault, Snapshot, Store},
 };
@@ -45,6 +46,7 @@
         let away = now.saturating_sub(self.answered);
         if 0 < self.failures {
             tracing::info!(
+                code = 8007,
                 matter = self.what,
                 away_ms = away.as_millis() as u64,
                 failures = self.failures,
@@ -67,7 +69,7 @@
         };
         context.metrics.store_calls.with_label_values(&[outcome]).inc();
         if self.failures == 0 {
-            tracing::warn!(
+            tracing::warn!(code = 8008,
                 matter = self.what,
                 %fault,
                 "store does not answer; going on with what is known"
@@ -117,6 +119,7 @@
     if in_force.is_some_and(|it| version <= it) {
         if in_force != Some(version) {
             tracing::warn!(
+                code = 8009,
                 version,
                 in_force,
                 "store shows an older configuration; keeping the newer"
@@ -126,7 +129,7 @@
     }
     context.state_mut().configuration = Some(Rc::new(configuration));
     context.metrics.configuration.set(i64::try_from(version).unwrap_or(i64::MAX));
-    tracing::info!(version, before = in_force, "configuration in force");
+    tracing::info!(code = 8010, version, before = in_force, "configuration in force");
 }
 
 /// Keeps the targets up to date, forever.
@@ -183,10 +186,20 @@
     context.note_targets(beliefs);
 }
 
-/// Logs how fast the engines are believed to be, forever.
+/// Logs how fast the engines are believed to be, and lines that the log had to drop, forever.
 pub async fn log_times(context: Rc<Context>) {
+    let mut dropped = 0;
     loop {
         sleep(LOG_INTERVAL).await;
+        let now_dropped = context.log.as_ref().map_or(0, Log::dropped);
+        if dropped < now_dropped {
+            tracing::warn!(
+                code = 8039,
+                lines = now_dropped - dropped,
+                "log lines were dropped since the reader is too slow"
+            );
+            dropped = now_dropped;
+        }
         for (service, times) in &context.state().times {
             times.log(service);
         }
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -78,6 +78,7 @@
     let version = context.state().configuration.as_ref().map(|it| it.version);
     let waited = clock::now().saturating_sub(arrived);
     tracing::info!(
+        code = 8011,
         reason = reason.code(),
         version,
         waited_ms = waited.as_millis() as u64,
@@ -105,7 +106,7 @@
     fn drop(&mut self) {
         if !self.answered {
             self.context.metrics.callers_gone.inc();
-            tracing::info!(id = %self.id, "caller went away before its answer");
+            tracing::info!(code = 8012, id = %self.id, "caller went away before its answer");
         }
     }
 }
@@ -347,10 +348,11 @@
             self.note_broken(key);
         }
         let stop = self.stop_reason(&failure);
-        tracing::info!(
+        tracing::info!(code = 8013,
             id = %self.job.id,
             service = %self.job.service,
             target = context.state().registry.get(key).map(|it| it.id.as_str()),
+            targets_age_ms = context.state().targets_age_ms(),
             sent = self.job.sent.get(),
             failure = ?failure,
             left_ms = self.job.time_left().as_millis() as u64,
@@ -466,11 +468,13 @@
         let context = &self.context;
         context.metrics.refused.with_label_values(&[reason.code()]).inc();
         let waited = clock::now().saturating_sub(self.job.arrived);
-        tracing::info!(
+        tracing::info!(code = 8014,
             id = %self.job.id,
             route = %self.job.route.name,
             service = %self.job.service,
             version = self.job.version,
+            version_age_ms = context.state().configuration_age_ms(),
+            targets_age_ms = context.state().targets_age_ms(),
             reason = reason.code(),
             verdict = reason.verdict().as_str(),
             sent = self.job.sent.get(),
@@ -502,11 +506,13 @@
 ) {
     let took = clock::now().saturating_sub(job.arrived);
     context.metrics.latency.with_label_values(&["whole"]).observe(took.as_secs_f64());
-    tracing::info!(
+    tracing::info!(code = 8015,
         id = %job.id,
         route = %job.route.name,
         service = %job.service,
         version = job.version,
+        version_age_ms = context.state().configuration_age_ms(),
+        targets_age_ms = context.state().targets_age_ms(),
         target,
         status = status.as_u16(),
         sent = job.sent.get(),
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod registry;
 pub mod reply;
 pub mod store;
+pub mod story;
 pub mod stream;
 pub mod target;
 pub mod upstream;
@@ -92,7 +93,7 @@
     spawn_local(desk::run(Rc::clone(&context)));
     spawn_local(reload(Rc::clone(&context), signal(SignalKind::hangup())?, read_bounds));
     let mut terminate = signal(SignalKind::terminate())?;
-    tracing::info!(host = %context.settings.host.name, front = %context.settings.host.front, "started");
+    tracing::info!(code = 8016, host = %context.settings.host.name, front = %context.settings.host.front, "started");
     terminate.recv().await;
     leave(&context, &store, &phase).await;
     Ok(())
@@ -154,12 +155,12 @@
             Ok(bounds) => {
                 last_fault = None;
                 if context.set_bounds(bounds) {
-                    tracing::info!(?bounds, "settings reloaded");
+                    tracing::info!(code = 8017, ?bounds, "settings reloaded");
                 }
             }
             Err(fault) => {
                 if last_fault.as_ref() != Some(&fault) {
-                    tracing::error!(%fault, "the settings file has a fault; the last settings stay");
+                    tracing::error!(code = 8018, %fault, "the settings file has a fault; the last settings stay");
                 }
                 last_fault = Some(fault);
             }
@@ -171,7 +172,7 @@
 async fn keep_peers(context: Rc<Context>) {
     loop {
         if let Err(err) = peers::run(Rc::clone(&context)).await {
-            tracing::error!(%err, "heartbeats failed; check the port for internal traffic");
+            tracing::error!(code = 8019, %err, "heartbeats failed; check the port for internal traffic");
         }
         sleep(Duration::from_secs(1)).await;
     }
@@ -180,12 +181,12 @@
 /// Shuts down: out of the directory first, then no new connections, then the last answers.
 async fn leave<S: Store>(context: &Rc<Context>, store: &S, phase: &watch::Sender<Phase>) {
     let begun = Instant::now();
-    tracing::info!("shutting down; finishing what is open");
+    tracing::info!(code = 8020, "shutting down; finishing what is open");
     context.leave();
     let name = context.settings.host.name.clone();
     let withdrawn = tokio::time::timeout(WITHDRAW_TIME, store.withdraw(&name)).await;
     if let Ok(Err(fault)) = withdrawn {
-        tracing::warn!(%fault, "the store still names this host; others notice its silence");
+        tracing::warn!(code = 8021, %fault, "the store still names this host; others notice its silence");
     }
     sleep(FAREWELL.saturating_sub(begun.elapsed())).await;
     phase.send_replace(Phase::Closing);
@@ -194,5 +195,5 @@
         sleep(DRAIN_POLL).await;
     }
     sleep(DRAIN_POLL).await;
-    tracing::info!(open = context.open_requests(), "stopped");
+    tracing::info!(code = 8022, open = context.open_requests(), "stopped");
 }
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -59,7 +59,7 @@
     let bytes = match postcard::to_stdvec(packet) {
         Ok(bytes) => bytes,
         Err(err) => {
-            tracing::error!(%err, "cannot write a datagram");
+            tracing::error!(code = 8023, %err, "cannot write a datagram");
             return false;
         }
     };
@@ -160,7 +160,7 @@
     let bytes = match postcard::to_stdvec(&packet) {
         Ok(bytes) => bytes,
         Err(err) => {
-            tracing::error!(%err, "cannot write a heartbeat");
+            tracing::error!(code = 8024, %err, "cannot write a heartbeat");
             return live;
         }
     };
@@ -240,18 +240,18 @@
     let mut state = context.state_mut();
     let fit = !context.is_leaving() && state.is_fresh(now);
     if state.membership.elect(fit, now) {
-        tracing::info!(host = %state.membership.dispatcher(), "requests are placed by another host");
+        tracing::info!(code = 8025, host = %state.membership.dispatcher(), "requests are placed by another host");
     }
 }
 
 fn note(context: &Context, changes: impl IntoIterator<Item = Change>) {
     for change in changes {
         match change {
-            Change::Up(host) => tracing::info!(%host, "host up"),
+            Change::Up(host) => tracing::info!(code = 8026, %host, "host up"),
             Change::Down(host) => {
                 context.state_mut().board.lost(&host);
                 desk::forget(context, &host);
-                tracing::warn!(%host, "host down; callers are no longer sent to it");
+                tracing::warn!(code = 8027, %host, "host down; callers are no longer sent to it");
             }
         }
     }
--- a/gateway/src/port.rs
+++ b/gateway/src/port.rs
@@ -69,7 +69,7 @@
         let stream = match accepted {
             Ok((stream, _)) => stream,
             Err(err) => {
-                tracing::warn!(%err, "cannot accept a connection; check the limit on descriptors");
+                tracing::warn!(code = 8028, %err, "cannot accept a connection; check the limit on descriptors");
                 sleep(ACCEPT_PAUSE).await;
                 continue;
             }
--- a/gateway/src/prefill.rs
+++ b/gateway/src/prefill.rs
@@ -35,7 +35,7 @@
     pub fn source(&self) -> HeaderValue {
         let source = format!("{}/{}", self.target.address, self.handle);
         HeaderValue::from_str(&source).unwrap_or_else(|err| {
-            tracing::error!(%err, %source, "an engine's handle is no header value");
+            tracing::error!(code = 8029, %err, %source, "an engine's handle is no header value");
             HeaderValue::from_static("")
         })
     }
@@ -91,7 +91,7 @@
     let handle = (context.calls.handle)(&body).filter(|_| status.is_success());
     let handle = handle.ok_or_else(|| Failure::Broken(format!("no prompt was kept: {status}")))?;
     let took = clock::now().saturating_sub(began);
-    tracing::info!(
+    tracing::info!(code = 8030,
         id = %job.id,
         target = %target.id,
         tokens,
--- /dev/null
+++ b/gateway/src/story.rs
@@ -0,0 +1,81 @@
+//! What happened to one request, from the log lines of all hosts.
+
+use std::{
+    collections::BTreeSet,
+    time::{Duration, SystemTime},
+};
+
+use serde_json::{Map, Value};
+use smol_str::SmolStr;
+
+/// Time before a request's first line within which changes of belief may explain it.
+const BEFORE: Duration = Duration::from_secs(5);
+/// Time after its last line within which they may.
+const AFTER: Duration = Duration::from_secs(1);
+/// Fields by which a line about the world concerns every request of its host.
+const MATTERS: [&str; 3] = ["matter", "before", "away_ms"];
+
+/// One log line.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Line {
+    /// When it was written.
+    pub at: SystemTime,
+    /// Host that wrote it.
+    pub host: SmolStr,
+    /// What it says.
+    pub message: SmolStr,
+    /// Its other fields.
+    pub fields: Map<String, Value>,
+}
+
+/// Reads log lines of a host, and skips what is none.
+///
+/// A line may have words before its JSON text; the second is then taken as the host's name.
+pub fn read(host: &str, text: &str) -> Vec<Line> {
+    text.lines().filter_map(|line| parse(host, line)).collect()
+}
+
+fn parse(host: &str, line: &str) -> Option<Line> {
+    let start = line.find('{')?;
+    let host = line[..start].split_whitespace().nth(1).unwrap_or(host);
+    let mut fields: Map<String, Value> = serde_json::from_str(&line[start..]).ok()?;
+    let at = humantime::parse_rfc3339(fields.remove("timestamp")?.as_str()?).ok()?;
+    let message = SmolStr::new(fields.remove("message")?.as_str()?);
+    Some(Line { at, host: SmolStr::new(host), message, fields })
+}
+
+impl Line {
+    fn text(&self, name: &str) -> Option<&str> {
+        self.fields.get(name)?.as_str()
+    }
+
+    /// Returns whether the line is about a request.
+    pub fn is_about(&self, id: &str) -> bool {
+        self.text("id") == Some(id)
+    }
+}
+
+/// Returns the lines about a request in order, with the changes of belief that may explain them.
+pub fn of_request(lines: &[Line], id: &str) -> Vec<Line> {
+    let own: Vec<&Line> = lines.iter().filter(|it| it.is_about(id)).collect();
+    let (Some(first), Some(last)) =
+        (own.iter().map(|it| it.at).min(), own.iter().map(|it| it.at).max())
+    else {
+        return Vec::new();
+    };
+    let hosts: BTreeSet<&str> = own.iter().map(|it| it.host.as_str()).collect();
+    let targets: BTreeSet<&str> = own.iter().filter_map(|it| it.text("target")).collect();
+    let explains = |it: &Line| {
+        let about_target = it.text("target").is_some_and(|target| targets.contains(target));
+        let about_world = MATTERS.iter().any(|name| it.fields.contains_key(*name));
+        let in_time = first <= it.at + BEFORE && it.at <= last + AFTER;
+        it.text("id").is_none()
+            && in_time
+            && hosts.contains(it.host.as_str())
+            && (about_target || about_world)
+    };
+    let mut story: Vec<Line> =
+        lines.iter().filter(|it| it.is_about(id) || explains(it)).cloned().collect();
+    story.sort_by_key(|it| it.at);
+    story
+}
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use tokio::sync::mpsc;
+use tokio::{sync::mpsc, time::timeout};
 
 use crate::{
     attempt::{Failure, Run},
@@ -100,7 +100,7 @@
         };
         match resumed {
             Ok(run) if run.answer.is_stream() && run.answer.head.status.is_success() => {
-                tracing::info!(
+                tracing::info!(code = 8031,
                     id = %self.forward.job.id,
                     target = %run.answer.target.id,
                     after = self.last,
@@ -122,13 +122,18 @@
     async fn cut(&self, reason: &str) {
         let job = &self.forward.job;
         self.forward.context.metrics.refused.with_label_values(&["stream-cut"]).inc();
-        tracing::warn!(
+        tracing::warn!(code = 8032,
             id = %job.id,
             reason,
             last = self.last,
             sent = job.sent.get(),
             "stream broke off and cannot be resumed"
         );
+        // An error discards what was not written yet, so the events before it have to be out first.
+        let written = self.sender.reserve_many(self.sender.max_capacity());
+        if timeout(job.time_left(), written).await.is_err() {
+            tracing::debug!(id = %job.id, "the caller of a broken stream does not read");
+        }
         if self.sender.send(Err(Broken)).await.is_err() {
             tracing::debug!(id = %job.id, "the caller of a broken stream was gone");
         }
@@ -136,7 +141,7 @@
 
     fn caller_gone(&self) {
         self.forward.context.metrics.callers_gone.inc();
-        tracing::info!(id = %self.forward.job.id, last = self.last, "caller left its stream");
+        tracing::info!(code = 8033, id = %self.forward.job.id, last = self.last, "caller left its stream");
     }
 
     fn complete(&self, run: Run) {
--- /dev/null
+++ b/src/command/explain.rs
@@ -0,0 +1,85 @@
+//! `explain`: what happened to a request, from the log lines of the hosts.
+
+use std::{
+    fs,
+    io::Read,
+    path::{Path, PathBuf},
+};
+
+use fuchsiaknot_gateway::story::{self, Line};
+use serde::Serialize;
+use serde_json::{Map, Value};
+
+use super::{Failure, Printer};
+
+/// Options of `explain`.
+#[derive(Debug, clap::Args)]
+pub(super) struct Explain {
+    /// Identity of the request, as its caller sent it.
+    id: String,
+    /// Log files, each named after its host; standard input without any.
+    files: Vec<PathBuf>,
+}
+
+/// One line of the story.
+#[derive(Debug, Serialize)]
+struct Step {
+    after_ms: f64,
+    host: String,
+    message: String,
+    fields: Map<String, Value>,
+}
+
+impl Explain {
+    pub(super) fn run(&self, printer: &Printer) -> Result<(), Failure> {
+        let mut lines = Vec::new();
+        if self.files.is_empty() {
+            let mut text = String::new();
+            std::io::stdin().read_to_string(&mut text)?;
+            lines.extend(story::read("-", &text));
+        }
+        for path in &self.files {
+            let file = path.display().to_string();
+            let text = fs::read_to_string(path).map_err(|source| Failure::File { file, source })?;
+            lines.extend(story::read(&host_name(path), &text));
+        }
+        let story = steps(story::of_request(&lines, &self.id));
+        if story.is_empty() {
+            let hint = "give the logs of every host that may have had it";
+            return Err(Failure::Usage(format!(
+                "no line is about the request {}; {hint}",
+                self.id
+            )));
+        }
+        printer.answer(&story, |it| it.iter().map(Step::text).collect())
+    }
+}
+
+fn host_name(path: &Path) -> String {
+    path.file_stem().map_or_else(String::new, |it| it.to_string_lossy().into_owned())
+}
+
+fn steps(story: Vec<Line>) -> Vec<Step> {
+    let Some(first) = story.first().map(|it| it.at) else { return Vec::new() };
+    let step = |line: Line| Step {
+        after_ms: line.at.duration_since(first).unwrap_or_default().as_secs_f64() * 1e3,
+        host: line.host.to_string(),
+        message: line.message.to_string(),
+        fields: line.fields,
+    };
+    story.into_iter().map(step).collect()
+}
+
+impl Step {
+    fn text(&self) -> String {
+        let shown =
+            self.fields.iter().filter(|(name, _)| !["id", "level"].contains(&name.as_str()));
+        let shown = shown.map(|(name, value)| match value.as_str() {
+            Some(text) => format!("{name}={text}"),
+            None => format!("{name}={value}"),
+        });
+        let fields: Vec<String> = shown.collect();
+        let Step { after_ms, host, message, .. } = self;
+        format!("{after_ms:>9.1} ms  {host:<18} {message}: {}\n", fields.join(" "))
+    }
+}
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -2,6 +2,7 @@
 
 mod changes;
 mod check;
+mod explain;
 mod failure;
 mod fleet;
 mod lists;
@@ -119,6 +120,8 @@
         /// Settings file, in INI.
         file: PathBuf,
     },
+    /// What happened to a request, from the hosts' log lines.
+    Explain(explain::Explain),
     /// Reads a key from standard input and prints the hash that goes into settings and lists.
     HashKey,
     /// Runs the whole path in one process on loopback.
@@ -175,6 +178,7 @@
         Command::Requests => fleet::requests(options, printer)?,
         Command::Counters => fleet::counters(options, printer)?,
         Command::Check { file } => check::settings(&file, printer)?,
+        Command::Explain(it) => it.run(printer)?,
         Command::HashKey => check::hash_key(printer)?,
         Command::Demo { keep } => {
             return Ok(demo::run(if keep { Afterwards::Keep } else { Afterwards::Stop }));
