fix(gateway): bounds on the silence of targets

Change: resumable streams go on elsewhere after 0.9 to 1.2 s of silence, reading calls have three times their estimate, idempotent requests twice their objective while another attempt is left.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -1,6 +1,6 @@
 //! One request sent to one target.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use fuchsiaknot_core::{clock, verdict::Retry};
 use hyper::{HeaderMap, StatusCode};
@@ -20,6 +20,8 @@
     NotRun(StatusCode),
     /// The target may have run the request, or ran a part of it.
     Broken(String),
+    /// The target was silent for longer than the bound; it may have run the request.
+    Silent,
     /// The time ran out while the target may have been at work.
     Expired,
 }
@@ -28,14 +30,14 @@
     /// Returns the failure of a call that reads a prompt and cannot run the request.
     pub fn before_run(self) -> Failure {
         match self {
-            Failure::Broken(_) => Failure::NotRun(StatusCode::BAD_GATEWAY),
+            Failure::Broken(_) | Failure::Silent => Failure::NotRun(StatusCode::BAD_GATEWAY),
             other => other,
         }
     }
 
     /// Returns whether the target may have begun the request.
     pub fn may_have_run(&self) -> bool {
-        matches!(self, Failure::Broken(_) | Failure::Expired)
+        matches!(self, Failure::Broken(_) | Failure::Silent | Failure::Expired)
     }
 
     /// Returns the reason under which a further attempt is counted.
@@ -44,7 +46,7 @@
             Failure::NotSent(_) => Retry::ConnectRefused,
             Failure::NotRun(_) => Retry::TargetRefused,
             Failure::Broken(_) => Retry::TargetFailed,
-            Failure::Expired => Retry::Silent,
+            Failure::Silent | Failure::Expired => Retry::Silent,
         }
     }
 }
@@ -109,6 +111,8 @@
     pub last_event: Option<u64>,
     /// Prompt that another engine has read.
     pub prefilled: Option<&'a Prefilled>,
+    /// Time for the head of the answer, if another target may then be tried.
+    pub limit: Option<Duration>,
 }
 
 /// A job that a target answers; dropping it closes the connection, which frees the target.
@@ -153,7 +157,9 @@
     let mut connection = connected.map_err(|err| Failure::NotSent(err.to_string()))?;
     let mut request = job.request(&context.headers, &target, options);
     request.headers_mut().extend(headers);
-    match timeout(job.time_left(), connection.send(request)).await {
+    let time = options.limit.unwrap_or(Duration::MAX).min(job.time_left());
+    match timeout(time, connection.send(request)).await {
+        Err(_) if time < job.time_left() => Err(Failure::Silent),
         Err(_) => Err(Failure::Expired),
         Ok(Err(Fault::NotSent)) => Err(Failure::NotSent(Fault::NotSent.to_string())),
         Ok(Err(err)) => Err(Failure::Broken(err.to_string())),
@@ -167,7 +173,7 @@
 pub fn note_health(context: &Context, key: Key, failure: &Failure) {
     let mut state = context.state_mut();
     match failure {
-        Failure::NotSent(_) | Failure::Broken(_) => {
+        Failure::NotSent(_) | Failure::Broken(_) | Failure::Silent => {
             state.health.failed(key, clock::now());
         }
         Failure::NotRun(_) | Failure::Expired => state.health.erred(key),
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -114,6 +114,8 @@
 /// Places at the engines that a job was granted.
 struct Seats {
     stage: Stage,
+    /// Time to the first event.
+    estimate: Duration,
     reader: Ticket,
     generator: Option<Ticket>,
 }
@@ -198,7 +200,9 @@
                 let key = pick::plain(&self.context, &self.job, &self.tried);
                 let key = key.ok_or_else(|| self.no_target())?;
                 let ticket = Ticket::new(&self.context, &self.job, key, 0);
-                self.send(ticket, Options { last_event, prefilled: None }).await
+                let options =
+                    Options { last_event, limit: self.job.answer_limit(), prefilled: None };
+                self.send(ticket, options).await
             };
             match sent {
                 Ok(run) => {
@@ -286,6 +290,7 @@
         let ticket = |key, unread| Ticket::new(&self.context, &self.job, key, unread);
         Seats {
             stage: reader.stage,
+            estimate: reader.estimate.first_event,
             reader: ticket(reader.key, missing).with_unread(tokens),
             generator: generator.map(|key| ticket(key, 0)),
         }
@@ -297,7 +302,9 @@
         last_event: Option<u64>,
     ) -> Result<Run, (Key, Failure)> {
         match seats.stage {
-            Stage::Decode => self.send(seats.reader, Options { last_event, prefilled: None }).await,
+            Stage::Decode => {
+                self.send(seats.reader, Options { last_event, ..Options::default() }).await
+            }
             Stage::Prefill => self.hand_over(seats, last_event).await,
         }
     }
@@ -320,7 +327,7 @@
         last_event: Option<u64>,
     ) -> Result<Run, (Key, Failure)> {
         let reader = seats.reader.key;
-        let read = prefill::read(&self.context, &self.job, seats.reader).await;
+        let read = prefill::read(&self.context, &self.job, seats.reader, seats.estimate).await;
         let mut prefilled = read.map_err(|failure| {
             self.tried.push(reader);
             (reader, failure.before_run())
@@ -328,7 +335,7 @@
         self.job.read_at.set(Some(clock::now()));
         let no_room = || (reader, Failure::NotSent("no engine has room to generate".to_owned()));
         let generator = seats.generator.ok_or_else(no_room)?;
-        let options = Options { last_event, prefilled: Some(&prefilled) };
+        let options = Options { last_event, prefilled: Some(&prefilled), limit: None };
         let run = self.send(generator, options).await?;
         prefilled.take();
         Ok(run)
@@ -382,7 +389,7 @@
     fn stop_reason(&mut self, failure: &Failure) -> Option<Reason> {
         match failure {
             Failure::Expired => return Some(Reason::DeadlineExceeded),
-            Failure::Broken(_) if !self.job.route.repeat.allowed() => {
+            Failure::Broken(_) | Failure::Silent if !self.job.route.repeat.allowed() => {
                 return Some(Reason::TargetFailed);
             }
             Failure::NotSent(_) => {
@@ -419,7 +426,7 @@
     /// Waits for the first event of a stream and passes on what follows.
     async fn begin_stream(&mut self, mut run: Run) -> Result<Response<Body>, Failure> {
         let mut splitter = Splitter::default();
-        let first = next_event(&mut run, &mut splitter, &self.job).await?;
+        let first = next_event(&mut run, &mut splitter, &self.job, false).await?;
         run.ticket.prompt_read();
         let waited = clock::now().saturating_sub(self.job.arrived);
         self.job.first_event.set(Some(waited));
--- a/gateway/src/job.rs
+++ b/gateway/src/job.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     attempt::Options,
-    configuration::{Configuration, Route},
+    configuration::{Configuration, Repeat, Route},
     context::{Context, Open},
     engine,
     headers::{Headers, end_to_end},
@@ -35,6 +35,12 @@
 /// Waiting time of a caller that names none.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
 
+/// Shortest time after which an idempotent request is sent elsewhere; a busy target may take as long.
+const LEAST_LIMIT: Duration = Duration::from_millis(400);
+/// Range of the silence after which a stream goes on elsewhere; callers leave after two seconds.
+const LEAST_SILENCE: Duration = Duration::from_millis(900);
+const MOST_SILENCE: Duration = Duration::from_millis(1200);
+
 /// A request on its way to a target.
 #[derive(Debug)]
 pub struct Job {
@@ -126,6 +132,21 @@
         self.expires.saturating_sub(clock::now())
     }
 
+    /// Returns the time after which an idempotent request that got no answer is sent to another
+    /// target; `None` when it waits for this one.
+    pub fn answer_limit(&self) -> Option<Duration> {
+        let another = self.sent.get() + 1 < self.route.attempts;
+        let idempotent = self.route.repeat == Repeat::Idempotent;
+        (idempotent && another).then(|| (self.route.objective * 2).max(LEAST_LIMIT))
+    }
+
+    /// Returns the longest silence within a stream that may go on elsewhere; `None` when it may not.
+    pub fn silence_limit(&self) -> Option<Duration> {
+        let resumable = self.route.repeat == Repeat::Stream { resumable: true };
+        let limit = (self.route.max_pause * 4).clamp(LEAST_SILENCE, MOST_SILENCE);
+        (resumable && !self.attempts_used()).then_some(limit)
+    }
+
     /// Returns a number that all attempts at the same request share.
     pub fn fingerprint(&self) -> id::Fingerprint {
         let mut hasher = std::hash::DefaultHasher::new();
--- a/gateway/src/prefill.rs
+++ b/gateway/src/prefill.rs
@@ -1,6 +1,6 @@
 //! Has one engine read a prompt whose stream another engine will generate.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -18,7 +18,12 @@
 use fuchsiaknot_core::clock;
 
 /// Time to drop a prompt that nobody fetches; after it the engine drops it by itself.
-const DROP_TIME: std::time::Duration = std::time::Duration::from_secs(1);
+const DROP_TIME: Duration = Duration::from_secs(1);
+
+/// Times the estimate that reading may take before another engine is tried.
+const SLOWER: u32 = 3;
+/// Time beyond that; it covers steps of work that the estimate does not know.
+const SLACK: Duration = Duration::from_millis(400);
 
 /// A prompt that an engine has read and keeps; it is dropped there unless it was taken.
 #[derive(Debug)]
@@ -80,12 +85,19 @@
 ///
 /// # Errors
 /// Fails when the engine does not keep the prompt; the job itself did not run.
-pub async fn read(context: &Rc<Context>, job: &Job, ticket: Ticket) -> Result<Prefilled, Failure> {
+pub async fn read(
+    context: &Rc<Context>,
+    job: &Job,
+    ticket: Ticket,
+    estimate: Duration,
+) -> Result<Prefilled, Failure> {
     let (key, tokens) = (ticket.key, ticket.unread());
     let mut headers = HeaderMap::new();
     headers.insert(context.headers.stage.clone(), context.headers.prefill.clone());
     let began = clock::now();
-    let answer = attempt::exchange(context, job, key, Options::default(), headers).await?;
+    let limit = Some(estimate * SLOWER + SLACK);
+    let options = Options { limit, ..Options::default() };
+    let answer = attempt::exchange(context, job, key, options, headers).await?;
     let target = answer.target.clone();
     let (status, _, body) = answer.whole(context, job).await?;
     let handle = (context.calls.handle)(&body).filter(|_| status.is_success());
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -1,6 +1,6 @@
 //! Passes a stream on, event by event, and resumes it at another target when it breaks off.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use tokio::{sync::mpsc, time::timeout};
 
@@ -13,16 +13,24 @@
 };
 
 /// Reads until the next whole event; `None` at the end of a complete stream.
+///
+/// Once a stream has begun, a silence that is too long counts as a failure if it may go on elsewhere.
 pub(crate) async fn next_event(
     run: &mut Run,
     splitter: &mut Splitter,
     job: &Job,
+    is_begun: bool,
 ) -> Result<Option<Event>, Failure> {
     loop {
         if let Some(event) = splitter.next_event() {
             return Ok(Some(event));
         }
-        match run.answer.piece(job.time_left()).await? {
+        let silence = job.silence_limit().filter(|_| is_begun).unwrap_or(Duration::MAX);
+        let piece = match run.answer.piece(silence.min(job.time_left())).await {
+            Err(Failure::Expired) if silence < job.time_left() => return Err(Failure::Silent),
+            other => other?,
+        };
+        match piece {
             Some(bytes) => splitter.push(&bytes),
             None if splitter.rest().is_empty() => return Ok(None),
             None => return Err(Failure::Broken("the stream ended within an event".to_owned())),
@@ -72,7 +80,7 @@
             }
             let job = Rc::clone(&self.forward.job);
             next = tokio::select! {
-                next = next_event(&mut run, &mut splitter, &job) => next,
+                next = next_event(&mut run, &mut splitter, &job, self.last.is_some()) => next,
                 () = self.sender.closed() => {
                     self.caller_gone();
                     return;
