--- a/gateway/src/cache.rs
+++ b/gateway/src/cache.rs
@@ -10,6 +10,9 @@
     registry::Key,
 };
 
+/// Uses that newer ones replaced and that are kept before they are cleared out.
+const MAX_STALE_USES: usize = 1024;
+
 /// Cache contents of the engines as this host's own requests made them.
 #[derive(Debug, Default)]
 pub struct Cache {
@@ -48,6 +51,11 @@
         prompt.tokens.saturating_sub(self.held(key, &prompt.parts)).max(1)
     }
 
+    /// Returns how many uses are on record for an engine.
+    pub fn uses(&self, key: Key) -> usize {
+        self.engines.get(key).map_or(0, |it| it.uses.len())
+    }
+
     /// Forgets an engine.
     pub fn forget(&mut self, key: Key) {
         self.engines.remove(key);
@@ -66,6 +74,10 @@
 
     /// Drops the least recently used parts beyond the capacity, and uses that newer ones replaced.
     fn shrink(&mut self, capacity: u64) {
+        if MAX_STALE_USES + 2 * self.parts.len() < self.uses.len() {
+            let parts = &self.parts;
+            self.uses.retain(|(id, at)| parts.get(id).is_some_and(|(newest, _)| newest == at));
+        }
         while let Some((id, at)) = self.uses.front() {
             let (newest, tokens) = self.parts.get(id).copied().unwrap_or_default();
             if newest == *at {
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -14,17 +14,13 @@
     attempt::{self, Failure, Options, Run, Ticket},
     configuration::Repeat,
     context::Context,
-    desk,
-    dispatch::{Ask, Placement},
-    engine,
     event_stream::Splitter,
     job::Job,
     peers::{self, Packet},
-    pick, prefill,
+    pick,
     registry::Key,
     reply::{self, Body},
     stream::{Stream, next_event},
-    target::Stage,
 };
 
 /// Shortest time after which a refused caller is asked to come back.
@@ -111,25 +107,16 @@
     }
 }
 
-/// Places at the engines that a job was granted.
-struct Seats {
-    stage: Stage,
-    /// Time to the first event.
-    estimate: Duration,
-    reader: Ticket,
-    generator: Option<Ticket>,
-}
-
 /// A job with the targets that were tried.
 pub(crate) struct Forward {
     pub(crate) context: Rc<Context>,
     pub(crate) job: Rc<Job>,
-    tried: Vec<Key>,
+    pub(crate) tried: Vec<Key>,
     connects: u32,
     /// Whether some target may have begun the job.
-    may_have_run: bool,
+    pub(crate) may_have_run: bool,
     /// Time that the work before it takes, when it was refused.
-    ahead: Duration,
+    pub(crate) ahead: Duration,
 }
 
 impl Forward {
@@ -221,96 +208,12 @@
         service.is_some_and(|it| it.engine.is_some())
     }
 
-    /// Waits until engines are granted to the job.
-    ///
-    /// # Errors
-    /// Returns why the job is refused.
-    async fn admit(&mut self, resumes: bool) -> Result<Seats, Reason> {
-        let ask = self.ask(resumes);
-        if pick::fleet(&self.context.state(), &ask.service).engines.len() <= ask.avoid.len() {
-            return Err(self.no_target());
-        }
-        let (placement, grant, tokens) = match desk::ask(&self.context, ask).await {
-            desk::Outcome::Granted { grant, placement, tokens } => {
-                (placement, Some(grant), Some(tokens))
-            }
-            desk::Outcome::Refused(ahead) => return Err(self.refused(ahead)),
-            desk::Outcome::Unanswered => (self.place_alone(resumes)?, None, None),
-        };
-        let seats = self.take_seats(placement, tokens);
-        if let Some((dispatcher, number)) = grant {
-            self.context.note_grant(&dispatcher, number);
-        }
-        self.job.reader.set(Some(placement.reader));
-        Ok(seats)
-    }
-
-    fn ask(&self, resumes: bool) -> Ask {
-        let (job, now) = (&self.job, clock::now());
-        let state = self.context.state();
-        let paused = state
-            .registry
-            .usable(&job.service)
-            .filter(|(key, _)| self.tried.contains(key) || state.health.is_paused(*key, now));
-        let patience = match resumes {
-            true => engine::RESUME_PATIENCE,
-            false => engine::patience(job.route.objective, job.deadline),
-        };
-        Ask {
-            number: rand::random(),
-            service: job.service.clone(),
-            prompt: job.prompt.clone(),
-            priority: job.route.priority,
-            objective: job.route.objective,
-            elapsed: job.elapsed(),
-            patience: patience.min(job.time_left()),
-            resumes,
-            avoid: paused.map(|(_, it)| it.id.clone()).collect(),
-        }
-    }
-
-    /// Places the job without the dispatcher, if that is in time.
-    fn place_alone(&mut self, resumes: bool) -> Result<Placement, Reason> {
-        let placed = pick::alone(&self.context.state(), &self.ask(resumes));
-        match placed {
-            Some((placement, starts)) if starts || resumes => Ok(placement),
-            Some((placement, _)) => Err(self.refused(placement.reader.estimate.wait)),
-            None => Err(self.refused(Duration::ZERO)),
-        }
-    }
-
-    fn refused(&mut self, ahead: Duration) -> Reason {
-        self.ahead = ahead;
-        if self.may_have_run { Reason::TargetFailed } else { Reason::WouldBeLate }
-    }
-
-    fn take_seats(&self, placement: Placement, tokens: Option<u64>) -> Seats {
-        let Placement { reader, generator } = placement;
-        let missing = self.context.state().cache.missing(reader.key, &self.job.prompt);
-        let ticket = |key, unread| Ticket::new(&self.context, &self.job, key, unread);
-        Seats {
-            stage: reader.stage,
-            estimate: reader.estimate.first_event,
-            reader: ticket(reader.key, missing).with_unread(tokens),
-            generator: generator.map(|key| ticket(key, 0)),
-        }
-    }
-
-    async fn run_on_engines(
+    /// Sends the job to a target.
+    pub(crate) async fn send(
         &mut self,
-        seats: Seats,
-        last_event: Option<u64>,
+        ticket: Ticket,
+        options: Options<'_>,
     ) -> Result<Run, (Key, Failure)> {
-        match seats.stage {
-            Stage::Decode => {
-                self.send(seats.reader, Options { last_event, ..Options::default() }).await
-            }
-            Stage::Prefill => self.hand_over(seats, last_event).await,
-        }
-    }
-
-    /// Sends the job to a target.
-    async fn send(&mut self, ticket: Ticket, options: Options<'_>) -> Result<Run, (Key, Failure)> {
         let key = ticket.key;
         self.tried.push(key);
         let sent = attempt::send(&self.context, &self.job, ticket, options).await;
@@ -320,27 +223,6 @@
         sent.map_err(|failure| (key, failure))
     }
 
-    /// Has one engine read the prompt and another generate.
-    async fn hand_over(
-        &mut self,
-        seats: Seats,
-        last_event: Option<u64>,
-    ) -> Result<Run, (Key, Failure)> {
-        let reader = seats.reader.key;
-        let read = prefill::read(&self.context, &self.job, seats.reader, seats.estimate).await;
-        let mut prefilled = read.map_err(|failure| {
-            self.tried.push(reader);
-            (reader, failure.before_run())
-        })?;
-        self.job.read_at.set(Some(clock::now()));
-        let no_room = || (reader, Failure::NotSent("no engine has room to generate".to_owned()));
-        let generator = seats.generator.ok_or_else(no_room)?;
-        let options = Options { last_event, prefilled: Some(&prefilled), limit: None };
-        let run = self.send(generator, options).await?;
-        prefilled.take();
-        Ok(run)
-    }
-
     /// Notes a failed attempt.
     ///
     /// # Errors
@@ -403,7 +285,7 @@
         self.job.attempts_used().then(|| self.no_target())
     }
 
-    fn no_target(&self) -> Reason {
+    pub(crate) fn no_target(&self) -> Reason {
         if self.may_have_run { Reason::TargetFailed } else { Reason::NoTarget }
     }
 
--- a/gateway/src/headers.rs
+++ b/gateway/src/headers.rs
@@ -17,10 +17,6 @@
     pub deadline: HeaderName,
     /// Identity of the target that is to run the request; any other refuses.
     pub expected_target: HeaderName,
-    /// Identity of the target that answers.
-    pub target: HeaderName,
-    /// Signature by which a target vouches for its answer.
-    pub signature: HeaderName,
     /// Says that the target did not run the request.
     pub not_run: HeaderName,
     /// Last event that the caller of a resumed stream has.
@@ -29,8 +25,6 @@
     pub tokens: HeaderName,
     /// Parts of the prompt in order, with their tokens.
     pub prompt: HeaderName,
-    /// Rank of the request at an engine.
-    pub priority: HeaderName,
     /// What an engine is to do with the request.
     pub stage: HeaderName,
     /// Engine and handle from which an engine fetches the prompt's cache.
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod prompt;
 pub mod registry;
 pub mod reply;
+pub mod seats;
 pub mod store;
 pub mod story;
 pub mod stream;
--- /dev/null
+++ b/gateway/src/seats.rs
@@ -0,0 +1,136 @@
+//! Takes a job to engines: asks for places, and has the prompt read and the answer generated there.
+
+use std::time::Duration;
+
+use fuchsiaknot_core::{clock, verdict::Reason};
+
+use crate::{
+    attempt::{Failure, Options, Run, Ticket},
+    desk,
+    dispatch::{Ask, Placement},
+    engine,
+    forward::Forward,
+    pick, prefill,
+    registry::Key,
+    target::Stage,
+};
+
+/// Places at the engines that a job was granted.
+pub(crate) struct Seats {
+    stage: Stage,
+    /// Time to the first event.
+    estimate: Duration,
+    reader: Ticket,
+    generator: Option<Ticket>,
+}
+
+impl Forward {
+    /// Waits until engines are granted to the job.
+    ///
+    /// # Errors
+    /// Returns why the job is refused.
+    pub(crate) async fn admit(&mut self, resumes: bool) -> Result<Seats, Reason> {
+        let ask = self.ask(resumes);
+        if pick::fleet(&self.context.state(), &ask.service).engines.len() <= ask.avoid.len() {
+            return Err(self.no_target());
+        }
+        let (placement, grant, tokens) = match desk::ask(&self.context, ask).await {
+            desk::Outcome::Granted { grant, placement, tokens } => {
+                (placement, Some(grant), Some(tokens))
+            }
+            desk::Outcome::Refused(ahead) => return Err(self.refused(ahead)),
+            desk::Outcome::Unanswered => (self.place_alone(resumes)?, None, None),
+        };
+        let seats = self.take_seats(placement, tokens);
+        if let Some((dispatcher, number)) = grant {
+            self.context.note_grant(&dispatcher, number);
+        }
+        self.job.reader.set(Some(placement.reader));
+        Ok(seats)
+    }
+
+    fn ask(&self, resumes: bool) -> Ask {
+        let (job, now) = (&self.job, clock::now());
+        let state = self.context.state();
+        let paused = state
+            .registry
+            .usable(&job.service)
+            .filter(|(key, _)| self.tried.contains(key) || state.health.is_paused(*key, now));
+        let patience = match resumes {
+            true => engine::RESUME_PATIENCE,
+            false => engine::patience(job.route.objective, job.deadline),
+        };
+        Ask {
+            number: rand::random(),
+            service: job.service.clone(),
+            prompt: job.prompt.clone(),
+            priority: job.route.priority,
+            objective: job.route.objective,
+            elapsed: job.elapsed(),
+            patience: patience.min(job.time_left()),
+            resumes,
+            avoid: paused.map(|(_, it)| it.id.clone()).collect(),
+        }
+    }
+
+    /// Places the job without the dispatcher, if that is in time.
+    fn place_alone(&mut self, resumes: bool) -> Result<Placement, Reason> {
+        let placed = pick::alone(&self.context.state(), &self.ask(resumes));
+        match placed {
+            Some((placement, starts)) if starts || resumes => Ok(placement),
+            Some((placement, _)) => Err(self.refused(placement.reader.estimate.wait)),
+            None => Err(self.refused(Duration::ZERO)),
+        }
+    }
+
+    fn refused(&mut self, ahead: Duration) -> Reason {
+        self.ahead = ahead;
+        if self.may_have_run { Reason::TargetFailed } else { Reason::WouldBeLate }
+    }
+
+    fn take_seats(&self, placement: Placement, tokens: Option<u64>) -> Seats {
+        let Placement { reader, generator } = placement;
+        let missing = self.context.state().cache.missing(reader.key, &self.job.prompt);
+        let ticket = |key, unread| Ticket::new(&self.context, &self.job, key, unread);
+        Seats {
+            stage: reader.stage,
+            estimate: reader.estimate.first_event,
+            reader: ticket(reader.key, missing).with_unread(tokens),
+            generator: generator.map(|key| ticket(key, 0)),
+        }
+    }
+
+    pub(crate) async fn run_on_engines(
+        &mut self,
+        seats: Seats,
+        last_event: Option<u64>,
+    ) -> Result<Run, (Key, Failure)> {
+        match seats.stage {
+            Stage::Decode => {
+                self.send(seats.reader, Options { last_event, ..Options::default() }).await
+            }
+            Stage::Prefill => self.hand_over(seats, last_event).await,
+        }
+    }
+
+    /// Has one engine read the prompt and another generate.
+    async fn hand_over(
+        &mut self,
+        seats: Seats,
+        last_event: Option<u64>,
+    ) -> Result<Run, (Key, Failure)> {
+        let reader = seats.reader.key;
+        let read = prefill::read(&self.context, &self.job, seats.reader, seats.estimate).await;
+        let mut prefilled = read.map_err(|failure| {
+            self.tried.push(reader);
+            (reader, failure.before_run())
+        })?;
+        self.job.read_at.set(Some(clock::now()));
+        let no_room = || (reader, Failure::NotSent("no engine has room to generate".to_owned()));
+        let generator = seats.generator.ok_or_else(no_room)?;
+        let options = Options { last_event, prefilled: Some(&prefilled), limit: None };
+        let run = self.send(generator, options).await?;
+        prefilled.take();
+        Ok(run)
+    }
+}
