--- /dev/null
+++ b/gateway/tests/catalogue.rs
@@ -0,0 +1,46 @@
+//! The catalogue of log events, and the metrics that the docs name, against the code.
+
+use std::{collections::BTreeSet, fs, path::Path};
+
+fn sources() -> String {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).parent().unwrap();
+    let dirs = [root.join("gateway/src"), root.join("platform/src")];
+    let files = dirs.iter().flat_map(|it| fs::read_dir(it).unwrap());
+    files.map(|it| fs::read_to_string(it.unwrap().path()).unwrap()).collect()
+}
+
+#[test]
+fn events_catalogued() {
+    let text = sources();
+    let codes = text.match_indices("code = ").filter_map(|(at, found)| {
+        let rest = &text[at + found.len()..];
+        rest.split(|it: char| !it.is_ascii_digit()).next()?.parse().ok()
+    });
+    let coded: BTreeSet<u32> = codes.collect();
+    let page = include_str!("../../docs/gateway-events.md");
+    let rows: Vec<Vec<&str>> = page
+        .lines()
+        .filter(|it| it.starts_with("| 8"))
+        .map(|it| it.split('|').map(str::trim).collect())
+        .collect();
+    let documented: BTreeSet<u32> = rows.iter().map(|it| it[1].parse().unwrap()).collect();
+    assert_eq!(documented, coded);
+    assert_eq!(documented.len(), rows.len(), "a code stands twice");
+    for row in rows {
+        assert!(text.contains(&format!("\"{}\"", row[3])), "no line says {:?}", row[3]);
+        assert!(!row[4].is_empty());
+    }
+}
+
+/// Every line at these levels has a code.
+#[test]
+fn events_coded() {
+    let text: String = sources().split_whitespace().collect();
+    for level in ["info", "warn", "error"] {
+        let call = format!("tracing::{level}!(");
+        for (at, found) in text.match_indices(&call) {
+            let rest = &text[at + found.len()..];
+            assert!(rest.starts_with("code="), "{}", &rest[..60.min(rest.len())]);
+        }
+    }
+}
