feat(gateway): refused callers come back spread over a quarter of their deadline

Cause: callers refused in one burst were asked to come back 0.15 to 0.5 s later, into the same burst, and half of those refused for good had come back before. Test: comeback (refused_burst), which names the pattern.

--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     attempt::{self, Failure, Options, Run, Ticket},
+    comeback,
     configuration::Repeat,
     context::Context,
     event_stream::Splitter,
@@ -23,8 +24,6 @@
     stream::{Stream, next_event},
 };
 
-/// Shortest time after which a refused caller is asked to come back.
-const LEAST_RETURN: Duration = Duration::from_millis(150);
 /// Pieces of a stream that wait for a slow caller; a full channel stops reading from the target.
 const STREAM_PIECES: usize = 16;
 /// Targets that may fail to take the request's connection before it is refused.
@@ -331,13 +330,6 @@
         Ok(response)
     }
 
-    /// Returns when the caller should come back: once the work that waits now is done.
-    fn retry_after(&self) -> Duration {
-        let spread = 1.0 + rand::random::<f64>();
-        let wait = self.ahead.max(LEAST_RETURN);
-        wait.mul_f64(spread).min(self.job.deadline / 3)
-    }
-
     /// Notes how long the engines took to the first event, of which `unread` tokens waited.
     fn measure(&self, unread: u64) {
         let now = clock::now();
@@ -376,7 +368,10 @@
         let status = StatusCode::from_u16(reason.status()).unwrap_or(StatusCode::BAD_GATEWAY);
         let not_run = reason.verdict() == Verdict::NotRun && !self.may_have_run;
         let (status, retry_after) = if not_run {
-            (StatusCode::SERVICE_UNAVAILABLE, Some(self.retry_after()))
+            (
+                StatusCode::SERVICE_UNAVAILABLE,
+                Some(comeback::after(self.ahead, self.job.deadline, rand::random())),
+            )
         } else if status == StatusCode::SERVICE_UNAVAILABLE {
             (StatusCode::BAD_GATEWAY, None)
         } else {
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -1,8 +1,9 @@
 //! Request path of an entry host before services that the operators' configuration names.
 //!
 //! Everything runs on one thread. Decisions (`configuration`, `registry`, `membership`, `load`,
-//! `health`, `budget`, `cache`, `choice`, `event_stream`) neither wait nor read a clock; `follow`,
-//! `peers`, `port`, `forward` and `upstream` run them. Names and formats of a deployment's platform
+//! `health`, `budget`, `cache`, `choice`, `comeback`, `deadline`, `dispatch`, `engine`,
+//! `event_stream`, `poison`) neither wait nor read a clock; `follow`, `peers`, `desk`, `port`,
+//! `forward`, `seats`, `stream` and `upstream` run them. Names and formats of a deployment's platform
 //! come in through [`store::Store`], [`headers::Headers`] and [`directory::Directory`].
 
 pub mod answer;
@@ -10,6 +11,7 @@
 pub mod budget;
 pub mod cache;
 pub mod choice;
+pub mod comeback;
 pub mod configuration;
 pub mod context;
 pub mod deadline;
