fix(gateway): the id of a request without a route is in its log line

Cause: explain found nothing for a request that was refused before it had a route (event 8011). Test: explain::without_route (fails before).

--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -16,7 +16,7 @@
     configuration::Repeat,
     context::Context,
     event_stream::Splitter,
-    job::Job,
+    job::{self, Job},
     peers::{self, Packet},
     pick,
     registry::Key,
@@ -26,20 +26,23 @@
 
 /// Pieces of a stream that wait for a slow caller; a full channel stops reading from the target.
 const STREAM_PIECES: usize = 16;
+/// Time after which a caller may come back to a host that knows no configuration yet.
+const NOT_READY_RETURN: Duration = Duration::from_millis(300);
 /// Targets that may fail to take the request's connection before it is refused.
 const MAX_CONNECTS: u32 = 4;
 
 /// Handles one request of a caller.
 pub async fn handle(context: Rc<Context>, request: Request<Incoming>) -> Response<Body> {
     let arrived = clock::now();
+    let id = job::request_id(request.headers(), &context.headers);
     let job = match Job::read(&context, request).await {
         Ok(job) => job,
         Err(reason) => {
-            return finish(&context, refuse_early(&context, reason, arrived));
+            return finish(&context, refuse_early(&context, &id, reason, arrived));
         }
     };
     count_request(&context, &job);
-    let mut gone = CallerGone::new(&context, &job.id);
+    let mut gone = CallerGone::new(&context, &id);
     let job = Rc::new(job);
     let forward = Forward::new(&context, &job);
     let answer = if context.state().poison.is_refused(job.fingerprint(), clock::now()) {
@@ -68,19 +71,25 @@
 }
 
 /// Refuses a request that was not read or has no route.
-fn refuse_early(context: &Context, reason: Reason, arrived: Moment) -> Response<Body> {
+fn refuse_early(
+    context: &Context,
+    id: &SmolStr,
+    reason: Reason,
+    arrived: Moment,
+) -> Response<Body> {
     context.metrics.refused.with_label_values(&[reason.code()]).inc();
     let version = context.state().configuration.as_ref().map(|it| it.version);
     let waited = clock::now().saturating_sub(arrived);
     tracing::info!(
         code = 8011,
+        %id,
         reason = reason.code(),
         version,
         waited_ms = waited.as_millis() as u64,
         "request refused before it had a route"
     );
     let status = StatusCode::from_u16(reason.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    let retry_after = (reason == Reason::NotReady).then_some(std::time::Duration::from_millis(300));
+    let retry_after = (reason == Reason::NotReady).then_some(NOT_READY_RETURN);
     reply::own(status, reason.code(), retry_after)
 }
 
--- a/gateway/src/job.rs
+++ b/gateway/src/job.rs
@@ -91,7 +91,7 @@
         let route = find_route(&configuration, &parts).ok_or(Reason::NotFound)?;
         let service = route.service(rand::random()).cloned().ok_or(Reason::NotFound)?;
         let names = &context.headers;
-        let id = text(&parts.headers, &names.request).map(SmolStr::new).unwrap_or_default();
+        let id = request_id(&parts.headers, names);
         let deadline = text(&parts.headers, &names.deadline).and_then(|it| it.trim().parse().ok());
         let deadline = deadline.map_or(DEFAULT_DEADLINE, Duration::from_millis);
         let before = context.state_mut().deadlines.earlier(&route.name, deadline);
@@ -191,6 +191,11 @@
     }
 }
 
+/// Returns the identity that the caller gave a request; empty without one.
+pub fn request_id(headers: &HeaderMap, names: &Headers) -> SmolStr {
+    text(headers, &names.request).map(SmolStr::new).unwrap_or_default()
+}
+
 fn find_route(
     configuration: &Configuration,
     parts: &hyper::http::request::Parts,
