--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -152,7 +152,9 @@
     headers: HeaderMap,
 ) -> Result<Answer, Failure> {
     let target = context.state().registry.get(key).cloned();
-    let target = target.ok_or_else(|| Failure::NotSent("the target is gone".to_owned()))?;
+    let target = target.filter(|it| !it.draining);
+    let target =
+        target.ok_or_else(|| Failure::NotSent("the target takes nothing new".to_owned()))?;
     let connected = context.pool.connect(key, target.address).await;
     let mut connection = connected.map_err(|err| Failure::NotSent(err.to_string()))?;
     let mut request = job.request(&context.headers, &target, options);
--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -161,7 +161,7 @@
 }
 
 /// Time since the store last confirmed the targets within which the picture of them is fresh.
-const FRESH: Duration = Duration::from_secs(4);
+const FRESH: Duration = Duration::from_millis(2200);
 /// Time for which a peer's word on its own work counts; a few times the interval of heartbeats.
 const TOLD_MEMORY: Duration = Duration::from_secs(1);
 /// Time without a heartbeat after which a host counts as down.
--- a/gateway/src/desk.rs
+++ b/gateway/src/desk.rs
@@ -114,17 +114,18 @@
     }
 }
 
-/// Returns a placement from the names of its engines; `None` when one is not known here.
+/// Returns a placement from the names of its engines; `None` when one takes nothing new, as far as
+/// this host knows: the dispatcher may be cut off from the store.
 fn placement(
     registry: &Registry,
     reader: &id::Target,
     generator: Option<id::Target>,
     estimate: Estimate,
 ) -> Option<Placement> {
-    let key = registry.key(reader)?;
+    let key = registry.open_key(reader)?;
     let stage = registry.get(key)?.stage.unwrap_or(Stage::Decode);
     let generator = match generator {
-        Some(it) => Some(registry.key(&it)?),
+        Some(it) => Some(registry.open_key(&it)?),
         None => None,
     };
     Some(Placement { reader: Choice { key, stage, estimate }, generator })
--- a/gateway/src/registry.rs
+++ b/gateway/src/registry.rs
@@ -101,6 +101,12 @@
         self.by_id.get(id).copied()
     }
 
+    /// Returns the key of a target that takes new requests, whatever another host believes of it.
+    pub fn open_key(&self, id: &id::Target) -> Option<Key> {
+        let key = self.key(id)?;
+        self.get(key).filter(|it| !it.draining).map(|_| key)
+    }
+
     /// Returns the targets of a service that take new requests.
     pub fn usable<'a>(&'a self, service: &str) -> impl Iterator<Item = (Key, &'a Target)> {
         let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
--- a/gateway/tests/registry.rs
+++ b/gateway/tests/registry.rs
@@ -82,3 +82,16 @@
     assert!(registry.get(before).is_none());
     assert_eq!(usable(&registry), ["one"]);
 }
+
+/// Pattern: a dispatcher that is cut off from the store grants a target that drains. The host that
+/// asked knows better and does not follow.
+#[test]
+fn grant_of_draining() {
+    let mut registry = Registry::new();
+    let mut leaving = target("one", 1);
+    leaving.draining = true;
+    registry.replace(vec![leaving, target("two", 1)], ms(0), ms(10));
+    assert_eq!(registry.open_key(&"one".into()), None);
+    assert_eq!(registry.open_key(&"two".into()), registry.key(&"two".into()));
+    assert_eq!(registry.open_key(&"three".into()), None);
+}
