fix(gateway): a free engine serves although most others are paused

Cause (found on the last read): admission compared the engines that are not paused with those to be avoided, the paused among them, so with one free engine of three it refused at once with 503. It also built the whole picture of the engines' work for that count, on the path of every request. Change: it counts the service's usable targets, of which those to be avoided are a part. Test: answers::one_engine_left, 503 on the second request before, 200 on all twelve after.

--- a/gateway/src/seats.rs
+++ b/gateway/src/seats.rs
@@ -31,7 +31,8 @@
     /// Returns why the job is refused.
     pub(crate) async fn admit(&mut self, resumes: bool) -> Result<Seats, Reason> {
         let ask = self.ask(resumes);
-        if pick::fleet(&self.context.state(), &ask.service).engines.len() <= ask.avoid.len() {
+        let engines = self.context.state().registry.usable(&ask.service).count();
+        if engines <= ask.avoid.len() {
             return Err(self.no_target());
         }
         let (placement, grant, tokens) = match desk::ask(&self.context, ask).await {
