refactor(gateway): one way to the retry budget, one to take over targets

Cause (last read): counting a request and taking a retry each made the budget, and only one of them put the bounds in force; a full read and a feed of the targets had the same outage and fault handling twice.

--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -286,12 +286,22 @@
 
     /// Takes one retry towards a service from the budget.
     pub fn take_retry(&self, service: &id::Service) -> bool {
-        let mut state = self.state_mut();
-        let hosts = state.membership.live();
+        let hosts = self.state().membership.live();
+        self.with_budget(service, |budget| budget.take(hosts, clock::now()))
+    }
+
+    /// Counts a caller's request for a service in the budget.
+    pub fn count_request(&self, service: &id::Service) {
+        self.with_budget(service, |budget| budget.request(clock::now()));
+    }
+
+    /// Uses the retry budget of a service under the bounds in force.
+    fn with_budget<T>(&self, service: &id::Service, use_it: impl FnOnce(&mut Budget) -> T) -> T {
         let config = self.bounds().retries;
+        let mut state = self.state_mut();
         let budget = state.budgets.entry(service.clone()).or_insert_with(|| Budget::new(config));
         budget.set_config(config);
-        budget.take(hosts, clock::now())
+        use_it(budget)
     }
 
     /// Logs changes of what is believed of targets, and forgets what depends on them.
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -10,6 +10,7 @@
     logging::Log,
     registry::Change,
     store::{Fault, Snapshot, Store},
+    target::Target,
 };
 use fuchsiaknot_core::{
     clock::{self, Moment},
@@ -138,26 +139,14 @@
     let mut version = None;
     let mut settled = clock::now();
     loop {
-        let Some(after) = version else {
-            match store.targets().await {
-                Ok(Snapshot { version: at, contents }) => {
-                    let outage = contact.regained(&context);
-                    let now = clock::now();
-                    if outage {
-                        settled = now + context.settings.return_time;
-                    }
-                    version = Some(at);
-                    let mut state = context.state_mut();
-                    state.targets_seen = now;
-                    let beliefs = state.registry.replace(contents, settled, now);
-                    drop(state);
-                    context.note_targets(beliefs);
-                }
-                Err(fault) => contact.lost(&fault, &context).await,
+        let read = match version {
+            None => store.targets().await.map(|it| it.map(Seen::All)),
+            Some(after) => {
+                let changes = store.targets_after(after, context.settings.feed_wait).await;
+                changes.map(|it| it.map(Seen::Changes))
             }
-            continue;
         };
-        match store.targets_after(after, context.settings.feed_wait).await {
+        match read {
             Ok(Snapshot { version: at, contents }) => {
                 let outage = contact.regained(&context);
                 let now = clock::now();
@@ -165,7 +154,7 @@
                     settled = now + context.settings.return_time;
                 }
                 version = Some(at);
-                apply(&context, contents, settled, now);
+                take_over(&context, contents, settled, now);
             }
             Err(fault) => {
                 if fault == Fault::HistoryGone {
@@ -177,11 +166,22 @@
     }
 }
 
-fn apply(context: &Context, changes: Vec<Change>, settled: Moment, now: Moment) {
+/// What the store showed of the targets.
+enum Seen {
+    All(Vec<Target>),
+    Changes(Vec<Change>),
+}
+
+fn take_over(context: &Context, seen: Seen, settled: Moment, now: Moment) {
     let mut state = context.state_mut();
     state.targets_seen = now;
     let registry = &mut state.registry;
-    let beliefs = changes.into_iter().filter_map(|it| registry.apply(it, settled, now)).collect();
+    let beliefs = match seen {
+        Seen::All(targets) => registry.replace(targets, settled, now),
+        Seen::Changes(changes) => {
+            changes.into_iter().filter_map(|it| registry.apply(it, settled, now)).collect()
+        }
+    };
     drop(state);
     context.note_targets(beliefs);
 }
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -41,7 +41,7 @@
             return finish(&context, refuse_early(&context, &id, reason, arrived));
         }
     };
-    count_request(&context, &job);
+    context.count_request(&job.service);
     let mut gone = CallerGone::new(&context, &id);
     let job = Rc::new(job);
     let forward = Forward::new(&context, &job);
@@ -54,13 +54,6 @@
     finish(&context, answer)
 }
 
-fn count_request(context: &Context, job: &Job) {
-    let mut state = context.state_mut();
-    let config = context.bounds().retries;
-    let budget = state.budgets.entry(job.service.clone());
-    budget.or_insert_with(|| crate::budget::Budget::new(config)).request(clock::now());
-}
-
 fn finish(context: &Context, mut response: Response<Body>) -> Response<Body> {
     context.metrics.answered.with_label_values(&[response.status().as_str()]).inc();
     if context.is_leaving() {
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -31,6 +31,13 @@
     pub contents: T,
 }
 
+impl<T> Snapshot<T> {
+    /// Returns the same version with other contents.
+    pub fn map<U>(self, change: impl FnOnce(T) -> U) -> Snapshot<U> {
+        Snapshot { version: self.version, contents: change(self.contents) }
+    }
+}
+
 /// Configuration, targets and hosts, as the store keeps them.
 ///
 /// Calls return once the store answered or gave none within its bound; `wait` is how long the store
