feat(gateway): heartbeats in rounds, dispatcher by claim

The silence of 1 s left one lost datagram.

Now one round of heartbeats reaches 16 hosts and a host that is overdue is asked before it counts as down; the first that finds one down tells the others, which ask too. A host that places requests claims that, the oldest claim among the large hosts stands. Work at targets goes to the dispatcher alone, in full every 300 ms.

--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -164,8 +164,6 @@
 const FRESH: Duration = Duration::from_millis(2200);
 /// Time for which a peer's word on its own work counts; a few times the interval of heartbeats.
 const TOLD_MEMORY: Duration = Duration::from_secs(1);
-/// Time without a heartbeat after which a host counts as down.
-const PEER_SILENCE: Duration = Duration::from_millis(1000);
 
 impl Context {
     /// Creates the state of a host that knows nothing yet.
@@ -184,7 +182,7 @@
             board: Board::new(TOLD_MEMORY),
             health: Health::default(),
             cache: Cache::default(),
-            membership: Membership::new(settings.host.clone(), PEER_SILENCE),
+            membership: Membership::new(settings.host.clone()),
             budgets: HashMap::new(),
             times: HashMap::new(),
             poison: Poison::default(),
--- a/gateway/src/desk.rs
+++ b/gateway/src/desk.rs
@@ -141,6 +141,8 @@
     state.membership.suspect(dispatcher, now + SUSPICION);
     let fit = state.is_fresh(now);
     state.membership.elect(fit, now);
+    drop(state);
+    context.work_changed.notify_one();
 }
 
 /// Takes a request that a host asks about.
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -1,8 +1,8 @@
 //! Request path of an entry host before services that the operators' configuration names.
 //!
 //! Everything runs on one thread. Decisions (`configuration`, `registry`, `membership`, `load`,
-//! `health`, `budget`, `cache`, `choice`, `comeback`, `deadline`, `dispatch`, `engine`,
-//! `event_stream`, `poison`) neither wait nor read a clock; `follow`, `peers`, `desk`, `port`,
+//! `health`, `budget`, `cache`, `choice`, `comeback`, `deadline`, `dispatch`, `election`,
+//! `engine`, `event_stream`, `poison`) neither wait nor read a clock; `follow`, `peers`, `desk`, `port`,
 //! `forward`, `seats`, `stream` and `upstream` run them. Names and formats of a deployment's platform
 //! come in through [`store::Store`], [`headers::Headers`] and [`directory::Directory`].
 
@@ -18,6 +18,7 @@
 pub mod desk;
 pub mod directory;
 pub mod dispatch;
+pub mod election;
 pub mod engine;
 pub mod event_stream;
 pub mod follow;
@@ -42,6 +43,7 @@
 pub mod story;
 pub mod stream;
 pub mod target;
+pub mod tasks;
 pub mod upstream;
 
 use std::{io, rc::Rc, time::Duration};
@@ -50,7 +52,7 @@
 use tokio::{
     signal::unix::{Signal, SignalKind, signal},
     sync::watch,
-    task::spawn_local,
+    task::{JoinSet, spawn_local},
     time::{Instant, sleep},
 };
 
@@ -86,19 +88,25 @@
 ) -> io::Result<()> {
     let (phase, watched) = watch::channel(Phase::Open);
     serve_ports(&context, directory, &watched)?;
-    spawn_local(follow::configuration(Rc::clone(&context), store.clone()));
-    spawn_local(follow::targets(Rc::clone(&context), store.clone()));
-    spawn_local(follow::hosts(Rc::clone(&context), store.clone()));
-    spawn_local(follow::log_times(Rc::clone(&context)));
-    spawn_local(follow::tidy(Rc::clone(&context)));
-    spawn_local(keep_peers(Rc::clone(&context)));
-    spawn_local(peers::report(Rc::clone(&context)));
-    spawn_local(desk::run(Rc::clone(&context)));
-    spawn_local(reload(Rc::clone(&context), signal(SignalKind::hangup())?, read_bounds));
+    let mut tasks = JoinSet::new();
+    tasks.spawn_local(follow::configuration(Rc::clone(&context), store.clone()));
+    tasks.spawn_local(follow::targets(Rc::clone(&context), store.clone()));
+    tasks.spawn_local(follow::hosts(Rc::clone(&context), store.clone()));
+    tasks.spawn_local(follow::log_times(Rc::clone(&context)));
+    tasks.spawn_local(follow::tidy(Rc::clone(&context)));
+    tasks.spawn_local(keep_peers(Rc::clone(&context)));
+    tasks.spawn_local(peers::report(Rc::clone(&context)));
+    tasks.spawn_local(desk::run(Rc::clone(&context)));
+    tasks.spawn_local(reload(Rc::clone(&context), signal(SignalKind::hangup())?, read_bounds));
     let mut terminate = signal(SignalKind::terminate())?;
     tracing::info!(code = 8016, host = %context.settings.host.name, front = %context.settings.host.front, "started");
-    terminate.recv().await;
-    leave(&context, &store, &phase).await;
+    tokio::select! {
+        _ = terminate.recv() => leave(&context, &store, &phase).await,
+        err = tasks::first_failure(&mut tasks) => {
+            tracing::error!(code = 8024, %err, "a part of the process failed; it stops to be started again");
+            return Err(io::Error::other(err));
+        }
+    }
     Ok(())
 }
 
--- a/gateway/src/membership.rs
+++ b/gateway/src/membership.rs
@@ -1,13 +1,25 @@
 //! Which entry hosts are there, from the datagrams that they send each other.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, ops::Bound, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
 use fuchsiaknot_core::{clock::Moment, id};
 
+use crate::election::{self, Candidate};
+
 /// Hosts whose addresses one answer names at most.
 const MAX_ADDRESSES: usize = 64;
+/// Interval of the rounds of heartbeats.
+pub const ROUND: Duration = Duration::from_millis(150);
+/// Hosts that one round reaches; with more of them, each hears from the others less often.
+const ROUND_HOSTS: usize = 16;
+/// Turns of all hosts after which one that is not there is tried once.
+const ABSENT_EVERY: u64 = 7;
+/// Time beyond its interval that a host may be silent before it is asked for a heartbeat.
+const OVERDUE: Duration = Duration::from_millis(350);
+/// Time in which a host that was asked must answer; it covers some lost datagrams.
+const ANSWER: Duration = Duration::from_millis(500);
 
 /// An entry host as it introduces itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -22,6 +34,8 @@
     pub front: SocketAddr,
     /// Where other hosts' datagrams go.
     pub peers: SocketAddr,
+    /// Processor that it may use, in thousandths of a core.
+    pub capacity: u32,
 }
 
 /// What one heartbeat tells.
@@ -35,8 +49,8 @@
     pub leaving: bool,
     /// Whether its picture of the targets is fresh, so that it can place requests for others.
     pub fit: bool,
-    /// Host that places its requests.
-    pub follows: id::Host,
+    /// How long it has claimed to place the requests of all; `None` when it does not.
+    pub claim: Option<Duration>,
 }
 
 /// A change of what this host believes of the others.
@@ -48,13 +62,28 @@
     Down(id::Host),
 }
 
+/// What the passing of time shows of the other hosts.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Tick {
+    /// Hosts that did not answer and count as down from now on.
+    pub down: Vec<id::Host>,
+    /// Those among them that the other hosts are told of, since none of them said it.
+    pub tell: Vec<id::Host>,
+    /// Where to ask for a heartbeat.
+    pub ask: Vec<SocketAddr>,
+}
+
 /// The other entry hosts.
 #[derive(Debug)]
 pub struct Membership {
     own: Host,
-    silence: Duration,
     peers: BTreeMap<id::Host, Peer>,
     dispatcher: id::Host,
+    /// Since when this host claims to place the requests of all.
+    claimed: Option<Moment>,
+    /// Host that the last round of heartbeats ended with.
+    reached: id::Host,
+    turns: u64,
     /// Hosts that did not answer, and until when they are not asked.
     suspects: BTreeMap<id::Host, Moment>,
 }
@@ -65,19 +94,30 @@
     ready: bool,
     leaving: bool,
     fit: bool,
-    follows: Option<id::Host>,
+    claimed: Option<Moment>,
     /// When it was last heard; `None` when only the store names it.
     heard: Option<Moment>,
+    /// When and why it was asked for a heartbeat.
+    asked: Option<Asked>,
     up: bool,
 }
 
+#[derive(Debug, Clone, Copy)]
+struct Asked {
+    at: Moment,
+    /// Whether another host said that it is down.
+    on_word: bool,
+}
+
 impl Membership {
-    /// Creates a membership of this host alone; a host unheard for `silence` is down.
-    pub fn new(own: Host, silence: Duration) -> Membership {
+    /// Creates a membership of this host alone.
+    pub fn new(own: Host) -> Membership {
         Membership {
             dispatcher: own.name.clone(),
+            claimed: None,
+            reached: own.name.clone(),
+            turns: 0,
             own,
-            silence,
             peers: BTreeMap::new(),
             suspects: BTreeMap::new(),
         }
@@ -98,8 +138,9 @@
             ready: false,
             leaving: false,
             fit: false,
-            follows: None,
+            claimed: None,
             heard: None,
+            asked: None,
             up: false,
         };
         let peer = self.peers.entry(host.name.clone()).or_insert(fresh);
@@ -119,8 +160,9 @@
             ready: beat.ready,
             leaving: beat.leaving,
             fit: beat.fit,
-            follows: Some(beat.follows),
+            claimed: beat.claim.map(|it| now.saturating_sub(it)),
             heard: Some(now),
+            asked: None,
             up: !beat.leaving,
         };
         let before = self.peers.insert(name.clone(), peer);
@@ -132,17 +174,64 @@
         }
     }
 
-    /// Marks the hosts that have been silent for too long.
-    pub fn tick(&mut self, now: Moment) -> Vec<Change> {
-        let mut changes = Vec::new();
-        for (name, peer) in &mut self.peers {
-            let silent = peer.heard.is_none_or(|at| at + self.silence <= now);
-            if peer.up && silent {
-                peer.up = false;
-                changes.push(Change::Down(name.clone()));
+    /// Marks the hosts that did not answer, and returns those to ask since they are silent.
+    pub fn tick(&mut self, now: Moment) -> Tick {
+        let interval = self.interval();
+        let mut tick = Tick::default();
+        for (name, peer) in self.peers.iter_mut().filter(|(_, it)| it.up) {
+            let silent = peer.heard.map_or(Duration::MAX, |at| now.saturating_sub(at));
+            if peer.asked.is_none() && interval + OVERDUE <= silent {
+                peer.asked = Some(Asked { at: now, on_word: false });
             }
+            match peer.asked {
+                Some(asked) if asked.at + ANSWER <= now => {
+                    peer.up = false;
+                    tick.down.push(name.clone());
+                    if !asked.on_word {
+                        tick.tell.push(name.clone());
+                    }
+                }
+                Some(_) => tick.ask.push(peer.host.peers),
+                None => {}
+            }
+        }
+        tick
+    }
+
+    /// Notes that another host found a host down; returns where to ask whether it is.
+    pub fn doubt(&mut self, host: &id::Host, now: Moment) -> Option<SocketAddr> {
+        let peer = self.peers.get_mut(host).filter(|it| it.up && it.asked.is_none())?;
+        if peer.heard.is_some_and(|at| now < at + ROUND) {
+            return None;
         }
-        changes
+        peer.asked = Some(Asked { at: now, on_word: true });
+        Some(peer.host.peers)
+    }
+
+    /// Returns the time between two heartbeats from one host to another.
+    fn interval(&self) -> Duration {
+        let rounds = self.peers.len().div_ceil(ROUND_HOSTS).max(1);
+        ROUND * u32::try_from(rounds).unwrap_or(u32::MAX)
+    }
+
+    /// Returns where the next round of heartbeats goes: to the hosts after those of the last one.
+    pub fn next_round(&mut self) -> Vec<SocketAddr> {
+        let after = (Bound::Excluded(&self.reached), Bound::Unbounded);
+        let until = (Bound::Unbounded, Bound::Included(&self.reached));
+        let circle =
+            self.peers.range::<id::Host, _>(after).chain(self.peers.range::<id::Host, _>(until));
+        let staying = circle.filter(|(_, it)| !it.leaving);
+        let round: Vec<(&id::Host, &Peer)> = staying.take(ROUND_HOSTS).collect();
+        let with_absent = self.turns.is_multiple_of(ABSENT_EVERY);
+        let due = round.iter().filter(|(_, it)| it.up || with_absent);
+        let addresses = due.map(|(_, it)| it.host.peers).collect();
+        let Some((last, _)) = round.last() else { return addresses };
+        let last = (*last).clone();
+        if last <= self.reached {
+            self.turns += 1;
+        }
+        self.reached = last;
+        addresses
     }
 
     /// Returns the host that places this host's requests.
@@ -162,32 +251,38 @@
 
     /// Chooses the host that places this host's requests; returns whether it changed.
     ///
-    /// It is the fit host that most follow, so that one that returns does not take over. Hosts may
-    /// differ for a while; that is only a matter of how well requests are placed.
+    /// Hosts may differ for a while; that is only a matter of how well requests are placed.
     pub fn elect(&mut self, own_fit: bool, now: Moment) -> bool {
         self.suspects.retain(|_, until| now < *until);
-        let own = own_fit.then_some(&self.own.name);
-        let peers = self.peers.iter().filter(|(_, it)| it.up && it.fit).map(|(name, _)| name);
-        let eligible = own.into_iter().chain(peers);
-        let eligible: Vec<&id::Host> =
-            eligible.filter(|it| !self.suspects.contains_key(*it)).collect();
-        let votes = |name: &id::Host| {
-            let peers = self.peers.values().filter(|it| it.up);
-            let followers = peers.filter(|it| it.follows.as_ref() == Some(name)).count();
-            followers + usize::from(self.dispatcher == *name)
+        let own = Candidate {
+            name: self.own.name.clone(),
+            capacity: self.own.capacity,
+            claimed: self.claimed,
         };
-        let best = eligible.iter().max_by_key(|it| (votes(it), std::cmp::Reverse(**it)));
-        let Some(best) = best.map(|it| (*it).clone()) else { return false };
-        if best == self.dispatcher {
-            return false;
-        }
-        self.dispatcher = best;
+        let peers = self.peers.iter().filter(|(_, it)| it.up && it.fit);
+        let peers = peers.filter(|(name, _)| !self.suspects.contains_key(*name));
+        let peers = peers.map(|(name, it)| Candidate {
+            name: name.clone(),
+            capacity: it.host.capacity,
+            claimed: it.claimed,
+        });
+        let candidates: Vec<Candidate> = own_fit.then_some(own).into_iter().chain(peers).collect();
+        let chosen = election::choose(&candidates).map(|it| it.name.clone());
+        let is_own = chosen.as_ref() == Some(&self.own.name);
+        self.claimed = is_own.then(|| self.claimed.unwrap_or(now));
+        let Some(chosen) = chosen.filter(|it| *it != self.dispatcher) else { return false };
+        self.dispatcher = chosen;
         true
     }
 
-    /// Returns where heartbeats go: to every host known that did not say it was leaving.
-    pub fn recipients(&self) -> impl Iterator<Item = (&Host, bool)> {
-        self.peers.values().filter(|it| !it.leaving).map(|it| (&it.host, it.up))
+    /// Returns how long this host has claimed to place the requests of all.
+    pub fn claim(&self, now: Moment) -> Option<Duration> {
+        self.claimed.map(|it| now.saturating_sub(it))
+    }
+
+    /// Returns where the hosts that are there hear datagrams.
+    pub fn all(&self) -> impl Iterator<Item = SocketAddr> {
+        self.peers.values().filter(|it| it.up).map(|it| it.host.peers)
     }
 
     /// Returns the hosts that are there, this one among them.
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -1,6 +1,6 @@
 //! Heartbeats between the entry hosts, as datagrams.
 
-use std::{collections::HashMap, io, rc::Rc, time::Duration};
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, time::sleep};
@@ -10,27 +10,32 @@
     desk,
     dispatch::{Ask, Number, Verdict},
     load::Work,
-    membership::{Change, Heartbeat, Host},
+    membership::{Change, Heartbeat, Host, ROUND},
+};
+use fuchsiaknot_core::{
+    clock::{self, Moment},
+    id,
 };
-use fuchsiaknot_core::{clock, id};
 
-/// Interval of heartbeats among few hosts; a host counts as down after several missed ones.
-const INTERVAL: Duration = Duration::from_millis(150);
-/// Hosts up to which the interval stays; beyond it grows with their number.
-const FEW_HOSTS: usize = 16;
-/// Heartbeats after which a host that is not there is tried once.
-const ABSENT_EVERY: u64 = 7;
 /// Bytes of a datagram at most.
 const MAX_DATAGRAM: usize = 16 * 1024;
 
 /// Interval in which changes of this host's work are gathered before the dispatcher is told.
 const GATHER: Duration = Duration::from_millis(4);
+/// Interval at which the dispatcher is told all of this host's work, in case a change was lost.
+const WHOLE_INTERVAL: Duration = Duration::from_millis(300);
 
 /// One datagram.
 #[derive(Debug, Serialize, Deserialize)]
 pub enum Packet {
-    /// A host tells that it is there, and what it has under way.
+    /// A host tells that it is there.
     Beat(Beat),
+    /// A host wants a heartbeat in return.
+    Query(Beat),
+    /// A host found another one down.
+    Missing(id::Host),
+    /// All of a host's work, with the last grant that it includes.
+    Work(id::Host, u64, Vec<(id::Target, Work)>),
     /// What changed of a host's work, with the last grant that it includes.
     Changes(id::Host, u64, Vec<(id::Target, Work)>),
     /// A request broke off at a target.
@@ -42,19 +47,29 @@
 }
 
 /// A heartbeat.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Beat {
     host: Host,
     ready: bool,
     leaving: bool,
     fit: bool,
-    follows: id::Host,
-    work: Vec<(id::Target, Work)>,
+    claim: Option<Duration>,
 }
 
 /// Sends a datagram to a host; returns whether it went out.
 pub fn send(context: &Context, host: &id::Host, packet: &Packet) -> bool {
     let Some(address) = context.state().membership.address(host) else { return false };
+    send_to(context, &[address], packet)
+}
+
+/// Sends a datagram to every host that is there.
+pub fn send_to_all(context: &Context, packet: &Packet) {
+    let addresses: Vec<SocketAddr> = context.state().membership.all().collect();
+    send_to(context, &addresses, packet);
+}
+
+/// Sends a datagram to some addresses; returns whether all went out.
+fn send_to(context: &Context, addresses: &[SocketAddr], packet: &Packet) -> bool {
     let Some(socket) = context.socket() else { return false };
     let bytes = match postcard::to_stdvec(packet) {
         Ok(bytes) => bytes,
@@ -63,48 +78,59 @@
             return false;
         }
     };
-    match socket.try_send_to(&bytes, address) {
-        Ok(_) => true,
-        Err(err) => {
-            tracing::debug!(%host, %err, "a datagram was not sent");
-            false
+    let mut sent = true;
+    for address in addresses {
+        if let Err(err) = socket.try_send_to(&bytes, *address) {
+            tracing::debug!(%address, %err, "a datagram was not sent");
+            sent = false;
         }
     }
+    sent
 }
 
-/// Sends a datagram to every host that is there.
-pub fn send_to_all(context: &Context, packet: &Packet) {
-    let hosts: Vec<id::Host> = {
-        let state = context.state();
-        let live = state.membership.recipients().filter(|(_, up)| *up);
-        live.map(|(host, _)| host.name.clone()).collect()
-    };
-    for host in hosts {
-        send(context, &host, packet);
+/// Tells the dispatcher of this host's work, forever.
+pub async fn report(context: Rc<Context>) {
+    let mut told = Told { dispatcher: context.settings.host.name.clone(), at: clock::now() };
+    loop {
+        tokio::select! {
+            () = context.work_changed.notified() => sleep(GATHER).await,
+            () = sleep(WHOLE_INTERVAL) => {}
+        }
+        if let Some(packet) = told.next(&context) {
+            send(&context, &told.dispatcher, &packet);
+        }
     }
 }
 
-/// Tells the dispatcher of changes of this host's work, forever.
-pub async fn report(context: Rc<Context>) {
-    loop {
-        context.work_changed.notified().await;
-        sleep(GATHER).await;
-        let (dispatcher, packet) = {
-            let mut state = context.state_mut();
-            let changed = state.board.take_changed();
-            let entries = changed.into_iter().filter_map(|key| {
-                let target = state.registry.get(key)?;
-                Some((target.id.clone(), state.board.own(key)))
-            });
-            let entries: Vec<_> = entries.collect();
-            let own = context.settings.host.name.clone();
-            let dispatcher = state.membership.dispatcher().clone();
-            let seen = context.last_grant(&dispatcher);
-            (dispatcher, Packet::Changes(own, seen, entries))
-        };
-        if dispatcher != context.settings.host.name {
-            send(&context, &dispatcher, &packet);
+/// What a dispatcher was told last.
+struct Told {
+    dispatcher: id::Host,
+    /// When it was told everything.
+    at: Moment,
+}
+
+impl Told {
+    /// Returns what the dispatcher is to be told now; `None` when that is this host.
+    fn next(&mut self, context: &Context) -> Option<Packet> {
+        let now = clock::now();
+        let own = context.settings.host.name.clone();
+        let mut state = context.state_mut();
+        let changed = state.board.take_changed();
+        let dispatcher = state.membership.dispatcher().clone();
+        if dispatcher == own {
+            self.dispatcher = dispatcher;
+            return None;
+        }
+        let seen = context.last_grant(&dispatcher);
+        let name = |key| state.registry.get(key).map(|it| it.id.clone());
+        if dispatcher != self.dispatcher || self.at + WHOLE_INTERVAL <= now {
+            *self = Told { dispatcher, at: now };
+            let all = state.board.all_own();
+            let work = all.filter_map(|(key, work)| Some((name(key)?, work)));
+            return Some(Packet::Work(own, seen, work.collect()));
         }
+        let work = changed.into_iter().filter_map(|key| Some((name(key)?, state.board.own(key))));
+        Some(Packet::Changes(own, seen, work.collect()))
     }
 }
 
@@ -115,70 +141,73 @@
 pub async fn run(context: Rc<Context>) -> io::Result<()> {
     let socket = Rc::new(UdpSocket::bind(context.settings.host.peers).await?);
     context.set_socket(Some(Rc::clone(&socket)));
-    let sender = tokio::task::spawn_local(send_all(Rc::clone(&context), Rc::clone(&socket)));
+    let sender = tokio::task::spawn_local(keep_beating(Rc::clone(&context)));
     let heard = hear_all(&context, &socket).await;
     context.set_socket(None);
     sender.abort();
     heard
 }
 
-async fn send_all(context: Rc<Context>, socket: Rc<UdpSocket>) {
-    let mut beats = 0;
+async fn keep_beating(context: Rc<Context>) {
+    let mut last = Status::default();
     loop {
-        let live = send_one(&context, &socket, beats).await;
-        beats += 1;
-        let changes = context.state_mut().membership.tick(clock::now());
-        note(&context, changes);
         elect(&context);
-        let stretch = (live as f64 / FEW_HOSTS as f64).max(1.0);
+        let now = clock::now();
+        let (status, beat) = (Status::new(&context), beat(&context));
+        let tick = context.state_mut().membership.tick(now);
+        let round = context.state_mut().membership.next_round();
+        if status == last {
+            send_to(&context, &round, &Packet::Beat(beat.clone()));
+        } else {
+            send_to_all(&context, &Packet::Beat(beat.clone()));
+        }
+        last = status;
+        send_to(&context, &tick.ask, &Packet::Query(beat));
+        for host in tick.tell {
+            send_to_all(&context, &Packet::Missing(host));
+        }
+        note(&context, tick.down.into_iter().map(Change::Down));
         tokio::select! {
-            () = sleep(INTERVAL.mul_f64(stretch)) => {}
+            () = sleep(ROUND) => {}
             () = context.leaving_begun.notified() => {}
         }
     }
 }
 
-/// Sends one heartbeat to each host; returns how many hosts are there.
-async fn send_one(context: &Context, socket: &UdpSocket, beats: u64) -> usize {
-    let follows = context.state().membership.dispatcher().clone();
-    let packet = Packet::Beat(Beat {
-        host: context.settings.host.clone(),
-        ready: context.is_ready(),
-        leaving: context.is_leaving(),
-        fit: !context.is_leaving() && context.state().is_fresh(clock::now()),
-        follows,
-        work: own_work(context),
-    });
-    let (recipients, live) = {
-        let state = context.state();
-        let due = state
-            .membership
-            .recipients()
-            .filter(|(_, up)| *up || beats.is_multiple_of(ABSENT_EVERY));
-        (due.map(|(host, _)| host.peers).collect::<Vec<_>>(), state.membership.live())
-    };
-    let bytes = match postcard::to_stdvec(&packet) {
-        Ok(bytes) => bytes,
-        Err(err) => {
-            tracing::error!(code = 8024, %err, "cannot write a heartbeat");
-            return live;
-        }
-    };
-    for recipient in recipients {
-        if let Err(err) = socket.send_to(&bytes, recipient).await {
-            tracing::debug!(%recipient, %err, "a heartbeat was not sent");
+/// What the other hosts are told at once when it changes.
+#[derive(Debug, Default, PartialEq, Eq)]
+struct Status {
+    ready: bool,
+    leaving: bool,
+    fit: bool,
+    claims: bool,
+}
+
+impl Status {
+    fn new(context: &Context) -> Status {
+        let now = clock::now();
+        Status {
+            ready: context.is_ready(),
+            leaving: context.is_leaving(),
+            fit: is_fit(context),
+            claims: context.state().membership.claim(now).is_some(),
         }
     }
-    live
 }
 
-fn own_work(context: &Context) -> Vec<(id::Target, Work)> {
-    let state = context.state();
-    let work = state.board.all_own().filter_map(|(key, work)| {
-        let target = state.registry.get(key)?;
-        Some((target.id.clone(), work))
-    });
-    work.collect()
+fn is_fit(context: &Context) -> bool {
+    !context.is_leaving() && context.state().is_fresh(clock::now())
+}
+
+fn beat(context: &Context) -> Beat {
+    let claim = context.state().membership.claim(clock::now());
+    Beat {
+        host: context.settings.host.clone(),
+        ready: context.is_ready(),
+        leaving: context.is_leaving(),
+        fit: is_fit(context),
+        claim: claim.filter(|_| is_fit(context)),
+    }
 }
 
 async fn hear_all(context: &Rc<Context>, socket: &UdpSocket) -> io::Result<()> {
@@ -199,6 +228,21 @@
 fn hear(context: &Rc<Context>, packet: Packet) {
     match packet {
         Packet::Beat(beat) => hear_beat(context, beat),
+        Packet::Query(asking) => {
+            send_to(context, &[asking.host.peers], &Packet::Beat(beat(context)));
+            hear_beat(context, asking);
+        }
+        Packet::Missing(host) => {
+            let asked = context.state_mut().membership.doubt(&host, clock::now());
+            send_to(context, asked.as_slice(), &Packet::Query(beat(context)));
+        }
+        Packet::Work(host, seen, work) => {
+            let mut state = context.state_mut();
+            state.board.hear(host.clone(), work.into_iter().collect(), clock::now());
+            state.board.seen(&host, seen);
+            drop(state);
+            desk::look(context);
+        }
         Packet::Changes(host, seen, work) => {
             let mut state = context.state_mut();
             state.board.hear_changes(&host, work, clock::now());
@@ -215,32 +259,20 @@
 }
 
 fn hear_beat(context: &Context, beat: Beat) {
-    let now = clock::now();
-    let name = beat.host.name.clone();
-    let work: HashMap<id::Target, Work> = beat.work.into_iter().collect();
-    let beat = Heartbeat {
-        host: beat.host,
-        ready: beat.ready,
-        leaving: beat.leaving,
-        fit: beat.fit,
-        follows: beat.follows,
-    };
-    let change = {
-        let mut state = context.state_mut();
-        state.board.hear(name, work, now);
-        state.membership.hear(beat, now)
-    };
+    let Beat { host, ready, leaving, fit, claim } = beat;
+    let beat = Heartbeat { host, ready, leaving, fit, claim };
+    let change = context.state_mut().membership.hear(beat, clock::now());
     note(context, change);
-    desk::look(context);
 }
 
-/// Chooses the dispatcher anew where that is due.
+/// Chooses the dispatcher anew where that is due, and has it told of this host's work.
 fn elect(context: &Context) {
-    let now = clock::now();
-    let mut state = context.state_mut();
-    let fit = !context.is_leaving() && state.is_fresh(now);
-    if state.membership.elect(fit, now) {
-        tracing::info!(code = 8025, host = %state.membership.dispatcher(), "requests are placed by another host");
+    let is_fit = is_fit(context);
+    let changed = context.state_mut().membership.elect(is_fit, clock::now());
+    if changed {
+        let host = context.state().membership.dispatcher().clone();
+        tracing::info!(code = 8025, %host, "requests are placed by another host");
+        context.work_changed.notify_one();
     }
 }
 
--- /dev/null
+++ b/gateway/tests/election.rs
@@ -0,0 +1,103 @@
+//! Which host places the requests of all.
+
+mod common;
+
+use std::time::Duration;
+
+use fuchsiaknot_gateway::{
+    election::{Candidate, choose},
+    membership::{Heartbeat, Host, Membership},
+};
+use rstest::rstest;
+
+use common::ms;
+
+fn host(at: usize) -> Host {
+    Host {
+        name: format!("h{at:03}").into(),
+        incarnation: 1,
+        data_centre: "a".into(),
+        front: ([127, 0, 0, 1], 1).into(),
+        peers: ([127, 0, 0, 1], 2).into(),
+        capacity: 250,
+    }
+}
+
+fn beat(at: usize, claim: Option<Duration>) -> Heartbeat {
+    Heartbeat { host: host(at), ready: true, leaving: false, fit: true, claim }
+}
+
+fn candidate(name: &str, capacity: u32, claimed: Option<u64>) -> Candidate {
+    Candidate { name: name.into(), capacity, claimed: claimed.map(ms) }
+}
+
+#[rstest]
+#[case::nobody_claims(&[("h1", 250, None), ("h2", 250, None)], "h1")]
+#[case::one_claims(&[("h1", 250, None), ("h2", 250, Some(0))], "h2")]
+#[case::oldest_claim(&[("h1", 250, Some(900)), ("h2", 250, Some(100))], "h2")]
+#[case::same_age(&[("h1", 250, Some(400)), ("h2", 250, Some(100))], "h1")]
+#[case::small_claims(&[("h1", 120, Some(0)), ("h2", 500, None)], "h2")]
+fn chosen(#[case] candidates: &[(&str, u32, Option<u64>)], #[case] expected: &str) {
+    let candidates: Vec<_> = candidates.iter().map(|it| candidate(it.0, it.1, it.2)).collect();
+    assert_eq!(choose(&candidates).unwrap().name, expected);
+}
+
+/// Pattern: 75 hosts that all start at once and hear of each other in turn, five rounds a turn.
+/// They agree within some turns and never change their minds again.
+#[test]
+fn many_hosts() {
+    let mut members: Vec<Membership> = (0..75).map(|at| Membership::new(host(at))).collect();
+    let mut changes = Vec::new();
+    for round in 0..60 {
+        let now = ms(1000 + 150 * round as u64);
+        let claims: Vec<_> = members.iter().map(|it| it.claim(now)).collect();
+        for (at, member) in members.iter_mut().enumerate() {
+            for (other, claim) in claims.iter().enumerate().filter(|(it, _)| *it != at) {
+                if (other + at) % 5 == round % 5 {
+                    member.hear(beat(other, *claim), now);
+                }
+            }
+            if member.elect(true, now) {
+                changes.push(round);
+            }
+        }
+    }
+    assert!(members.iter().all(|it| it.dispatcher() == members[0].dispatcher()));
+    assert!(changes.iter().all(|it| *it < 20), "{changes:?}");
+}
+
+fn three_hosts() -> Membership {
+    let mut first = Membership::new(host(1));
+    first.hear(beat(2, Some(ms(5000))), ms(9000));
+    first.hear(beat(3, None), ms(9000));
+    first.elect(true, ms(9000));
+    first
+}
+
+/// A host that returns does not take over from the one that places requests.
+#[test]
+fn claim_stands() {
+    let first = three_hosts();
+    assert_eq!(first.dispatcher(), "h002");
+    assert_eq!(first.claim(ms(9000)), None);
+}
+
+#[test]
+fn dispatcher_silent() {
+    let mut first = three_hosts();
+    first.suspect("h002".into(), ms(9500));
+    assert!(first.elect(true, ms(9001)));
+    assert_ne!(first.dispatcher(), "h002");
+    first.elect(true, ms(9500));
+    assert_eq!(first.dispatcher(), "h002");
+    assert_eq!(first.claim(ms(9500)), None);
+}
+
+/// A host without a fresh picture of the targets places for nobody.
+#[test]
+fn unfit_host() {
+    let mut first = Membership::new(host(1));
+    first.hear(beat(2, None), ms(0));
+    first.elect(false, ms(0));
+    assert_eq!(first.dispatcher(), "h002");
+}
