feat(gateway): two hosts watch the store for all

Ruled out: longer waits alone (a silent channel would show too late for a draining target), relaying the configuration itself (150 KB with many routes, does not fit datagrams; a host that hears of a newer one reads it).

Two hosts, the largest that the store answers, ask all the time and tell the others which versions they saw; a host asks for itself when it missed a change or nothing confirmed its picture for 1.2 s. The module watch decides that without network; sights carry the versions they cover, so lost and overlapping datagrams show.

Tests: watch::relies_on_watchers names the pattern; store::turned_away (real processes) takes a drained target from the other host.

--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -26,6 +26,7 @@
     poison::Poison,
     registry::{Belief, Key, Registry},
     upstream::Pool,
+    watch::Watch,
 };
 use fuchsiaknot_core::{
     clock::{self, Moment},
@@ -83,6 +84,8 @@
     pub desk: Desk,
     /// Told when this host's own work at targets changed.
     pub work_changed: Notify,
+    /// Told when another host saw something in the store that this one was not told.
+    pub sight_missed: Notify,
     bounds: Cell<Bounds>,
     grants: RefCell<HashMap<id::Host, u64>>,
     socket: RefCell<Option<Rc<UdpSocket>>>,
@@ -106,12 +109,12 @@
 pub struct State {
     /// Configuration in force; `None` before the first.
     pub configuration: Option<Rc<Configuration>>,
-    /// When the store last confirmed the configuration.
-    pub configuration_seen: Moment,
+    /// What is known of the configuration's table.
+    pub configuration_watch: Watch,
     /// Targets.
     pub registry: Registry,
-    /// When the store last confirmed the targets.
-    pub targets_seen: Moment,
+    /// What is known of the targets' table.
+    pub targets_watch: Watch,
     /// Work under way at targets.
     pub board: Board,
     /// How targets answered.
@@ -140,17 +143,27 @@
 
     /// Returns how long ago the store last confirmed the targets, in milliseconds.
     pub fn targets_age_ms(&self) -> u64 {
-        clock::now().saturating_sub(self.targets_seen).as_millis() as u64
+        self.targets_watch.age(clock::now()).as_millis() as u64
     }
 
     /// Returns how long ago the store last confirmed the configuration, in milliseconds.
     pub fn configuration_age_ms(&self) -> u64 {
-        clock::now().saturating_sub(self.configuration_seen).as_millis() as u64
+        self.configuration_watch.age(clock::now()).as_millis() as u64
     }
 
     /// Returns whether the picture of the targets is fresh.
     pub fn is_fresh(&self, now: Moment) -> bool {
-        self.configuration.is_some() && now < self.targets_seen + FRESH
+        self.configuration.is_some() && self.targets_watch.age(now) < FRESH
+    }
+
+    /// Returns whether the store did not answer this host's last calls.
+    pub fn is_cut_off(&self) -> bool {
+        self.configuration_watch.has_failed() || self.targets_watch.has_failed()
+    }
+
+    /// Returns whether this host keeps the others up to date.
+    pub fn is_watcher(&self) -> bool {
+        self.membership.is_watcher(self.is_cut_off())
     }
 
     /// Returns the work of all hosts at a target.
@@ -176,9 +189,9 @@
     ) -> Context {
         let state = State {
             configuration: None,
-            configuration_seen: Moment::ZERO,
+            configuration_watch: Watch::default(),
             registry: Registry::new(),
-            targets_seen: Moment::ZERO,
+            targets_watch: Watch::default(),
             board: Board::new(TOLD_MEMORY),
             health: Health::default(),
             cache: Cache::default(),
@@ -199,6 +212,7 @@
             log,
             desk: Desk::default(),
             work_changed: Notify::new(),
+            sight_missed: Notify::new(),
             grants: RefCell::default(),
             socket: RefCell::default(),
             leaving_begun: Notify::new(),
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -6,11 +6,13 @@
 
 use crate::{
     configuration::Configuration,
-    context::Context,
+    context::{Context, State},
     logging::Log,
+    peers::{self, Packet},
     registry::Change,
     store::{Fault, Snapshot, Store},
     target::Target,
+    watch::{News, Sight, Step, Watch},
 };
 use fuchsiaknot_core::{
     clock::{self, Moment},
@@ -21,8 +23,11 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause between failed calls, so that a store that returned is seen soon.
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
-/// Time without an answer after which entries may have lapsed unseen.
-const OUTAGE: Duration = Duration::from_millis(1500);
+/// Time that the store takes for an answer at most, beyond what it was asked to wait; one that took
+/// longer may have lain here while this host was suspended.
+const ANSWER_TIME: Duration = Duration::from_millis(900);
+/// Changes of targets that one datagram tells at most.
+const MAX_CHANGES: usize = 64;
 /// Interval at which the times of engines are logged.
 const LOG_INTERVAL: Duration = Duration::from_secs(5);
 /// Interval at which lapsed targets are dropped and idle connections closed.
@@ -33,19 +38,17 @@
 struct Contact {
     what: &'static str,
     failures: u32,
-    answered: Moment,
+    lost_at: Moment,
 }
 
 impl Contact {
     fn new(what: &'static str) -> Contact {
-        Contact { what, failures: 0, answered: clock::now() }
+        Contact { what, failures: 0, lost_at: Moment::ZERO }
     }
 
-    /// Notes an answer; returns whether the store was away for long before it.
-    fn regained(&mut self, context: &Context) -> bool {
-        let now = clock::now();
-        let away = now.saturating_sub(self.answered);
+    fn regained(&mut self, context: &Context) {
         if 0 < self.failures {
+            let away = clock::now().saturating_sub(self.lost_at);
             tracing::info!(
                 code = 8007,
                 matter = self.what,
@@ -54,11 +57,8 @@
                 "store answers again"
             );
         }
-        let outage = 0 < self.failures && OUTAGE < away;
         self.failures = 0;
-        self.answered = now;
         context.metrics.store_calls.with_label_values(&["answered"]).inc();
-        outage
     }
 
     async fn lost(&mut self, fault: &Fault, context: &Context) {
@@ -70,6 +70,7 @@
         };
         context.metrics.store_calls.with_label_values(&[outcome]).inc();
         if self.failures == 0 {
+            self.lost_at = clock::now();
             tracing::warn!(code = 8008,
                 matter = self.what,
                 %fault,
@@ -82,37 +83,180 @@
     }
 }
 
-/// Keeps the configuration up to date, forever.
-pub async fn configuration<S: Store>(context: Rc<Context>, store: S) {
-    let mut contact = Contact::new("configuration");
-    let mut version = None;
+/// A table of the store that hosts follow.
+#[allow(async_fn_in_trait)] // the request path runs on one thread
+pub trait Table {
+    /// Name in the log.
+    const NAME: &'static str;
+    /// All that the table holds.
+    type All;
+    /// What changed.
+    type Changes;
+
+    /// Returns what is known of it.
+    fn watch(state: &mut State) -> &mut Watch;
+
+    /// Reads it.
+    ///
+    /// # Errors
+    /// As [`Store::targets`].
+    async fn read<S: Store>(store: &S) -> Result<Snapshot<Self::All>, Fault>;
+
+    /// Asks for the changes after a version.
+    ///
+    /// # Errors
+    /// As [`Store::targets_after`].
+    async fn ask<S: Store>(
+        store: &S,
+        after: id::Version,
+        wait: Duration,
+    ) -> Result<Snapshot<Self::Changes>, Fault>;
+
+    /// Takes over all that it holds.
+    fn take_all(context: &Context, all: Self::All);
+
+    /// Takes over changes and tells the other hosts of them if this one watches for them.
+    fn take_changes(context: &Context, changes: Self::Changes, seen: Seen);
+}
+
+/// Where changes stand among those of their table.
+#[derive(Debug, Clone, Copy)]
+pub struct Seen {
+    after: id::Version,
+    at: id::Version,
+    age: Duration,
+    /// Whether the other hosts are told.
+    is_watcher: bool,
+}
+
+impl Seen {
+    fn sight<T>(self, contents: T) -> Sight<T> {
+        Sight { after: self.after, at: self.at, age: self.age, contents }
+    }
+}
+
+/// Keeps a table up to date, forever.
+pub async fn table<S: Store, T: Table>(context: Rc<Context>, store: S) {
+    let mut contact = Contact::new(T::NAME);
+    let mut was_watcher = false;
     loop {
-        let wait = context.settings.feed_wait;
-        let read = match version {
-            None => store.configuration().await,
-            Some(after) => store.configuration_after(after, wait).await,
-        };
-        match read {
-            Ok(Snapshot { version: at, contents }) => {
-                contact.regained(&context);
-                version = Some(at);
-                context.state_mut().configuration_seen = clock::now();
-                match contents {
-                    Some(configuration) => put_in_force(&context, configuration),
-                    None if context.state().configuration.is_none() => sleep(FIRST_PAUSE).await,
-                    None => {}
+        let is_watcher = context.state().is_watcher();
+        if is_watcher != was_watcher {
+            tracing::info!(
+                code = 8040,
+                matter = T::NAME,
+                is_watcher,
+                "watching the store for other hosts"
+            );
+            was_watcher = is_watcher;
+        }
+        let begun = clock::now();
+        let step = T::watch(&mut context.state_mut()).next(is_watcher, begun);
+        let fault = match step {
+            Step::Rest(time) => {
+                tokio::select! {
+                    () = sleep(time) => {}
+                    () = context.sight_missed.notified() => {}
                 }
+                continue;
             }
-            Err(fault) => {
-                if fault == Fault::HistoryGone {
-                    version = None;
+            Step::Read => match T::read(&store).await {
+                Ok(Snapshot { version, contents }) => {
+                    note_answer::<T>(&context, &mut contact, version);
+                    T::take_all(&context, contents);
+                    continue;
+                }
+                Err(fault) => fault,
+            },
+            Step::Ask { after, wait } => {
+                let wait = if wait { context.settings.feed_wait } else { Duration::ZERO };
+                match T::ask(&store, after, wait).await {
+                    Ok(Snapshot { version, contents }) => {
+                        note_answer::<T>(&context, &mut contact, version);
+                        let took = clock::now().saturating_sub(begun);
+                        let age =
+                            if took < wait + ANSWER_TIME { Duration::ZERO } else { took - wait };
+                        T::take_changes(
+                            &context,
+                            contents,
+                            Seen { after, at: version, age, is_watcher },
+                        );
+                        continue;
+                    }
+                    Err(fault) => fault,
                 }
-                contact.lost(&fault, &context).await;
             }
+        };
+        let history_gone = fault == Fault::HistoryGone;
+        T::watch(&mut context.state_mut()).failed(history_gone, clock::now());
+        contact.lost(&fault, &context).await;
+    }
+}
+
+fn note_answer<T: Table>(context: &Context, contact: &mut Contact, version: id::Version) {
+    contact.regained(context);
+    let return_time = context.settings.return_time;
+    T::watch(&mut context.state_mut()).answered(version, return_time, clock::now());
+}
+
+/// The operators' configuration.
+#[derive(Debug)]
+pub struct Manifest;
+
+impl Table for Manifest {
+    const NAME: &'static str = "configuration";
+    type All = Option<Configuration>;
+    type Changes = Option<Configuration>;
+
+    fn watch(state: &mut State) -> &mut Watch {
+        &mut state.configuration_watch
+    }
+
+    async fn read<S: Store>(store: &S) -> Result<Snapshot<Self::All>, Fault> {
+        store.configuration().await
+    }
+
+    async fn ask<S: Store>(
+        store: &S,
+        after: id::Version,
+        wait: Duration,
+    ) -> Result<Snapshot<Self::Changes>, Fault> {
+        store.configuration_after(after, wait).await
+    }
+
+    fn take_all(context: &Context, all: Self::All) {
+        if let Some(configuration) = all {
+            put_in_force(context, configuration);
+        }
+    }
+
+    fn take_changes(context: &Context, changes: Self::Changes, seen: Seen) {
+        Self::take_all(context, changes);
+        if seen.is_watcher {
+            let version = context.state().configuration.as_ref().map(|it| it.version);
+            peers::send_to_all(context, &Packet::Configuration(seen.sight(version)));
         }
     }
 }
 
+/// Notes what another host saw of the configuration; a newer one is read from the store.
+pub fn hear_configuration(context: &Context, sight: &Sight<Option<id::Version>>) {
+    let return_time = context.settings.return_time;
+    let mut state = context.state_mut();
+    let own = state.configuration.as_ref().map(|it| it.version);
+    let watch = &mut state.configuration_watch;
+    let news = match own < sight.contents {
+        true => {
+            watch.miss();
+            News::Missed
+        }
+        false => watch.hear(sight, return_time, clock::now()),
+    };
+    if news == News::Missed {
+        context.sight_missed.notify_waiters();
+    }
+}
+
 /// Takes over a configuration unless a newer one is in force.
 fn put_in_force(context: &Context, configuration: Configuration) {
     let version = configuration.version;
@@ -133,56 +277,74 @@
     tracing::info!(code = 8010, version, before = in_force, "configuration in force");
 }
 
-/// Keeps the targets up to date, forever.
-pub async fn targets<S: Store>(context: Rc<Context>, store: S) {
-    let mut contact = Contact::new("targets");
-    let mut version = None;
-    let mut settled = clock::now();
-    loop {
-        let read = match version {
-            None => store.targets().await.map(|it| it.map(Seen::All)),
-            Some(after) => {
-                let changes = store.targets_after(after, context.settings.feed_wait).await;
-                changes.map(|it| it.map(Seen::Changes))
-            }
+/// The targets.
+#[derive(Debug)]
+pub struct Targets;
+
+impl Table for Targets {
+    const NAME: &'static str = "targets";
+    type All = Vec<Target>;
+    type Changes = Vec<(id::Version, Change)>;
+
+    fn watch(state: &mut State) -> &mut Watch {
+        &mut state.targets_watch
+    }
+
+    async fn read<S: Store>(store: &S) -> Result<Snapshot<Self::All>, Fault> {
+        store.targets().await
+    }
+
+    async fn ask<S: Store>(
+        store: &S,
+        after: id::Version,
+        wait: Duration,
+    ) -> Result<Snapshot<Self::Changes>, Fault> {
+        store.targets_after(after, wait).await
+    }
+
+    fn take_all(context: &Context, all: Self::All) {
+        let beliefs = {
+            let mut state = context.state_mut();
+            let settled = state.targets_watch.settled();
+            state.registry.replace(all, settled, clock::now())
         };
-        match read {
-            Ok(Snapshot { version: at, contents }) => {
-                let outage = contact.regained(&context);
-                let now = clock::now();
-                if outage {
-                    settled = now + context.settings.return_time;
-                }
-                version = Some(at);
-                take_over(&context, contents, settled, now);
-            }
-            Err(fault) => {
-                if fault == Fault::HistoryGone {
-                    version = None;
-                }
-                contact.lost(&fault, &context).await;
-            }
+        context.note_targets(beliefs);
+    }
+
+    fn take_changes(context: &Context, changes: Self::Changes, seen: Seen) {
+        if seen.is_watcher {
+            // Hosts that miss more changes than a datagram holds ask for them.
+            let told =
+                if changes.len() <= MAX_CHANGES { seen } else { Seen { after: seen.at, ..seen } };
+            let contents = if changes.len() <= MAX_CHANGES { changes.clone() } else { Vec::new() };
+            peers::send_to_all(context, &Packet::Targets(told.sight(contents)));
         }
+        apply(context, changes);
     }
 }
 
-/// What the store showed of the targets.
-enum Seen {
-    All(Vec<Target>),
-    Changes(Vec<Change>),
+/// Notes what another host saw of the targets.
+pub fn hear_targets(context: &Context, sight: Sight<Vec<(id::Version, Change)>>) {
+    let return_time = context.settings.return_time;
+    let news = context.state_mut().targets_watch.hear(&sight, return_time, clock::now());
+    match news {
+        News::Old => {}
+        News::Missed => context.sight_missed.notify_waiters(),
+        News::After(known) => {
+            let unknown = sight.contents.into_iter().filter(|(version, _)| known < *version);
+            apply(context, unknown.collect());
+        }
+    }
 }
 
-fn take_over(context: &Context, seen: Seen, settled: Moment, now: Moment) {
-    let mut state = context.state_mut();
-    state.targets_seen = now;
-    let registry = &mut state.registry;
-    let beliefs = match seen {
-        Seen::All(targets) => registry.replace(targets, settled, now),
-        Seen::Changes(changes) => {
-            changes.into_iter().filter_map(|it| registry.apply(it, settled, now)).collect()
-        }
+fn apply(context: &Context, changes: Vec<(id::Version, Change)>) {
+    let beliefs = {
+        let mut state = context.state_mut();
+        let settled = state.targets_watch.settled();
+        let now = clock::now();
+        let registry = &mut state.registry;
+        changes.into_iter().filter_map(|(_, it)| registry.apply(it, settled, now)).collect()
     };
-    drop(state);
     context.note_targets(beliefs);
 }
 
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Everything runs on one thread. Decisions (`configuration`, `registry`, `membership`, `load`,
 //! `health`, `budget`, `cache`, `choice`, `comeback`, `deadline`, `dispatch`, `election`,
-//! `engine`, `event_stream`, `poison`) neither wait nor read a clock; `follow`, `peers`, `desk`, `port`,
+//! `engine`, `event_stream`, `poison`, `watch`) neither wait nor read a clock; `follow`, `peers`, `desk`, `port`,
 //! `forward`, `seats`, `stream` and `upstream` run them. Names and formats of a deployment's platform
 //! come in through [`store::Store`], [`headers::Headers`] and [`directory::Directory`].
 
@@ -45,13 +45,14 @@
 pub mod target;
 pub mod tasks;
 pub mod upstream;
+pub mod watch;
 
 use std::{io, rc::Rc, time::Duration};
 
 use hyper::Request;
 use tokio::{
     signal::unix::{Signal, SignalKind, signal},
-    sync::watch,
+    sync,
     task::{JoinSet, spawn_local},
     time::{Instant, sleep},
 };
@@ -86,11 +87,11 @@
     directory: D,
     read_bounds: impl Fn() -> Result<Bounds, String> + 'static,
 ) -> io::Result<()> {
-    let (phase, watched) = watch::channel(Phase::Open);
+    let (phase, watched) = sync::watch::channel(Phase::Open);
     serve_ports(&context, directory, &watched)?;
     let mut tasks = JoinSet::new();
-    tasks.spawn_local(follow::configuration(Rc::clone(&context), store.clone()));
-    tasks.spawn_local(follow::targets(Rc::clone(&context), store.clone()));
+    tasks.spawn_local(follow::table::<_, follow::Manifest>(Rc::clone(&context), store.clone()));
+    tasks.spawn_local(follow::table::<_, follow::Targets>(Rc::clone(&context), store.clone()));
     tasks.spawn_local(follow::hosts(Rc::clone(&context), store.clone()));
     tasks.spawn_local(follow::log_times(Rc::clone(&context)));
     tasks.spawn_local(follow::tidy(Rc::clone(&context)));
@@ -114,7 +115,7 @@
 fn serve_ports<D: Directory + 'static>(
     context: &Rc<Context>,
     directory: D,
-    phase: &watch::Receiver<Phase>,
+    phase: &sync::watch::Receiver<Phase>,
 ) -> io::Result<()> {
     let bounds_of = Rc::clone(context);
     let bounds = move || {
@@ -190,7 +191,7 @@
 }
 
 /// Shuts down: out of the directory first, then no new connections, then the last answers.
-async fn leave<S: Store>(context: &Rc<Context>, store: &S, phase: &watch::Sender<Phase>) {
+async fn leave<S: Store>(context: &Rc<Context>, store: &S, phase: &sync::watch::Sender<Phase>) {
     let begun = Instant::now();
     tracing::info!(code = 8020, "shutting down; finishing what is open");
     context.leave();
--- a/gateway/src/membership.rs
+++ b/gateway/src/membership.rs
@@ -1,6 +1,6 @@
 //! Which entry hosts are there, from the datagrams that they send each other.
 
-use std::{collections::BTreeMap, net::SocketAddr, ops::Bound, time::Duration};
+use std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr, ops::Bound, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
@@ -14,6 +14,8 @@
 pub const ROUND: Duration = Duration::from_millis(150);
 /// Hosts that one round reaches; with more of them, each hears from the others less often.
 const ROUND_HOSTS: usize = 16;
+/// Hosts that watch the store for the others; one may fail unnoticed for a while.
+const WATCHERS: usize = 2;
 /// Turns of all hosts after which one that is not there is tried once.
 const ABSENT_EVERY: u64 = 7;
 /// Time beyond its interval that a host may be silent before it is asked for a heartbeat.
@@ -49,6 +51,8 @@
     pub leaving: bool,
     /// Whether its picture of the targets is fresh, so that it can place requests for others.
     pub fit: bool,
+    /// Whether the store does not answer it.
+    pub cut_off: bool,
     /// How long it has claimed to place the requests of all; `None` when it does not.
     pub claim: Option<Duration>,
 }
@@ -94,6 +98,7 @@
     ready: bool,
     leaving: bool,
     fit: bool,
+    cut_off: bool,
     claimed: Option<Moment>,
     /// When it was last heard; `None` when only the store names it.
     heard: Option<Moment>,
@@ -138,6 +143,7 @@
             ready: false,
             leaving: false,
             fit: false,
+            cut_off: false,
             claimed: None,
             heard: None,
             asked: None,
@@ -160,6 +166,7 @@
             ready: beat.ready,
             leaving: beat.leaving,
             fit: beat.fit,
+            cut_off: beat.cut_off,
             claimed: beat.claim.map(|it| now.saturating_sub(it)),
             heard: Some(now),
             asked: None,
@@ -275,6 +282,14 @@
         true
     }
 
+    /// Returns whether this host watches the store for the others: one of the largest that reach it.
+    pub fn is_watcher(&self, own_cut_off: bool) -> bool {
+        let order = |host: &Host| (Reverse(host.capacity), host.name.clone());
+        let peers = self.peers.values().filter(|it| it.up && !it.cut_off).map(|it| &it.host);
+        let before = peers.filter(|it| order(it) < order(&self.own)).count();
+        !own_cut_off && before < WATCHERS
+    }
+
     /// Returns how long this host has claimed to place the requests of all.
     pub fn claim(&self, now: Moment) -> Option<Duration> {
         self.claimed.map(|it| now.saturating_sub(it))
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -9,8 +9,11 @@
     context::Context,
     desk,
     dispatch::{Ask, Number, Verdict},
+    follow,
     load::Work,
     membership::{Change, Heartbeat, Host, ROUND},
+    registry,
+    watch::Sight,
 };
 use fuchsiaknot_core::{
     clock::{self, Moment},
@@ -38,6 +41,10 @@
     Work(id::Host, u64, Vec<(id::Target, Work)>),
     /// What changed of a host's work, with the last grant that it includes.
     Changes(id::Host, u64, Vec<(id::Target, Work)>),
+    /// What a host saw of the configuration: its number.
+    Configuration(Sight<Option<id::Version>>),
+    /// What a host saw of the targets: each change with the store's version.
+    Targets(Sight<Vec<(id::Version, registry::Change)>>),
     /// A request broke off at a target.
     Broke(id::Fingerprint, id::Target),
     /// A host asks where a request goes.
@@ -53,6 +60,7 @@
     ready: bool,
     leaving: bool,
     fit: bool,
+    cut_off: bool,
     claim: Option<Duration>,
 }
 
@@ -180,6 +188,7 @@
     ready: bool,
     leaving: bool,
     fit: bool,
+    cut_off: bool,
     claims: bool,
 }
 
@@ -190,6 +199,7 @@
             ready: context.is_ready(),
             leaving: context.is_leaving(),
             fit: is_fit(context),
+            cut_off: context.state().is_cut_off(),
             claims: context.state().membership.claim(now).is_some(),
         }
     }
@@ -206,6 +216,7 @@
         ready: context.is_ready(),
         leaving: context.is_leaving(),
         fit: is_fit(context),
+        cut_off: context.state().is_cut_off(),
         claim: claim.filter(|_| is_fit(context)),
     }
 }
@@ -250,6 +261,8 @@
             drop(state);
             desk::look(context);
         }
+        Packet::Configuration(sight) => follow::hear_configuration(context, &sight),
+        Packet::Targets(sight) => follow::hear_targets(context, sight),
         Packet::Broke(request, target) => {
             context.state_mut().poison.broke(request, target, clock::now());
         }
@@ -259,8 +272,8 @@
 }
 
 fn hear_beat(context: &Context, beat: Beat) {
-    let Beat { host, ready, leaving, fit, claim } = beat;
-    let beat = Heartbeat { host, ready, leaving, fit, claim };
+    let Beat { host, ready, leaving, fit, cut_off, claim } = beat;
+    let beat = Heartbeat { host, ready, leaving, fit, cut_off, claim };
     let change = context.state_mut().membership.hear(beat, clock::now());
     note(context, change);
 }
--- a/gateway/src/registry.rs
+++ b/gateway/src/registry.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 
+use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
 
 use crate::target::Target;
@@ -13,7 +14,7 @@
 }
 
 /// A change of the store's list of targets.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Change {
     /// A target announced itself or changed what it says.
     Announced(Target),
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -66,7 +66,7 @@
     /// Fails when the store refuses, does not answer or cannot be understood.
     async fn targets(&self) -> Result<Snapshot<Vec<Target>>, Fault>;
 
-    /// Waits for changes of the targets after the store's version `after`.
+    /// Waits for changes of the targets after the store's version `after`, with the version of each.
     ///
     /// # Errors
     /// As [`Store::targets`], and when the changes are no longer kept.
@@ -74,7 +74,7 @@
         &self,
         after: id::Version,
         wait: Duration,
-    ) -> Result<Snapshot<Vec<Change>>, Fault>;
+    ) -> Result<Snapshot<Vec<(id::Version, Change)>>, Fault>;
 
     /// Reads the hosts that announced themselves.
     ///
--- a/gateway/src/target.rs
+++ b/gateway/src/target.rs
@@ -3,9 +3,10 @@
 use std::net::SocketAddr;
 
 use fuchsiaknot_core::id;
+use serde::{Deserialize, Serialize};
 
 /// What one target says of itself.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Target {
     /// Identity that requests to it name.
     pub id: id::Target,
@@ -28,7 +29,7 @@
 }
 
 /// What an engine does with a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Stage {
     /// Reads prompts and keeps their cache for another engine.
     Prefill,
--- a/gateway/tests/election.rs
+++ b/gateway/tests/election.rs
@@ -24,7 +24,7 @@
 }
 
 fn beat(at: usize, claim: Option<Duration>) -> Heartbeat {
-    Heartbeat { host: host(at), ready: true, leaving: false, fit: true, claim }
+    Heartbeat { host: host(at), ready: true, leaving: false, fit: true, cut_off: false, claim }
 }
 
 fn candidate(name: &str, capacity: u32, claimed: Option<u64>) -> Candidate {
--- a/gateway/tests/membership.rs
+++ b/gateway/tests/membership.rs
@@ -18,7 +18,14 @@
 }
 
 fn beat(name: &str, port: u16) -> Heartbeat {
-    Heartbeat { host: host(name, port), ready: true, leaving: false, fit: true, claim: None }
+    Heartbeat {
+        host: host(name, port),
+        ready: true,
+        leaving: false,
+        fit: true,
+        cut_off: false,
+        claim: None,
+    }
 }
 
 fn two_hosts() -> Membership {
