feat(gateway): reading beside streams weighs as much as their pauses allow

The weight is now 2.5 times the part of the longest pause that pauses last, as measured on each stream. Test: dispatch::beside_streams names the pattern (no_room passed before too, room did not).

--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -10,8 +10,8 @@
 
 use crate::{registry::Key, target::Stage};
 
-/// Weight of the time that a prompt takes from the requests behind and beside it.
-const SLOWDOWN: f64 = 3.0;
+/// Weight of the time that reading takes from the streams beside it, at full strain.
+const SLOWDOWN: f64 = 2.5;
 /// Part of the time to read the shared tokens that is added for an engine which is not home to the
 /// prompt, so that prompts with the same beginning meet at one engine.
 const STRANGE: f64 = 0.5;
@@ -34,6 +34,10 @@
 const NEWEST: f64 = 0.03;
 /// Tokens below which a measurement says little about the rate.
 const LEAST_TOKENS: u64 = 4000;
+/// Part of the longest pause that pauses are taken to last before any were measured.
+const FIRST_STRAIN: f64 = 0.4;
+/// Strain at most; beyond it a pause tells of something else than of other work.
+const MAX_STRAIN: f64 = 1.5;
 /// Range of a base; beyond it the rate explains the time, not the base.
 const BASES: (f64, f64) = (10.0, 150.0);
 
@@ -51,11 +55,19 @@
     handing_over: f64,
     /// Milliseconds to the first event at an engine that reads the prompt itself.
     direct: f64,
+    /// How long the pauses between events last, as a part of the longest that is on time.
+    strain: f64,
 }
 
 impl Default for Times {
     fn default() -> Times {
-        Times { rate: FIRST_RATE, reading: 30.0, handing_over: 70.0, direct: 60.0 }
+        Times {
+            rate: FIRST_RATE,
+            reading: 30.0,
+            handing_over: 70.0,
+            direct: 60.0,
+            strain: FIRST_STRAIN,
+        }
     }
 }
 
@@ -83,6 +95,12 @@
         follow(&mut self.direct, took.as_secs_f64() * 1e3 - reading);
     }
 
+    /// Notes a pause between two events of a stream, of which `longest` would be on time.
+    pub fn paused(&mut self, pause: Duration, longest: Duration) {
+        let strain = pause.as_secs_f64() / longest.as_secs_f64().max(1e-3);
+        self.strain += NEWEST * (strain.min(MAX_STRAIN) - self.strain);
+    }
+
     /// Logs the times as they stand.
     pub fn log(&self, service: &str) {
         tracing::info!(
@@ -92,6 +110,7 @@
             reading_ms = self.reading,
             handing_over_ms = self.handing_over,
             direct_ms = self.direct,
+            strain = self.strain,
             "times of engines"
         );
     }
@@ -230,7 +249,7 @@
         let estimate = candidate.estimate(times);
         let slowdown = match candidate.stage {
             Stage::Prefill => 1.0,
-            Stage::Decode => SLOWDOWN,
+            Stage::Decode => SLOWDOWN * times.strain,
         };
         let slowed = times.reading(candidate.stage, candidate.missing).mul_f64(slowdown);
         let choice = Choice { key: candidate.key, stage: candidate.stage, estimate };
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -2,6 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
+use fuchsiaknot_core::clock::{self, Moment};
 use tokio::{sync::mpsc, time::timeout};
 
 use crate::{
@@ -44,6 +45,8 @@
     sender: mpsc::Sender<Result<bytes::Bytes, Broken>>,
     /// Last event that the caller was sent.
     last: Option<u64>,
+    /// When the last event arrived, unless a target failed since.
+    arrived: Option<Moment>,
 }
 
 impl Stream {
@@ -52,7 +55,7 @@
         forward: Forward,
         sender: mpsc::Sender<Result<bytes::Bytes, Broken>>,
     ) -> Stream {
-        Stream { forward, sender, last: None }
+        Stream { forward, sender, last: None, arrived: None }
     }
 
     /// Passes on a run's events from the first on.
@@ -61,6 +64,7 @@
         loop {
             match next {
                 Ok(Some(event)) => {
+                    self.measure();
                     self.last = event.id.or(self.last);
                     if self.sender.send(Ok(event.bytes)).await.is_err() {
                         self.caller_gone();
@@ -72,6 +76,7 @@
                     return;
                 }
                 Err(failure) => {
+                    self.arrived = None;
                     let resumed = self.resume(run, failure).await;
                     let Some(other) = resumed else { return };
                     run = other;
@@ -89,6 +94,17 @@
         }
     }
 
+    /// Notes the pause before an event.
+    fn measure(&mut self) {
+        let now = clock::now();
+        if let Some(before) = self.arrived.replace(now) {
+            let (context, job) = (&self.forward.context, &self.forward.job);
+            let mut state = context.state_mut();
+            let times = state.times.entry(job.service.clone()).or_default();
+            times.paused(now.saturating_sub(before), job.route.max_pause);
+        }
+    }
+
     /// Goes on at another target after the last event, or ends the answer visibly incomplete.
     async fn resume(&mut self, run: Run, failure: Failure) -> Option<Run> {
         let key = run.answer.key;
--- a/gateway/tests/dispatch.rs
+++ b/gateway/tests/dispatch.rs
@@ -7,8 +7,8 @@
 use fuchsiaknot_core::id;
 use fuchsiaknot_gateway::{
     cache::Cache,
-    dispatch::{Ask, Decided, Decision, Engine, Fleet, Queue},
-    engine::Times,
+    dispatch::{Ask, Decided, Decision, Engine, Fleet, Queue, place},
+    engine::{Standing, Times},
     load::Work,
     prompt::Prompt,
     registry::Key,
@@ -16,6 +16,7 @@
 };
 
 use common::{keys, ms, prompt};
+use rstest::rstest;
 
 const SERVICE: &str = "models";
 
@@ -195,3 +196,24 @@
     let decided = queue.decide(&mut fleets, &Cache::default(), ms(2));
     assert_eq!(placed(&decided), [2]);
 }
+
+/// Pattern: prompts that are read beside streams. Where pauses have room to grow, a generating engine
+/// reads at once what a busy reading engine would read later; where they have none, it does not.
+#[rstest]
+#[case::room(400, Stage::Decode)]
+#[case::no_room(60, Stage::Prefill)]
+fn beside_streams(#[case] longest_pause: u64, #[case] expected: Stage) {
+    let keys = keys(4);
+    let mut fleets = fleet(&keys);
+    let fleet = fleets.get_mut(SERVICE).unwrap();
+    for _ in 0..200 {
+        fleet.times.paused(ms(56), ms(longest_pause));
+    }
+    for engine in &mut fleet.engines[..2] {
+        engine.work.prompt_tokens = 12_000;
+    }
+    let engines = fleet.candidates(&ask(1, prompt("s", 10, "p", 3000), ms(400)), &Cache::default());
+    let standing = Standing { objective: ms(400), elapsed: Duration::ZERO };
+    let placement = place(&engines, &fleet.times, standing).unwrap();
+    assert_eq!(placement.reader.stage, expected);
+}
