--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -23,6 +23,7 @@
     logging::Log,
     membership::{Host, Membership},
     metric::Metrics,
+    pace::Paces,
     poison::Poison,
     registry::{Belief, Key, Registry},
     upstream::Pool,
@@ -125,6 +126,8 @@
     pub membership: Membership,
     /// Retry budgets by service.
     pub budgets: HashMap<id::Service, Budget>,
+    /// How slow each engine is.
+    pub paces: Paces,
     /// Times that engines take, by service.
     pub times: HashMap<id::Service, Times>,
     /// Requests that may be what crashes targets.
@@ -197,6 +200,7 @@
             cache: Cache::default(),
             membership: Membership::new(settings.host.clone()),
             budgets: HashMap::new(),
+            paces: Paces::default(),
             times: HashMap::new(),
             poison: Poison::default(),
             deadlines: Deadlines::default(),
@@ -330,6 +334,7 @@
                     let mut state = self.state_mut();
                     state.board.forget(key);
                     state.cache.forget(key);
+                    state.paces.forget(key);
                     tracing::info!(code = 8003, target = %id, "target gone");
                 }
             }
--- a/gateway/src/dispatch.rs
+++ b/gateway/src/dispatch.rs
@@ -241,6 +241,8 @@
     pub work: Work,
     /// Share of recent requests that failed there.
     pub failures: f64,
+    /// How many times slower it is than the others.
+    pub slowness: f64,
 }
 
 impl Engine {
@@ -260,6 +262,7 @@
             memory: self.memory,
             memory_needed: prompt.tokens + prompt.output,
             failures: self.failures,
+            slowness: self.slowness,
         }
     }
 }
@@ -277,7 +280,10 @@
     /// Returns whether an engine can take one more prompt now.
     fn is_open(&self, key: Key) -> bool {
         let engine = self.engines.iter().find(|it| it.key == key);
-        engine.is_some_and(|it| self.times.reading(it.stage, it.work.prompt_tokens) <= RUN_AHEAD)
+        engine.is_some_and(|it| {
+            let reading = self.times.reading(it.stage, it.work.prompt_tokens);
+            reading.mul_f64(it.slowness) <= RUN_AHEAD
+        })
     }
 
     /// Decides about one request.
--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -84,6 +84,11 @@
         }
     }
 
+    /// Returns the time in which a reading engine should have read so many tokens.
+    pub fn expected(&self, tokens: u64) -> Duration {
+        milliseconds(self.reading) + self.reading(Stage::Prefill, tokens)
+    }
+
     /// Notes the time from a prompt that another engine read to the first event.
     pub fn handed_over(&mut self, took: Duration) {
         follow(&mut self.handing_over, took.as_secs_f64() * 1e3);
@@ -176,6 +181,8 @@
     pub memory_needed: u64,
     /// Share of recent requests that failed there.
     pub failures: f64,
+    /// How many times slower it is than the others.
+    pub slowness: f64,
 }
 
 impl Candidate {
@@ -189,8 +196,8 @@
         let reading = times.reading(self.stage, self.unread + self.missing);
         let failures = FAILURE_TIME.mul_f64(self.failures);
         Estimate {
-            wait: times.reading(self.stage, self.unread),
-            first_event: times.base(self.stage) + reading + failures,
+            wait: times.reading(self.stage, self.unread).mul_f64(self.slowness),
+            first_event: (times.base(self.stage) + reading).mul_f64(self.slowness) + failures,
         }
     }
 }
@@ -302,12 +309,15 @@
 
 /// Weight of the tokens that wait to be read beside the slots taken, for each thousand.
 const UNREAD_COST: f64 = 0.02;
+/// Part of the slots that counts as taken everywhere, so that a slow engine is not chosen while idle.
+const SLOW_COST: f64 = 0.2;
 
 impl Candidate {
     /// Returns how much would slow down one more generation here.
     fn occupancy(&self) -> f64 {
         let slots = f64::from(self.requests) / f64::from(self.slots.max(1));
         let memory = self.memory_used as f64 / self.memory.max(1) as f64;
-        slots.max(memory) + self.unread as f64 / 1e3 * UNREAD_COST + self.failures
+        let busy = slots.max(memory) + self.unread as f64 / 1e3 * UNREAD_COST + self.failures;
+        (busy + SLOW_COST) * self.slowness
     }
 }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Everything runs on one thread. Decisions (`configuration`, `registry`, `membership`, `load`,
 //! `health`, `budget`, `cache`, `choice`, `comeback`, `deadline`, `dispatch`, `election`,
-//! `engine`, `event_stream`, `poison`, `watch`) neither wait nor read a clock; `follow`, `peers`, `desk`, `port`,
+//! `engine`, `event_stream`, `pace`, `poison`, `watch`) neither wait nor read a clock; `follow`, `peers`, `desk`, `port`,
 //! `forward`, `seats`, `stream` and `upstream` run them. Names and formats of a deployment's platform
 //! come in through [`store::Store`], [`headers::Headers`] and [`directory::Directory`].
 
@@ -30,6 +30,7 @@
 pub mod logging;
 pub mod membership;
 pub mod metric;
+pub mod pace;
 pub mod peers;
 pub mod pick;
 pub mod poison;
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -12,7 +12,7 @@
     follow,
     load::Work,
     membership::{Change, Heartbeat, Host, ROUND},
-    registry,
+    pace, registry,
     watch::Sight,
 };
 use fuchsiaknot_core::{
@@ -37,8 +37,8 @@
     Query(Beat),
     /// A host found another one down.
     Missing(id::Host),
-    /// All of a host's work, with the last grant that it includes.
-    Work(id::Host, u64, Vec<(id::Target, Work)>),
+    /// All of a host's work, with the last grant that it includes, and paces as it measured them.
+    Work(id::Host, u64, Vec<(id::Target, Work)>, pace::Told),
     /// What changed of a host's work, with the last grant that it includes.
     Changes(id::Host, u64, Vec<(id::Target, Work)>),
     /// What a host saw of the configuration: its number.
@@ -126,16 +126,21 @@
         let changed = state.board.take_changed();
         let dispatcher = state.membership.dispatcher().clone();
         if dispatcher == own {
+            state.paces.take_own();
             self.dispatcher = dispatcher;
             return None;
         }
         let seen = context.last_grant(&dispatcher);
+        let is_whole = dispatcher != self.dispatcher || self.at + WHOLE_INTERVAL <= now;
+        let samples = if is_whole { state.paces.take_own() } else { Vec::new() };
         let name = |key| state.registry.get(key).map(|it| it.id.clone());
-        if dispatcher != self.dispatcher || self.at + WHOLE_INTERVAL <= now {
+        if is_whole {
             *self = Told { dispatcher, at: now };
             let all = state.board.all_own();
             let work = all.filter_map(|(key, work)| Some((name(key)?, work)));
-            return Some(Packet::Work(own, seen, work.collect()));
+            let (work, samples) = (work.collect(), samples.into_iter());
+            let paces = samples.filter_map(|(key, sample)| Some((name(key)?, sample)));
+            return Some(Packet::Work(own, seen, work, paces.collect()));
         }
         let work = changed.into_iter().filter_map(|key| Some((name(key)?, state.board.own(key))));
         Some(Packet::Changes(own, seen, work.collect()))
@@ -247,9 +252,14 @@
             let asked = context.state_mut().membership.doubt(&host, clock::now());
             send_to(context, asked.as_slice(), &Packet::Query(beat(context)));
         }
-        Packet::Work(host, seen, work) => {
-            let mut state = context.state_mut();
-            state.board.hear(host.clone(), work.into_iter().collect(), clock::now());
+        Packet::Work(host, seen, work, paces) => {
+            let (mut state, now) = (context.state_mut(), clock::now());
+            state.board.hear(host.clone(), work.into_iter().collect(), now);
+            for (target, sample) in paces {
+                if let Some(key) = state.registry.key(&target) {
+                    state.paces.note(key, sample, now);
+                }
+            }
             state.board.seen(&host, seen);
             drop(state);
             desk::look(context);
--- a/gateway/src/pick.rs
+++ b/gateway/src/pick.rs
@@ -31,14 +31,26 @@
 /// Returns the engines of a service with their work.
 pub fn fleet(state: &State, service: &id::Service) -> Fleet {
     let memory = state.memory_tokens(service);
-    let engines = untried(state, service, &[]).into_iter().map(|(key, target)| Engine {
-        key,
+    let now = clock::now();
+    let targets = untried(state, service, &[]);
+    let stage = |target: &Target| target.stage.unwrap_or(Stage::Decode);
+    let median = |of: Stage| {
+        let alike = targets.iter().filter(|(_, it)| stage(it) == of).map(|(key, _)| *key);
+        state.paces.median(alike)
+    };
+    let (readers, generators) = (median(Stage::Prefill), median(Stage::Decode));
+    let engines = targets.iter().map(|(key, target)| Engine {
+        key: *key,
         id: target.id.clone(),
-        stage: target.stage.unwrap_or(Stage::Decode),
+        stage: stage(target),
         slots: target.slots,
         memory,
-        work: state.work(key),
-        failures: state.health.failures(key),
+        work: state.work(*key),
+        failures: state.health.failures(*key),
+        slowness: match stage(target) {
+            Stage::Prefill => state.paces.slowness(*key, readers, now),
+            Stage::Decode => state.paces.slowness(*key, generators, now),
+        },
     });
     let times = state.times.get(service).copied().unwrap_or_default();
     Fleet { times, engines: engines.collect() }
--- a/gateway/src/prefill.rs
+++ b/gateway/src/prefill.rs
@@ -116,7 +116,9 @@
     let mut state = context.state_mut();
     state.health.succeeded(key);
     let times = state.times.entry(job.service.clone()).or_default();
+    let expected = times.expected(tokens);
     times.read(tokens, took);
+    state.paces.measure(key, took.as_secs_f64() / expected.as_secs_f64(), clock::now());
     drop(state);
     drop(ticket);
     Ok(Prefilled { context: Rc::clone(context), key, target, handle, taken: false })
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -10,6 +10,7 @@
     event_stream::{Event, Splitter},
     forward::{Forward, log_answer},
     job::Job,
+    registry::Key,
     reply::Broken,
 };
 
@@ -64,7 +65,7 @@
         loop {
             match next {
                 Ok(Some(event)) => {
-                    self.measure();
+                    self.measure(run.answer.key);
                     self.last = event.id.or(self.last);
                     if self.sender.send(Ok(event.bytes)).await.is_err() {
                         self.caller_gone();
@@ -95,13 +96,15 @@
     }
 
     /// Notes the pause before an event.
-    fn measure(&mut self) {
+    fn measure(&mut self, key: Key) {
         let now = clock::now();
         if let Some(before) = self.arrived.replace(now) {
             let (context, job) = (&self.forward.context, &self.forward.job);
             let mut state = context.state_mut();
+            let pause = now.saturating_sub(before);
             let times = state.times.entry(job.service.clone()).or_default();
-            times.paused(now.saturating_sub(before), job.route.max_pause);
+            times.paused(pause, job.route.max_pause);
+            state.paces.measure(key, pause.as_secs_f64() * 1e3, now);
         }
     }
 
--- a/gateway/tests/dispatch.rs
+++ b/gateway/tests/dispatch.rs
@@ -29,6 +29,7 @@
         memory: 700_000,
         work: Work::default(),
         failures: 0.0,
+        slowness: 1.0,
     }
 }
 
