feat(gateway): later tokens of long prompts take longer; hosts count what the dispatcher granted

Cause: the time to read a prompt was linear in its tokens; prompts of 30,000 took 530 ms where 330 were expected, so that they were placed as on time and came late. And hosts other than the dispatcher, which know nothing of the caches, told it of whole prompts as unread where a part was cached. Ruled out: waiting at the engine (is_alone: nothing stood before them).

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -72,9 +72,9 @@
         Ticket { context: Rc::clone(context), key, work, unread: before + unread }
     }
 
-    /// Takes over the dispatcher's count of the tokens that are read until the job's are.
-    pub fn with_unread(mut self, tokens: Option<u64>) -> Ticket {
-        self.unread = tokens.unwrap_or(self.unread);
+    /// Takes over the dispatcher's count of the tokens that are read before the job's.
+    pub fn behind(mut self, waiting: Option<u64>) -> Ticket {
+        self.unread = waiting.map_or(self.unread, |it| it + self.work.prompt_tokens);
         self
     }
 
@@ -83,6 +83,11 @@
         self.unread
     }
 
+    /// Returns whether nothing else waited at the target when the job was sent.
+    pub fn is_alone(&self) -> bool {
+        self.unread == self.work.prompt_tokens
+    }
+
     /// Notes that the prompt was read.
     pub fn prompt_read(&mut self) {
         let prompt_tokens = std::mem::take(&mut self.work.prompt_tokens);
--- a/gateway/src/desk.rs
+++ b/gateway/src/desk.rs
@@ -59,8 +59,10 @@
         grant: (id::Host, u64),
         /// Where it goes.
         placement: Placement,
-        /// Tokens that the reader reads until then, those of this prompt included.
-        tokens: u64,
+        /// Tokens that the reader reads before this prompt.
+        waiting: u64,
+        /// Tokens of this prompt that the reader lacks.
+        missing: u64,
     },
     /// It is refused; the work before it takes this long.
     Refused(Duration),
@@ -102,13 +104,14 @@
         match word.verdict {
             Verdict::Queued => wait = patience + LAST_WORD,
             Verdict::Refused(ahead) => return Outcome::Refused(ahead),
-            Verdict::Granted { grant, reader, generator, estimate, tokens } => {
+            Verdict::Granted { grant, reader, generator, estimate, waiting, missing } => {
                 let state = context.state();
                 let Some(placement) = placement(&state.registry, &reader, generator, estimate)
                 else {
                     return Outcome::Unanswered;
                 };
-                return Outcome::Granted { grant: (word.from, grant), placement, tokens };
+                let grant = (word.from, grant);
+                return Outcome::Granted { grant, placement, waiting, missing };
             }
         }
     }
@@ -235,19 +238,21 @@
         Some(key) => Some(name(key)?),
         None => None,
     };
-    let work = placement.work(&ask.prompt, &state.cache);
+    let times = state.times.get(&ask.service).copied().unwrap_or_default();
+    let work = placement.work(&ask.prompt, &state.cache, &times);
     let waiting = state.work(reader.key).prompt_tokens;
+    let missing = state.cache.missing(reader.key, &ask.prompt);
     let memory = state.memory_tokens(&ask.service);
     for (key, _) in &work {
         state.cache.read(*key, &ask.prompt.parts, memory);
     }
-    let tokens = waiting + work.first().map_or(0, |(_, it)| it.prompt_tokens);
     Some(Verdict::Granted {
         grant: state.board.grant(host.clone(), work, now),
         reader: reader_name,
         generator: generator_name,
         estimate: reader.estimate,
-        tokens,
+        waiting,
+        missing,
     })
 }
 
--- a/gateway/src/dispatch.rs
+++ b/gateway/src/dispatch.rs
@@ -124,7 +124,7 @@
         if self.ask.resumes {
             return (false, Moment::ZERO, self.ask.priority);
         }
-        let least = times.least(self.ask.prompt.unshared());
+        let least = times.least(&self.ask.prompt);
         let fresh = Standing { objective: self.ask.objective, elapsed: Duration::ZERO };
         if fresh.left(least).is_none() {
             return (false, self.arrived + self.ask.objective, self.ask.priority);
@@ -247,14 +247,14 @@
 
 impl Engine {
     /// Returns what it would be for a prompt.
-    pub fn candidate(&self, prompt: &Prompt, cache: &Cache) -> Candidate {
+    pub fn candidate(&self, prompt: &Prompt, cache: &Cache, times: &Times) -> Candidate {
         Candidate {
             key: self.key,
             stage: self.stage,
             rank: choice::rendezvous(&self.id, prompt.home()),
             is_home: false,
             unread: self.work.prompt_tokens,
-            missing: cache.missing(self.key, prompt),
+            missing: times.effort(prompt, cache.missing(self.key, prompt)),
             shared: prompt.tokens - prompt.unshared(),
             requests: self.work.requests,
             slots: self.slots,
@@ -272,7 +272,7 @@
     pub fn candidates(&self, ask: &Ask, cache: &Cache) -> Vec<Candidate> {
         let eligible = self.engines.iter().filter(|it| !ask.avoid.contains(&it.id));
         let mut candidates: Vec<Candidate> =
-            eligible.map(|it| it.candidate(&ask.prompt, cache)).collect();
+            eligible.map(|it| it.candidate(&ask.prompt, cache, &self.times)).collect();
         engine::mark_homes(&mut candidates, None);
         candidates
     }
@@ -308,7 +308,7 @@
     }
 
     fn count(&mut self, ask: &Ask, placement: Placement, cache: &Cache) {
-        for (key, work) in placement.work(&ask.prompt, cache) {
+        for (key, work) in placement.work(&ask.prompt, cache, &self.times) {
             if let Some(engine) = self.engines.iter_mut().find(|it| it.key == key) {
                 engine.work = engine.work.plus(work);
             }
@@ -318,9 +318,9 @@
 
 impl Placement {
     /// Returns the work that a prompt brings to the engines.
-    pub fn work(&self, prompt: &Prompt, cache: &Cache) -> Vec<(Key, Work)> {
+    pub fn work(&self, prompt: &Prompt, cache: &Cache, times: &Times) -> Vec<(Key, Work)> {
         let memory_tokens = prompt.tokens + prompt.output;
-        let prompt_tokens = cache.missing(self.reader.key, prompt);
+        let prompt_tokens = times.effort(prompt, cache.missing(self.reader.key, prompt));
         let reader = (self.reader.key, Work { requests: 1, prompt_tokens, memory_tokens });
         let generator = Work { requests: 1, prompt_tokens: 0, memory_tokens };
         [reader].into_iter().chain(self.generator.map(|key| (key, generator))).collect()
@@ -352,8 +352,10 @@
         generator: Option<id::Target>,
         /// How long it would take.
         estimate: Estimate,
-        /// Tokens that the reader reads until then, those of this prompt included.
-        tokens: u64,
+        /// Tokens that the reader reads before this prompt.
+        waiting: u64,
+        /// Tokens of this prompt that the reader lacks.
+        missing: u64,
     },
     /// It is refused; the work before it takes this long.
     Refused(Duration),
--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{registry::Key, target::Stage};
+use crate::{prompt::Prompt, registry::Key, target::Stage};
 
 /// Weight of the time that reading takes from the streams beside it, at full strain.
 const SLOWDOWN: f64 = 2.5;
@@ -38,6 +38,14 @@
 const FIRST_STRAIN: f64 = 0.4;
 /// Strain at most; beyond it a pause tells of something else than of other work.
 const MAX_STRAIN: f64 = 1.5;
+/// Part by which a token takes longer for each token before it, before any was measured.
+const FIRST_ATTENTION: f64 = 2e-5;
+/// Largest such part; beyond it something else made a prompt slow.
+const MAX_ATTENTION: f64 = 1e-4;
+/// Tokens above which a prompt tells how much longer the later ones take.
+const LONG_PROMPT: u64 = 12_000;
+/// Weight of the newest long prompt.
+const NEWEST_LONG: f64 = 0.1;
 /// Range of a base; beyond it the rate explains the time, not the base.
 const BASES: (f64, f64) = (10.0, 150.0);
 
@@ -55,6 +63,8 @@
     handing_over: f64,
     /// Milliseconds to the first event at an engine that reads the prompt itself.
     direct: f64,
+    /// Part by which a token takes longer for each token before it.
+    attention: f64,
     /// How long the pauses between events last, as a part of the longest that is on time.
     strain: f64,
 }
@@ -66,12 +76,31 @@
             reading: 30.0,
             handing_over: 70.0,
             direct: 60.0,
+            attention: FIRST_ATTENTION,
             strain: FIRST_STRAIN,
         }
     }
 }
 
 impl Times {
+    /// Returns how many tokens a prompt counts as of which `missing` are to be read.
+    ///
+    /// A token takes longer the more tokens stand before it, which shows with long prompts.
+    pub fn effort(&self, prompt: &Prompt, missing: u64) -> u64 {
+        (missing as f64 * (1.0 + self.attention * mean_position(prompt, missing))) as u64
+    }
+
+    /// Notes that a reading engine read a prompt alone, of which it lacked `missing` tokens, in `took`.
+    pub fn read_alone(&mut self, prompt: &Prompt, missing: u64, took: Duration) {
+        if missing < LONG_PROMPT {
+            return self.read(self.effort(prompt, missing), took);
+        }
+        let took = took.as_secs_f64() * 1e3;
+        let effort = (took - self.reading).max(0.0) * self.rate / missing as f64;
+        let attention = (effort - 1.0) / mean_position(prompt, missing).max(1.0);
+        self.attention += NEWEST_LONG * (attention.clamp(0.0, MAX_ATTENTION) - self.attention);
+    }
+
     /// Notes that a reading engine read a prompt, and what waited before it, in `took`.
     pub fn read(&mut self, tokens: u64, took: Duration) {
         let took = took.as_secs_f64() * 1e3;
@@ -115,13 +144,15 @@
             reading_ms = self.reading,
             handing_over_ms = self.handing_over,
             direct_ms = self.direct,
+            attention = self.attention,
             strain = self.strain,
             "times of engines"
         );
     }
 
-    /// Returns the least time to the first event of a prompt with so many tokens.
-    pub fn least(&self, tokens: u64) -> Duration {
+    /// Returns the least time to the first event of a prompt whose shared parts are cached.
+    pub fn least(&self, prompt: &Prompt) -> Duration {
+        let tokens = self.effort(prompt, prompt.unshared());
         let time = |stage| self.base(stage) + self.reading(stage, tokens);
         time(Stage::Prefill).min(time(Stage::Decode))
     }
@@ -144,6 +175,11 @@
     }
 }
 
+/// Returns how many tokens stand before one that is to be read, in the mean.
+fn mean_position(prompt: &Prompt, missing: u64) -> f64 {
+    prompt.tokens as f64 - missing as f64 / 2.0
+}
+
 fn follow(base: &mut f64, measured: f64) {
     *base += NEWEST * (measured.clamp(BASES.0, BASES.1) - *base);
 }
@@ -163,9 +199,9 @@
     pub rank: u64,
     /// Whether prompts with the same shared part go here first, so that its cache holds the part.
     pub is_home: bool,
-    /// Tokens that wait there to be read.
+    /// Tokens that wait there to be read, as [`Times::effort`] counts them.
     pub unread: u64,
-    /// Tokens of this prompt that its cache lacks.
+    /// Tokens of this prompt that its cache lacks, counted alike.
     pub missing: u64,
     /// Tokens of this prompt that others share.
     pub shared: u64,
--- a/gateway/src/load.rs
+++ b/gateway/src/load.rs
@@ -16,7 +16,7 @@
 pub struct Work {
     /// Requests sent and not yet answered to the end.
     pub requests: u32,
-    /// Prompt tokens sent and not yet read, as far as the sender knows.
+    /// Prompt tokens sent and not yet read, as [`crate::engine::Times::effort`] counts them.
     pub prompt_tokens: u64,
     /// Tokens that the requests take in the target's memory once they are generated.
     pub memory_tokens: u64,
--- a/gateway/src/prefill.rs
+++ b/gateway/src/prefill.rs
@@ -81,6 +81,17 @@
     }
 }
 
+/// A prompt that an engine is to read.
+#[derive(Debug)]
+pub struct Prompt {
+    /// Counts it at the engine.
+    pub ticket: Ticket,
+    /// Time to the first event.
+    pub estimate: Duration,
+    /// Tokens that the engine lacks.
+    pub missing: u64,
+}
+
 /// Has an engine read a job's prompt.
 ///
 /// # Errors
@@ -88,10 +99,10 @@
 pub async fn read(
     context: &Rc<Context>,
     job: &Job,
-    ticket: Ticket,
-    estimate: Duration,
+    Prompt { ticket, estimate, missing }: Prompt,
 ) -> Result<Prefilled, Failure> {
     let (key, tokens) = (ticket.key, ticket.unread());
+    let missing = Some(missing).filter(|_| ticket.is_alone());
     let mut headers = HeaderMap::new();
     headers.insert(context.headers.stage.clone(), context.headers.prefill.clone());
     let began = clock::now();
@@ -117,7 +128,10 @@
     state.health.succeeded(key);
     let times = state.times.entry(job.service.clone()).or_default();
     let expected = times.expected(tokens);
-    times.read(tokens, took);
+    match missing {
+        Some(missing) => times.read_alone(&job.prompt, missing, took),
+        None => times.read(tokens, took),
+    }
     state.paces.measure(key, took.as_secs_f64() / expected.as_secs_f64(), clock::now());
     drop(state);
     drop(ticket);
--- a/gateway/src/seats.rs
+++ b/gateway/src/seats.rs
@@ -20,6 +20,8 @@
     stage: Stage,
     /// Time to the first event.
     estimate: Duration,
+    /// Tokens of the prompt that the reader lacks.
+    missing: u64,
     reader: Ticket,
     generator: Option<Ticket>,
 }
@@ -35,14 +37,14 @@
         if engines <= ask.avoid.len() {
             return Err(self.no_target());
         }
-        let (placement, grant, tokens) = match desk::ask(&self.context, ask).await {
-            desk::Outcome::Granted { grant, placement, tokens } => {
-                (placement, Some(grant), Some(tokens))
+        let (placement, grant, counts) = match desk::ask(&self.context, ask).await {
+            desk::Outcome::Granted { grant, placement, waiting, missing } => {
+                (placement, Some(grant), Some((waiting, missing)))
             }
             desk::Outcome::Refused(ahead) => return Err(self.refused(ahead)),
             desk::Outcome::Unanswered => (self.place_alone(resumes)?, None, None),
         };
-        let seats = self.take_seats(placement, tokens);
+        let seats = self.take_seats(placement, counts);
         if let Some((dispatcher, number)) = grant {
             self.context.note_grant(&dispatcher, number);
         }
@@ -89,14 +91,23 @@
         if self.may_have_run { Reason::TargetFailed } else { Reason::WouldBeLate }
     }
 
-    fn take_seats(&self, placement: Placement, tokens: Option<u64>) -> Seats {
+    /// Takes the places; `counts` are the tokens that the reader reads before the prompt, and those of
+    /// the prompt that it lacks, as the dispatcher knows them.
+    fn take_seats(&self, placement: Placement, counts: Option<(u64, u64)>) -> Seats {
         let Placement { reader, generator } = placement;
-        let missing = self.context.state().cache.missing(reader.key, &self.job.prompt);
+        let (missing, effort) = {
+            let (state, prompt) = (self.context.state(), &self.job.prompt);
+            let times = state.times.get(&self.job.service).copied().unwrap_or_default();
+            let missing = counts.map(|(_, it)| it);
+            let missing = missing.unwrap_or_else(|| state.cache.missing(reader.key, prompt));
+            (missing, times.effort(prompt, missing))
+        };
         let ticket = |key, unread| Ticket::new(&self.context, &self.job, key, unread);
         Seats {
             stage: reader.stage,
             estimate: reader.estimate.first_event,
-            reader: ticket(reader.key, missing).with_unread(tokens),
+            missing,
+            reader: ticket(reader.key, effort).behind(counts.map(|(it, _)| it)),
             generator: generator.map(|key| ticket(key, 0)),
         }
     }
@@ -121,7 +132,12 @@
         last_event: Option<u64>,
     ) -> Result<Run, (Key, Failure)> {
         let reader = seats.reader.key;
-        let read = prefill::read(&self.context, &self.job, seats.reader, seats.estimate).await;
+        let prompt = prefill::Prompt {
+            ticket: seats.reader,
+            estimate: seats.estimate,
+            missing: seats.missing,
+        };
+        let read = prefill::read(&self.context, &self.job, prompt).await;
         let mut prefilled = read.map_err(|failure| {
             self.tried.push(reader);
             (reader, failure.before_run())
