feat(gateway): reading shared parts again weighs as a cost of its own

A prompt left the engine that holds its beginning as soon as another was free a few tens of milliseconds earlier.

Tokens that this engine lacks and another holds now weigh five times the time to read them; on time goes first as before. Test: dispatch::shared_in_burst names the pattern; without the weight its case held fails.

--- a/gateway/src/dispatch.rs
+++ b/gateway/src/dispatch.rs
@@ -256,6 +256,7 @@
             unread: self.work.prompt_tokens,
             missing: times.effort(prompt, cache.missing(self.key, prompt)),
             shared: prompt.tokens - prompt.unshared(),
+            again: 0,
             requests: self.work.requests,
             slots: self.slots,
             memory_used: self.work.memory_tokens,
@@ -273,6 +274,12 @@
         let eligible = self.engines.iter().filter(|it| !ask.avoid.contains(&it.id));
         let mut candidates: Vec<Candidate> =
             eligible.map(|it| it.candidate(&ask.prompt, cache, &self.times)).collect();
+        let held: Vec<u64> =
+            candidates.iter().map(|it| cache.held(it.key, ask.prompt.shared())).collect();
+        let most = held.iter().copied().max().unwrap_or(0);
+        for (candidate, held) in candidates.iter_mut().zip(held) {
+            candidate.again = most - held;
+        }
         engine::mark_homes(&mut candidates, None);
         candidates
     }
--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -12,6 +12,8 @@
 
 /// Weight of the time that reading takes from the streams beside it, at full strain.
 const SLOWDOWN: f64 = 2.5;
+/// Weight of the time to read shared tokens that some other engine has read already.
+const AGAIN: f64 = 5.0;
 /// Part of the time to read the shared tokens that is added for an engine which is not home to the
 /// prompt, so that prompts with the same beginning meet at one engine.
 const STRANGE: f64 = 0.5;
@@ -205,6 +207,8 @@
     pub missing: u64,
     /// Tokens of this prompt that others share.
     pub shared: u64,
+    /// Shared tokens of this prompt that its cache lacks and another engine's holds.
+    pub again: u64,
     /// Requests under way there.
     pub requests: u32,
     /// Requests that it runs at once.
@@ -300,7 +304,8 @@
             true => Duration::ZERO,
             false => times.reading(candidate.stage, candidate.shared).mul_f64(STRANGE),
         };
-        Offer { choice, cost: estimate.first_event + slowed + strange }
+        let again = times.reading(Stage::Prefill, candidate.again).mul_f64(AGAIN);
+        Offer { choice, cost: estimate.first_event + slowed + strange + again }
     }
 }
 
--- a/gateway/tests/dispatch.rs
+++ b/gateway/tests/dispatch.rs
@@ -118,6 +118,26 @@
     assert_eq!(placement.reader.key, keys[0]);
 }
 
+/// Pattern: prompts that share a long beginning, in a burst. One more waits for the engine that holds the
+/// beginning as long as it is still on time there; a prompt that nobody has read goes to the idle engine.
+#[rstest]
+#[case::held("contract", 0)]
+#[case::new("other", 1)]
+fn shared_in_burst(#[case] beginning: &str, #[case] expected: usize) {
+    let keys = keys(4);
+    let mut cache = Cache::default();
+    cache.read(keys[0], &prompt("contract", 6000, "first", 500).parts, 700_000);
+    let mut fleets = fleet(&keys);
+    let fleet = fleets.get_mut(SERVICE).unwrap();
+    fleet.engines.truncate(3);
+    fleet.engines[0].work.prompt_tokens = 14_000;
+    let ask = ask(1, prompt(beginning, 6000, "second", 2000), ms(600));
+    let candidates = fleet.candidates(&ask, &cache);
+    let standing = Standing { objective: ms(600), elapsed: Duration::ZERO };
+    let placement = place(&candidates, &fleet.times, standing).unwrap();
+    assert_eq!(placement.reader.key, keys[expected]);
+}
+
 /// Pattern: a burst beyond what can be read in time. What can still be on time goes before what is
 /// late already.
 #[test]
