feat(gateway): histograms of waiting, pauses and store calls; ages of beliefs; a page of metrics

On call had no figure for the time that requests wait for a place, for pauses within streams or for calls to the store, and read the age of a picture from log lines only. docs/gateway-metrics.md lists every metric; catalogue::metrics_documented compares it with the code.

--- a/gateway/src/directory.rs
+++ b/gateway/src/directory.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     context::Context,
+    logging::Log,
     reply::{self, Body},
 };
 
@@ -45,6 +46,16 @@
 
 /// Answers with the metrics as text.
 pub fn metrics(context: &Rc<Context>) -> Response<Body> {
+    let (configuration, targets) = {
+        let state = context.state();
+        (state.configuration_age_ms(), state.targets_age_ms())
+    };
+    for (matter, age) in [("configuration", configuration), ("targets", targets)] {
+        let gauge = context.metrics.age.with_label_values(&[matter]);
+        gauge.set(i64::try_from(age).unwrap_or(i64::MAX));
+    }
+    let dropped = context.log.as_ref().map_or(0, Log::dropped);
+    context.metrics.dropped_lines.set(i64::try_from(dropped).unwrap_or(i64::MAX));
     match context.metrics.text() {
         Ok(text) => Response::new(Body::whole(text)),
         Err(err) => {
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -162,6 +162,7 @@
             }
             Step::Read => match T::read(&store).await {
                 Ok(Snapshot { version, contents }) => {
+                    observe_call(&context, T::NAME, begun);
                     note_answer::<T>(&context, &mut contact, version);
                     T::take_all(&context, contents);
                     continue;
@@ -172,6 +173,7 @@
                 let wait = if wait { context.settings.feed_wait } else { Duration::ZERO };
                 match T::ask(&store, after, wait).await {
                     Ok(Snapshot { version, contents }) => {
+                        observe_call(&context, T::NAME, begun);
                         note_answer::<T>(&context, &mut contact, version);
                         let took = clock::now().saturating_sub(begun);
                         let age =
@@ -187,12 +189,18 @@
                 }
             }
         };
+        observe_call(&context, T::NAME, begun);
         let history_gone = fault == Fault::HistoryGone;
         T::watch(&mut context.state_mut()).failed(history_gone, clock::now());
         contact.lost(&fault, &context).await;
     }
 }
 
+fn observe_call(context: &Context, matter: &str, begun: Moment) {
+    let took = clock::now().saturating_sub(begun);
+    context.metrics.store_time.with_label_values(&[matter]).observe(took.as_secs_f64());
+}
+
 fn note_answer<T: Table>(context: &Context, contact: &mut Contact, version: id::Version) {
     contact.regained(context);
     let return_time = context.settings.return_time;
--- a/gateway/src/metric.rs
+++ b/gateway/src/metric.rs
@@ -1,8 +1,8 @@
 //! Counters, gauges and histograms of the request path, as text.
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 use fuchsiaknot_core::verdict::Reason;
@@ -29,8 +29,14 @@
     pub connections: IntCounter,
     /// Calls to the store, by call and outcome.
     pub store_calls: IntCounterVec,
-    /// Seconds by stage of a request: waiting, first event, whole.
+    /// Seconds by stage of a request: waiting for a place, to the first event, between two events, whole.
     pub latency: HistogramVec,
+    /// Seconds that calls to the store took, those that wait for a change included, by matter.
+    pub store_time: HistogramVec,
+    /// Milliseconds since each belief was last confirmed, by matter.
+    pub age: IntGaugeVec,
+    /// Log lines dropped since the start.
+    pub dropped_lines: IntGauge,
     /// Version of the configuration in force.
     pub configuration: IntGauge,
     /// Targets known.
@@ -61,9 +67,15 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok(gauge)
         };
-        let latency = HistogramOpts::new("latency_seconds", "Time by stage of a request.");
-        let latency = HistogramVec::new(latency.buckets(LATENCY_BOUNDS.to_vec()), &["stage"])?;
-        registry.register(Box::new(latency.clone()))?;
+        let histograms = |name: &str, help: &str, label| -> prometheus::Result<HistogramVec> {
+            let options = HistogramOpts::new(name, help).buckets(LATENCY_BOUNDS.to_vec());
+            let histograms = HistogramVec::new(options, &[label])?;
+            registry.register(Box::new(histograms.clone()))?;
+            Ok(histograms)
+        };
+        let age = Opts::new("belief_age_milliseconds", "Time since a belief was last confirmed.");
+        let age = IntGaugeVec::new(age, &["matter"])?;
+        registry.register(Box::new(age.clone()))?;
         let metrics = Metrics {
             answered: counters("answered_total", "Requests answered, by status.", "status")?,
             refused: counters("refused_total", "Requests refused, by reason.", "reason")?,
@@ -76,7 +88,10 @@
                 "Calls to the store, by outcome.",
                 "outcome",
             )?,
-            latency,
+            latency: histograms("latency_seconds", "Time by stage of a request.", "stage")?,
+            store_time: histograms("store_call_seconds", "Time of calls to the store.", "matter")?,
+            age,
+            dropped_lines: gauge("log_lines_dropped", "Log lines dropped since the start.")?,
             configuration: gauge("configuration_version", "Configuration in force.")?,
             targets: gauge("targets", "Targets known.")?,
             hosts: gauge("hosts", "Hosts that are there.")?,
--- a/gateway/src/seats.rs
+++ b/gateway/src/seats.rs
@@ -37,7 +37,12 @@
         if engines <= ask.avoid.len() {
             return Err(self.no_target());
         }
-        let (placement, grant, counts) = match desk::ask(&self.context, ask).await {
+        let asked = clock::now();
+        let outcome = desk::ask(&self.context, ask).await;
+        let waited = clock::now().saturating_sub(asked);
+        let waiting = self.context.metrics.latency.with_label_values(&["waiting"]);
+        waiting.observe(waited.as_secs_f64());
+        let (placement, grant, counts) = match outcome {
             desk::Outcome::Granted { grant, placement, waiting, missing } => {
                 (placement, Some(grant), Some((waiting, missing)))
             }
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -102,6 +102,8 @@
             let (context, job) = (&self.forward.context, &self.forward.job);
             let mut state = context.state_mut();
             let pause = now.saturating_sub(before);
+            let between = context.metrics.latency.with_label_values(&["between"]);
+            between.observe(pause.as_secs_f64());
             let times = state.times.entry(job.service.clone()).or_default();
             times.paused(pause, job.route.max_pause);
             state.paces.measure(key, pause.as_secs_f64() * 1e3, now);
--- a/gateway/tests/catalogue.rs
+++ b/gateway/tests/catalogue.rs
@@ -2,6 +2,8 @@
 
 use std::{collections::BTreeSet, fs, path::Path};
 
+use fuchsiaknot_gateway::metric::Metrics;
+
 fn sources() -> String {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).parent().unwrap();
     let dirs = [root.join("gateway/src"), root.join("platform/src")];
@@ -44,3 +46,24 @@
         }
     }
 }
+
+/// The page of metrics names what a host serves, and nothing else.
+#[test]
+fn metrics_documented() {
+    let metrics = Metrics::new().unwrap();
+    // Those with labels show once they have a value.
+    metrics.answered.with_label_values(&["200"]);
+    metrics.attempts.with_label_values(&["answered"]);
+    metrics.retried.with_label_values(&["silent"]);
+    metrics.store_calls.with_label_values(&["answered"]);
+    metrics.store_time.with_label_values(&["targets"]);
+    metrics.latency.with_label_values(&["first"]);
+    metrics.age.with_label_values(&["targets"]);
+    let text = String::from_utf8(metrics.text().unwrap()).unwrap();
+    let served: BTreeSet<&str> =
+        text.lines().filter_map(|it| it.strip_prefix("# TYPE ")?.split(' ').next()).collect();
+    let page = include_str!("../../docs/gateway-metrics.md");
+    let documented: BTreeSet<&str> =
+        page.lines().filter_map(|it| it.strip_prefix("| `")?.split('`').next()).collect();
+    assert_eq!(documented, served);
+}
