--- a/gateway/src/headers.rs
+++ b/gateway/src/headers.rs
@@ -5,6 +5,7 @@
 use hyper::{
     HeaderMap,
     header::{self, HeaderName, HeaderValue},
+    http::request,
 };
 use smol_str::SmolStr;
 
@@ -62,3 +63,12 @@
     });
     kept.map(|(name, value)| (name.clone(), value.clone())).collect()
 }
+
+/// Bytes that separate a field's name, its value and the next field.
+const FIELD_BYTES: usize = 4;
+
+/// Returns about how many bytes a request's head takes.
+pub fn head_bytes(parts: &request::Parts) -> usize {
+    let fields = parts.headers.iter().map(|(name, value)| name.as_str().len() + value.len());
+    parts.uri.to_string().len() + fields.map(|it| it + FIELD_BYTES).sum::<usize>()
+}
--- a/gateway/src/job.rs
+++ b/gateway/src/job.rs
@@ -22,7 +22,7 @@
     configuration::{Configuration, Repeat, Route},
     context::{Context, Open},
     engine,
-    headers::{Headers, end_to_end},
+    headers::{Headers, end_to_end, head_bytes},
     prompt::Prompt,
     target::Target,
 };
@@ -79,9 +79,6 @@
     _open: Open,
 }
 
-/// Bytes that separate a field's name, its value and the next field.
-const FIELD_BYTES: usize = 4;
-
 impl Job {
     /// Reads a request and finds its route.
     ///
@@ -202,12 +199,6 @@
     text(headers, &names.request).map(SmolStr::new).unwrap_or_default()
 }
 
-/// Returns about how many bytes a request's head takes.
-fn head_bytes(parts: &hyper::http::request::Parts) -> usize {
-    let fields = parts.headers.iter().map(|(name, value)| name.as_str().len() + value.len());
-    parts.uri.to_string().len() + fields.map(|it| it + FIELD_BYTES).sum::<usize>()
-}
-
 fn find_route(
     configuration: &Configuration,
     parts: &hyper::http::request::Parts,
--- a/src/link/front/mod.rs
+++ b/src/link/front/mod.rs
@@ -21,6 +21,7 @@
 use hyper::{
     HeaderMap, Method,
     body::{Body, Incoming},
+    http::request,
     server::conn::http1,
     service::service_fn,
 };
@@ -37,6 +38,7 @@
 use self::guard::{Guard, Phase};
 pub use self::reply::{Answer, Gone, Head, Presence, Reply, Stream};
 use crate::{
+    gateway::headers,
     link::runtime,
     metric::Metrics,
     settings,
@@ -59,6 +61,8 @@
     pub connections: usize,
     /// Time for a request's header to arrive.
     pub header_time: Duration,
+    /// Size of a request's header, in bytes.
+    pub header_bytes: usize,
     /// Time for a request's body to arrive.
     pub body_time: Duration,
     /// Size of a request's body, in bytes.
@@ -72,6 +76,7 @@
         Bounds {
             connections: it.connections,
             header_time: it.header_time,
+            header_bytes: it.header_bytes,
             body_time: it.body_time,
             body_bytes: it.body_bytes,
             idle_time: it.idle_time,
@@ -265,7 +270,7 @@
     ) -> hyper::Response<reply::Body> {
         guard.set(Phase::Busy);
         let (head, body) = request.into_parts();
-        let body = match self.read_body(body).await {
+        let body = match self.read_body(&head, body).await {
             Ok(it) => it,
             Err(reason) => {
                 self.metrics.refused(reason);
@@ -292,7 +297,10 @@
         }
     }
 
-    async fn read_body(&self, body: Incoming) -> Result<Bytes, Reason> {
+    async fn read_body(&self, head: &request::Parts, body: Incoming) -> Result<Bytes, Reason> {
+        if self.bounds.header_bytes < headers::head_bytes(head) {
+            return Err(Reason::HeaderTooLarge);
+        }
         if (self.bounds.body_bytes as u64) < body.size_hint().lower() {
             return Err(Reason::BodyTooLarge);
         }
--- a/src/settings/callers.rs
+++ b/src/settings/callers.rs
@@ -11,6 +11,8 @@
     pub connections: usize,
     /// Time for a request's header to arrive.
     pub header_time: Duration,
+    /// Size of a request's header, in bytes.
+    pub header_bytes: usize,
     /// Time for a request's body to arrive.
     pub body_time: Duration,
     /// Size of a request's body, in bytes.
@@ -26,6 +28,7 @@
         Callers {
             connections: 4_096,
             header_time: Duration::from_secs(5),
+            header_bytes: 32 << 10,
             body_time: Duration::from_secs(20),
             body_bytes: 4 << 20,
             idle_time: Duration::from_secs(60),
@@ -43,6 +46,9 @@
         Field::optional("header_time", "Time for a request's header to arrive.", |it| {
             Slot::Time(&mut it.header_time)
         }),
+        Field::optional("header_bytes", "Largest header of a request.", |it| {
+            Slot::Size(&mut it.header_bytes)
+        }),
         Field::optional("body_time", "Time for a request's body to arrive.", |it| {
             Slot::Time(&mut it.body_time)
         }),
--- a/tests/front.rs
+++ b/tests/front.rs
@@ -177,6 +177,17 @@
     assert_eq!(port.refused("body-timeout"), 1);
 }
 
+#[test]
+fn large_header() {
+    let port = Port::start(Bounds { header_bytes: 1000, ..Bounds::default() });
+    let stream = port.connect();
+    let filler = "f".repeat(1000);
+    send(&stream, &format!("GET /echo HTTP/1.1\r\nhost: a\r\nfiller: {filler}\r\n\r\n"));
+    let text = rest(&stream);
+    assert!(text.starts_with("HTTP/1.1 431") && text.contains("not-run"), "{text}");
+    assert_eq!(port.refused("header-too-large"), 1);
+}
+
 #[test]
 fn large_body() {
     let port = Port::start(Bounds { body_bytes: 8, ..Bounds::default() });
