feat: streamed answers honour stream_options.include_usage

The usual client asks for the tokens of a stream and got none. An event without choices before the end mark now carries them.

--- a/src/serve/completion.rs
+++ b/src/serve/completion.rs
@@ -35,6 +35,8 @@
     pub style: Style,
     /// Form of the answer.
     pub delivery: Delivery,
+    /// Whether a streamed answer ends with the tokens that it took.
+    pub include_usage: bool,
     /// Model asked for.
     pub model: id::Model,
     /// Adapter asked for, if any.
@@ -85,6 +87,7 @@
     adapter: Option<SmolStr>,
     max_tokens: Option<u32>,
     stream: bool,
+    stream_options: wire::StreamOptions,
 }
 
 impl Common {
@@ -100,8 +103,9 @@
             return Err(bad_request(format!("`max_tokens` must be 1 to {MOST_TOKENS}")));
         }
         let delivery = if self.stream { Delivery::Streamed } else { Delivery::Whole };
-        let Common { model, adapter, .. } = self;
-        Ok(Completion { style, delivery, model, adapter, prompt, max_tokens })
+        let Common { model, adapter, stream_options, .. } = self;
+        let include_usage = stream_options.include_usage;
+        Ok(Completion { style, delivery, include_usage, model, adapter, prompt, max_tokens })
     }
 }
 
@@ -109,6 +113,7 @@
 #[derive(Debug, Clone)]
 pub(super) struct Form {
     style: Style,
+    include_usage: bool,
     id: SmolStr,
     model: id::Model,
 }
@@ -116,7 +121,8 @@
 impl Form {
     /// Creates the form for one request.
     pub(super) fn new(completion: &Completion, id: SmolStr) -> Form {
-        Form { style: completion.style, id, model: completion.model.clone() }
+        let Completion { style, include_usage, .. } = *completion;
+        Form { style, include_usage, id, model: completion.model.clone() }
     }
 
     /// Returns the server-sent event of one token.
@@ -124,9 +130,12 @@
         self.event(Some(text), None)
     }
 
-    /// Returns the last event and the end mark.
-    pub(super) fn end(&self, finish: &str) -> String {
+    /// Returns the last event, the tokens taken if the caller wants them, and the end mark.
+    pub(super) fn end(&self, finish: &str, usage: Usage) -> String {
         let mut events = self.event(None, Some(finish));
+        if self.include_usage {
+            events.push_str(&self.chunk(&[], Some(usage)));
+        }
         events.push_str("data: [DONE]\n\n");
         events
     }
@@ -145,7 +154,7 @@
             id: &self.id,
             object,
             model: &self.model,
-            choices: [choice],
+            choices: &[choice],
             usage: Some(usage),
         };
         serde_json::to_string(&answer).unwrap_or_default()
@@ -156,17 +165,15 @@
             Style::Chat => wire::Choice::delta(text, finish),
             Style::Plain => wire::Choice::text(text, finish),
         };
+        self.chunk(&[choice], None)
+    }
+
+    fn chunk(&self, choices: &[wire::Choice<'_>], usage: Option<Usage>) -> String {
         let object = match self.style {
             Style::Chat => "chat.completion.chunk",
             Style::Plain => "text_completion",
         };
-        let answer = wire::Answer {
-            id: &self.id,
-            object,
-            model: &self.model,
-            choices: [choice],
-            usage: None,
-        };
+        let answer = wire::Answer { id: &self.id, object, model: &self.model, choices, usage };
         let json = serde_json::to_string(&answer).unwrap_or_default();
         format!("data: {json}\n\n")
     }
@@ -202,6 +209,14 @@
         adapter: Option<SmolStr>,
         #[serde(default)]
         stream: bool,
+        #[serde(default)]
+        stream_options: StreamOptions,
+    }
+
+    #[derive(Default, Deserialize)]
+    pub(super) struct StreamOptions {
+        #[serde(default)]
+        pub(super) include_usage: bool,
     }
 
     #[derive(Deserialize)]
@@ -218,6 +233,8 @@
         adapter: Option<SmolStr>,
         #[serde(default)]
         stream: bool,
+        #[serde(default)]
+        stream_options: StreamOptions,
     }
 
     impl TryFrom<Chat> for Completion {
@@ -229,8 +246,8 @@
             }
             let lines = it.messages.iter().map(|it| format!("{}: {}", it.role, it.content));
             let prompt = lines.collect::<Vec<_>>().join("\n");
-            let Chat { model, max_tokens, adapter, stream, .. } = it;
-            Common { model, adapter, max_tokens, stream }.check(Style::Chat, prompt)
+            let Chat { model, max_tokens, adapter, stream, stream_options, .. } = it;
+            Common { model, adapter, max_tokens, stream, stream_options }.check(Style::Chat, prompt)
         }
     }
 
@@ -238,8 +255,9 @@
         type Error = Refusal;
 
         fn try_from(it: Plain) -> Result<Completion, Refusal> {
-            let Plain { model, prompt, max_tokens, adapter, stream } = it;
-            Common { model, adapter, max_tokens, stream }.check(Style::Plain, prompt)
+            let Plain { model, prompt, max_tokens, adapter, stream, stream_options } = it;
+            Common { model, adapter, max_tokens, stream, stream_options }
+                .check(Style::Plain, prompt)
         }
     }
 
@@ -248,7 +266,7 @@
         pub(super) id: &'a str,
         pub(super) object: &'a str,
         pub(super) model: &'a str,
-        pub(super) choices: [Choice<'a>; 1],
+        pub(super) choices: &'a [Choice<'a>],
         #[serde(skip_serializing_if = "Option::is_none")]
         pub(super) usage: Option<Usage>,
     }
--- a/src/serve/output.rs
+++ b/src/serve/output.rs
@@ -79,7 +79,7 @@
                 reply.whole(answer);
             }
             Channel::Open(mut stream) => {
-                if stream.send(self.form.end(finish)).is_ok() {
+                if stream.send(self.form.end(finish, usage)).is_ok() {
                     stream.finish();
                 }
             }
--- a/tests/deployment/mod.rs
+++ b/tests/deployment/mod.rs
@@ -258,9 +258,13 @@
 
     /// Starts a streamed completion.
     pub(crate) fn stream(&self, prompt: &str, max_tokens: u32) -> Stream {
-        let body = json!({
+        self.stream_of(&json!({
             "model": MODEL, "stream": true, "max_tokens": max_tokens, "prompt": prompt,
-        });
+        }))
+    }
+
+    /// Starts the completion that a body asks for.
+    pub(crate) fn stream_of(&self, body: &serde_json::Value) -> Stream {
         let request = http::agent().post(self.url("/v1/completions"));
         let response =
             request.header("authorization", bearer()).send_json(body).expect("an answer");
