--- a/gateway/src/dispatch.rs
+++ b/gateway/src/dispatch.rs
@@ -246,7 +246,7 @@
 }
 
 impl Engine {
-    /// Returns what it would be for a prompt.
+    /// Returns what it would be for a prompt, by itself; [`Fleet::candidates`] adds what the others hold.
     pub fn candidate(&self, prompt: &Prompt, cache: &Cache, times: &Times) -> Candidate {
         Candidate {
             key: self.key,
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -207,11 +207,11 @@
     T::watch(&mut context.state_mut()).answered(version, return_time, clock::now());
 }
 
-/// The operators' configuration.
+/// The table with the operators' configuration.
 #[derive(Debug)]
-pub struct Manifest;
+pub struct Configurations;
 
-impl Table for Manifest {
+impl Table for Configurations {
     const NAME: &'static str = "configuration";
     type All = Option<Configuration>;
     type Changes = Option<Configuration>;
@@ -285,7 +285,7 @@
     tracing::info!(code = 8010, version, before = in_force, "configuration in force");
 }
 
-/// The targets.
+/// The table with the targets.
 #[derive(Debug)]
 pub struct Targets;
 
@@ -321,11 +321,12 @@
 
     fn take_changes(context: &Context, changes: Self::Changes, seen: Seen) {
         if seen.is_watcher {
-            // Hosts that miss more changes than a datagram holds ask for them.
-            let told =
-                if changes.len() <= MAX_CHANGES { seen } else { Seen { after: seen.at, ..seen } };
-            let contents = if changes.len() <= MAX_CHANGES { changes.clone() } else { Vec::new() };
-            peers::send_to_all(context, &Packet::Targets(told.sight(contents)));
+            let sight = match changes.len() <= MAX_CHANGES {
+                true => seen.sight(changes.clone()),
+                // Says that there is something newer, so that the others ask for it.
+                false => Seen { after: seen.at, ..seen }.sight(Vec::new()),
+            };
+            peers::send_to_all(context, &Packet::Targets(sight));
         }
         apply(context, changes);
     }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -92,7 +92,10 @@
     let (phase, watched) = sync::watch::channel(Phase::Open);
     serve_ports(&context, directory, &watched)?;
     let mut tasks = JoinSet::new();
-    tasks.spawn_local(follow::table::<_, follow::Manifest>(Rc::clone(&context), store.clone()));
+    tasks.spawn_local(follow::table::<_, follow::Configurations>(
+        Rc::clone(&context),
+        store.clone(),
+    ));
     tasks.spawn_local(follow::table::<_, follow::Targets>(Rc::clone(&context), store.clone()));
     tasks.spawn_local(follow::hosts(Rc::clone(&context), store.clone()));
     tasks.spawn_local(follow::log_times(Rc::clone(&context)));
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -57,11 +57,38 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Beat {
     host: Host,
+    status: Status,
+    /// How long it has claimed to place the requests of all.
+    claim: Option<Duration>,
+}
+
+/// What a host says of itself; the others are told at once when it changes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+struct Status {
     ready: bool,
     leaving: bool,
     fit: bool,
     cut_off: bool,
-    claim: Option<Duration>,
+}
+
+impl Status {
+    fn new(context: &Context) -> Status {
+        let state = context.state();
+        Status {
+            ready: context.is_ready(),
+            leaving: context.is_leaving(),
+            fit: !context.is_leaving() && state.is_fresh(clock::now()),
+            cut_off: state.is_cut_off(),
+        }
+    }
+}
+
+impl Beat {
+    fn new(context: &Context) -> Beat {
+        let status = Status::new(context);
+        let claim = context.state().membership.claim(clock::now()).filter(|_| status.fit);
+        Beat { host: context.settings.host.clone(), status, claim }
+    }
 }
 
 /// Sends a datagram to a host; returns whether it went out.
@@ -162,19 +189,19 @@
 }
 
 async fn keep_beating(context: Rc<Context>) {
-    let mut last = Status::default();
+    let mut last = None;
     loop {
         elect(&context);
-        let now = clock::now();
-        let (status, beat) = (Status::new(&context), beat(&context));
-        let tick = context.state_mut().membership.tick(now);
+        let beat = Beat::new(&context);
+        let news = Some((beat.status, beat.claim.is_some()));
+        let tick = context.state_mut().membership.tick(clock::now());
         let round = context.state_mut().membership.next_round();
-        if status == last {
+        if news == last {
             send_to(&context, &round, &Packet::Beat(beat.clone()));
         } else {
             send_to_all(&context, &Packet::Beat(beat.clone()));
         }
-        last = status;
+        last = news;
         send_to(&context, &tick.ask, &Packet::Query(beat));
         for host in tick.tell {
             send_to_all(&context, &Packet::Missing(host));
@@ -187,45 +214,6 @@
     }
 }
 
-/// What the other hosts are told at once when it changes.
-#[derive(Debug, Default, PartialEq, Eq)]
-struct Status {
-    ready: bool,
-    leaving: bool,
-    fit: bool,
-    cut_off: bool,
-    claims: bool,
-}
-
-impl Status {
-    fn new(context: &Context) -> Status {
-        let now = clock::now();
-        Status {
-            ready: context.is_ready(),
-            leaving: context.is_leaving(),
-            fit: is_fit(context),
-            cut_off: context.state().is_cut_off(),
-            claims: context.state().membership.claim(now).is_some(),
-        }
-    }
-}
-
-fn is_fit(context: &Context) -> bool {
-    !context.is_leaving() && context.state().is_fresh(clock::now())
-}
-
-fn beat(context: &Context) -> Beat {
-    let claim = context.state().membership.claim(clock::now());
-    Beat {
-        host: context.settings.host.clone(),
-        ready: context.is_ready(),
-        leaving: context.is_leaving(),
-        fit: is_fit(context),
-        cut_off: context.state().is_cut_off(),
-        claim: claim.filter(|_| is_fit(context)),
-    }
-}
-
 async fn hear_all(context: &Rc<Context>, socket: &UdpSocket) -> io::Result<()> {
     let mut buffer = vec![0; MAX_DATAGRAM];
     loop {
@@ -245,12 +233,12 @@
     match packet {
         Packet::Beat(beat) => hear_beat(context, beat),
         Packet::Query(asking) => {
-            send_to(context, &[asking.host.peers], &Packet::Beat(beat(context)));
+            send_to(context, &[asking.host.peers], &Packet::Beat(Beat::new(context)));
             hear_beat(context, asking);
         }
         Packet::Missing(host) => {
             let asked = context.state_mut().membership.doubt(&host, clock::now());
-            send_to(context, asked.as_slice(), &Packet::Query(beat(context)));
+            send_to(context, asked.as_slice(), &Packet::Query(Beat::new(context)));
         }
         Packet::Work(host, seen, work, paces) => {
             let (mut state, now) = (context.state_mut(), clock::now());
@@ -282,7 +270,7 @@
 }
 
 fn hear_beat(context: &Context, beat: Beat) {
-    let Beat { host, ready, leaving, fit, cut_off, claim } = beat;
+    let Beat { host, status: Status { ready, leaving, fit, cut_off }, claim } = beat;
     let beat = Heartbeat { host, ready, leaving, fit, cut_off, claim };
     let change = context.state_mut().membership.hear(beat, clock::now());
     note(context, change);
@@ -290,8 +278,8 @@
 
 /// Chooses the dispatcher anew where that is due, and has it told of this host's work.
 fn elect(context: &Context) {
-    let is_fit = is_fit(context);
-    let changed = context.state_mut().membership.elect(is_fit, clock::now());
+    let fit = Status::new(context).fit;
+    let changed = context.state_mut().membership.elect(fit, clock::now());
     if changed {
         let host = context.state().membership.dispatcher().clone();
         tracing::info!(code = 8025, %host, "requests are placed by another host");
