fix(gateway): one guard of callers' connections for both ports; a stream survives what comes behind it

Cause: the clock of heads repeated the product's guard (same wrapper of a connection, same watch) and got it wrong: it took an answer as done when its head was built. Bytes of the next request that arrived during a stream began the time of a head, and the stream was cut when it ran out.

The guard moves to the gateway and serves both ports; its body wrapper makes the connection rest only once the answer ended. Bounds as before: a new connection of an entry host rests until its first byte, one of the product's port owes a header at once.

--- a/src/link/front/guard.rs
+++ b/gateway/src/guard.rs
@@ -1,4 +1,6 @@
 //! Watches how long a caller's connection stays without a whole request header.
+//!
+//! A connection may rest between two requests; once a header has begun, the rest of it must follow soon.
 
 use std::{
     io,
@@ -8,18 +10,17 @@
     time::Duration,
 };
 
+use fuchsiaknot_core::verdict::Reason;
+use hyper::body::{Body, Frame, SizeHint};
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
     sync::Notify,
     time::{Instant, sleep_until},
 };
 
-use crate::verdict::Reason;
-
 /// What a connection is doing.
 #[derive(Debug, Clone, Copy)]
-pub(super) enum Phase {
+pub enum Phase {
     /// Waiting for the first byte of the next request.
     Idle(Instant),
     /// Waiting for the rest of a request's header.
@@ -30,7 +31,7 @@
 
 /// Phase of a connection and the bounds on it.
 #[derive(Debug)]
-pub(super) struct Guard {
+pub struct Guard {
     phase: Mutex<Phase>,
     changed: Notify,
     header_time: Duration,
@@ -38,24 +39,19 @@
 }
 
 impl Guard {
-    /// Creates the guard of a new connection, whose first header is due.
-    pub(super) fn new(header_time: Duration, idle_time: Duration) -> Guard {
-        Guard {
-            phase: Mutex::new(Phase::Header(Instant::now())),
-            changed: Notify::new(),
-            header_time,
-            idle_time,
-        }
+    /// Creates the guard of a connection that begins in a phase.
+    pub fn new(phase: Phase, header_time: Duration, idle_time: Duration) -> Guard {
+        Guard { phase: Mutex::new(phase), changed: Notify::new(), header_time, idle_time }
     }
 
     /// Enters a phase.
-    pub(super) fn set(&self, phase: Phase) {
+    pub fn set(&self, phase: Phase) {
         *self.phase.lock().expect("guard lock poisoned") = phase;
         self.changed.notify_one();
     }
 
     /// Waits until the connection has exceeded a bound and returns which.
-    pub(super) async fn expired(&self) -> Reason {
+    pub async fn expired(&self) -> Reason {
         loop {
             let phase = *self.phase.lock().expect("guard lock poisoned");
             let (due, reason) = match phase {
@@ -83,23 +79,25 @@
 }
 
 /// A caller's connection that tells its guard when bytes arrive.
-pub(super) struct Watched {
-    stream: TcpStream,
+#[derive(Debug)]
+pub struct Watched<S> {
+    stream: S,
     guard: Arc<Guard>,
 }
 
-impl Watched {
-    pub(super) fn new(stream: TcpStream, guard: Arc<Guard>) -> Watched {
+impl<S> Watched<S> {
+    /// Wraps a connection.
+    pub fn new(stream: S, guard: Arc<Guard>) -> Watched<S> {
         Watched { stream, guard }
     }
 
     /// Returns the connection itself.
-    pub(super) fn into_stream(self) -> TcpStream {
+    pub fn into_stream(self) -> S {
         self.stream
     }
 }
 
-impl AsyncRead for Watched {
+impl<S: AsyncRead + Unpin> AsyncRead for Watched<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -114,7 +112,7 @@
     }
 }
 
-impl AsyncWrite for Watched {
+impl<S: AsyncWrite + Unpin> AsyncWrite for Watched<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -143,3 +141,43 @@
         self.stream.is_write_vectored()
     }
 }
+
+/// Body of an answer; its end makes the connection idle.
+#[derive(Debug)]
+pub struct Held<B> {
+    body: B,
+    guard: Arc<Guard>,
+}
+
+impl<B> Held<B> {
+    /// Wraps the body of an answer on a guard's connection.
+    pub fn new(body: B, guard: Arc<Guard>) -> Held<B> {
+        Held { body, guard }
+    }
+}
+
+impl<B: Body + Unpin> Body for Held<B> {
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl<B> Drop for Held<B> {
+    fn drop(&mut self) {
+        self.guard.set(Phase::Idle(Instant::now()));
+    }
+}
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -23,7 +23,7 @@
 pub mod event_stream;
 pub mod follow;
 pub mod forward;
-pub mod head;
+pub mod guard;
 pub mod headers;
 pub mod health;
 pub mod job;
--- a/gateway/src/port.rs
+++ b/gateway/src/port.rs
@@ -1,17 +1,19 @@
 //! HTTP ports: accepts connections and serves each on the same thread.
 
-use std::{convert::Infallible, future::Future, io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    convert::Infallible, future::Future, io, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
+};
 
 use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::{TcpListener, TcpSocket, TcpStream},
     sync::watch,
-    time::sleep,
+    time::{Instant, sleep},
 };
 
 use crate::{
-    head::{Clock, Timed},
+    guard::{self, Guard, Held, Watched},
     reply::Body,
     upstream,
 };
@@ -98,28 +100,25 @@
         tracing::debug!(%err, "a caller's connection ended at once");
         return;
     }
-    let clock = Rc::new(Clock::default());
-    let of_requests = Rc::clone(&clock);
+    let idle = guard::Phase::Idle(Instant::now());
+    let guard = Arc::new(Guard::new(idle, bounds.header_time, bounds.idle_time));
+    let stream = Watched::new(stream, Arc::clone(&guard));
+    let of_requests = Arc::clone(&guard);
     let service = service_fn(move |request| {
-        of_requests.arrived();
-        let (answer, clock) = (handle(request), Rc::clone(&of_requests));
-        async move {
-            let answer = answer.await;
-            clock.answered();
-            Ok::<_, Infallible>(answer)
-        }
+        of_requests.set(guard::Phase::Busy);
+        let (answer, guard) = (handle(request), Arc::clone(&of_requests));
+        async move { Ok::<_, Infallible>(answer.await.map(|it| Held::new(it, guard))) }
     });
-    let stream = Timed::new(stream, Rc::clone(&clock));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(bounds.idle_time)
+        .header_read_timeout(None)
         .max_buf_size(bounds.header_bytes.max(MIN_BUFFER))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        () = clock.overdue(bounds.header_time) => {
-            tracing::debug!("a caller's connection is closed since a head did not arrive in time");
+        reason = guard.expired() => {
+            tracing::debug!(reason = reason.code(), "a caller's connection is closed");
             return;
         }
         _ = phase.wait_for(|it| *it == Phase::Closing) => {
--- a/src/link/front/mod.rs
+++ b/src/link/front/mod.rs
@@ -2,7 +2,6 @@
 //!
 //! Each request is read whole, then handled on a blocking thread of its own.
 
-mod guard;
 mod reply;
 
 use std::{
@@ -32,13 +31,15 @@
     io::AsyncWriteExt,
     net::{TcpListener as AsyncListener, TcpStream},
     sync::watch,
-    time::timeout,
+    time::{Instant, timeout},
 };
 
-use self::guard::{Guard, Phase};
 pub use self::reply::{Answer, Gone, Head, Presence, Reply, Stream};
 use crate::{
-    gateway::headers,
+    gateway::{
+        guard::{Guard, Held, Phase, Watched},
+        headers,
+    },
     link::runtime,
     metric::Metrics,
     settings,
@@ -229,15 +230,20 @@
     }
 
     async fn serve(self: Arc<Self>, stream: TcpStream, peer: SocketAddr) {
-        let guard = Arc::new(Guard::new(self.bounds.header_time, self.bounds.idle_time));
-        let io = TokioIo::new(guard::Watched::new(stream, Arc::clone(&guard)));
+        let first = Phase::Header(Instant::now());
+        let guard = Arc::new(Guard::new(first, self.bounds.header_time, self.bounds.idle_time));
+        let io = TokioIo::new(Watched::new(stream, Arc::clone(&guard)));
         let service = {
             let port = Arc::clone(&self);
             let guard = Arc::clone(&guard);
             service_fn(move |it| {
                 let port = Arc::clone(&port);
                 let guard = Arc::clone(&guard);
-                async move { Ok::<_, Infallible>(port.answer(it, peer, guard).await) }
+                async move {
+                    guard.set(Phase::Busy);
+                    let answer = port.answer(it, peer, &guard).await;
+                    Ok::<_, Infallible>(answer.map(|it| Held::new(it, guard)))
+                }
             })
         };
         let mut conn = http1::Builder::new()
@@ -266,15 +272,14 @@
         &self,
         request: hyper::Request<Incoming>,
         peer: SocketAddr,
-        guard: Arc<Guard>,
+        guard: &Arc<Guard>,
     ) -> hyper::Response<reply::Body> {
-        guard.set(Phase::Busy);
         let (head, body) = request.into_parts();
         let body = match self.read_body(&head, body).await {
             Ok(it) => it,
             Err(reason) => {
                 self.metrics.refused(reason);
-                return reply::whole(refusal(reason), guard);
+                return reply::whole(refusal(reason));
             }
         };
         let request = Request {
@@ -285,14 +290,14 @@
             body,
             peer,
         };
-        let (reply, answer) = Reply::new(&guard, self.bounds.idle_time);
+        let (reply, answer) = Reply::new(guard, self.bounds.idle_time);
         let handler = Arc::clone(&self.handler);
         tokio::task::spawn_blocking(move || handler.handle(request, reply));
         match answer.await {
-            Ok(it) => it.into_response(guard),
+            Ok(it) => it.into_response(),
             Err(_) => {
                 self.metrics.refused(Reason::Internal);
-                reply::whole(refusal(Reason::Internal), guard)
+                reply::whole(refusal(Reason::Internal))
             }
         }
     }
--- a/src/link/front/reply.rs
+++ b/src/link/front/reply.rs
@@ -15,11 +15,10 @@
 };
 use tokio::{
     sync::{mpsc, oneshot},
-    time::{Instant, timeout},
+    time::timeout,
 };
 
-use super::guard::{Guard, Phase};
-use crate::link::runtime;
+use crate::{gateway::guard::Guard, link::runtime};
 
 /// Pieces that wait for a caller who reads slowly.
 const PIECES: usize = 64;
@@ -183,19 +182,17 @@
 }
 
 impl Outcome {
-    pub(super) fn into_response(self, guard: Arc<Guard>) -> Response<Body> {
+    pub(super) fn into_response(self) -> Response<Body> {
         match self {
-            Outcome::Whole(it) => whole(it, guard),
-            Outcome::Stream(head, pieces) => {
-                response(head, Body { source: Source::Stream(pieces), guard })
-            }
+            Outcome::Whole(it) => whole(it),
+            Outcome::Stream(head, pieces) => response(head, Body::Stream(pieces)),
         }
     }
 }
 
 /// Returns the response for a whole answer.
-pub(super) fn whole(answer: Answer, guard: Arc<Guard>) -> Response<Body> {
-    response(answer.head, Body { source: Source::Whole(Some(answer.body)), guard })
+pub(super) fn whole(answer: Answer) -> Response<Body> {
+    response(answer.head, Body::Whole(Some(answer.body)))
 }
 
 fn response(head: Head, body: Body) -> Response<Body> {
@@ -213,15 +210,9 @@
     End,
 }
 
-/// Body of a response; its end makes the connection idle.
+/// Body of a response.
 #[derive(Debug)]
-pub(super) struct Body {
-    source: Source,
-    guard: Arc<Guard>,
-}
-
-#[derive(Debug)]
-enum Source {
+pub(super) enum Body {
     Whole(Option<Bytes>),
     Stream(mpsc::Receiver<Part>),
     Ended,
@@ -236,22 +227,22 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Gone>>> {
-        let pieces = match &mut self.source {
-            Source::Whole(body) => return Poll::Ready(body.take().map(|it| Ok(Frame::data(it)))),
-            Source::Ended => return Poll::Ready(None),
-            Source::Cut => return Poll::Ready(Some(Err(Gone))),
-            Source::Stream(it) => it,
+        let pieces = match &mut *self {
+            Body::Whole(body) => return Poll::Ready(body.take().map(|it| Ok(Frame::data(it)))),
+            Body::Ended => return Poll::Ready(None),
+            Body::Cut => return Poll::Ready(Some(Err(Gone))),
+            Body::Stream(it) => it,
         };
         match pieces.poll_recv(cx) {
             Poll::Pending => Poll::Pending,
             Poll::Ready(Some(Part::Piece(it))) => Poll::Ready(Some(Ok(Frame::data(it)))),
             Poll::Ready(Some(Part::End)) => {
-                self.source = Source::Ended;
+                *self = Body::Ended;
                 Poll::Ready(None)
             }
             Poll::Ready(None) => {
                 // Pending once, so that the pieces before the cut are flushed.
-                self.source = Source::Cut;
+                *self = Body::Cut;
                 cx.waker().wake_by_ref();
                 Poll::Pending
             }
@@ -259,24 +250,18 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        match &self.source {
-            Source::Whole(body) => body.is_none(),
-            Source::Stream(_) | Source::Cut => false,
-            Source::Ended => true,
+        match self {
+            Body::Whole(body) => body.is_none(),
+            Body::Stream(_) | Body::Cut => false,
+            Body::Ended => true,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
-        match &self.source {
-            Source::Whole(Some(body)) => SizeHint::with_exact(body.len() as u64),
-            Source::Whole(None) | Source::Ended => SizeHint::with_exact(0),
-            Source::Stream(_) | Source::Cut => SizeHint::default(),
+        match self {
+            Body::Whole(Some(body)) => SizeHint::with_exact(body.len() as u64),
+            Body::Whole(None) | Body::Ended => SizeHint::with_exact(0),
+            Body::Stream(_) | Body::Cut => SizeHint::default(),
         }
     }
 }
-
-impl Drop for Body {
-    fn drop(&mut self) {
-        self.guard.set(Phase::Idle(Instant::now()));
-    }
-}
