refactor(gateway): one look at the cache for each engine and prompt

The dispatcher's pass asked the cache twice for each engine that a prompt could go to: for what it lacks, and for the shared part of that. The second follows from the first. The largest share that any engine holds was subtracted from all costs alike, so it is gone too: the order of the costs, which is all that is used, stays. Homes are marked once; what a host without the dispatcher's picture takes for granted stands where it places alone, instead of as a second mode of the marking. Behaviour as before; the tests of dispatch pass unchanged.

--- a/gateway/src/dispatch.rs
+++ b/gateway/src/dispatch.rs
@@ -246,17 +246,19 @@
 }
 
 impl Engine {
-    /// Returns what it would be for a prompt, by itself; [`Fleet::candidates`] adds what the others hold.
+    /// Returns what it would be for a prompt.
     pub fn candidate(&self, prompt: &Prompt, cache: &Cache, times: &Times) -> Candidate {
+        let missing = cache.missing(self.key, prompt);
+        let shared = prompt.tokens - prompt.unshared();
         Candidate {
             key: self.key,
             stage: self.stage,
             rank: choice::rendezvous(&self.id, prompt.home()),
             is_home: false,
             unread: self.work.prompt_tokens,
-            missing: times.effort(prompt, cache.missing(self.key, prompt)),
-            shared: prompt.tokens - prompt.unshared(),
-            again: 0,
+            missing: times.effort(prompt, missing),
+            shared,
+            shared_missing: missing.saturating_sub(prompt.unshared()).min(shared),
             requests: self.work.requests,
             slots: self.slots,
             memory_used: self.work.memory_tokens,
@@ -274,13 +276,7 @@
         let eligible = self.engines.iter().filter(|it| !ask.avoid.contains(&it.id));
         let mut candidates: Vec<Candidate> =
             eligible.map(|it| it.candidate(&ask.prompt, cache, &self.times)).collect();
-        let held: Vec<u64> =
-            candidates.iter().map(|it| cache.held(it.key, ask.prompt.shared())).collect();
-        let most = held.iter().copied().max().unwrap_or(0);
-        for (candidate, held) in candidates.iter_mut().zip(held) {
-            candidate.again = most - held;
-        }
-        engine::mark_homes(&mut candidates, None);
+        engine::mark_homes(&mut candidates);
         candidates
     }
 
--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -12,7 +12,8 @@
 
 /// Weight of the time that reading takes from the streams beside it, at full strain.
 const SLOWDOWN: f64 = 2.5;
-/// Weight of the time to read shared tokens that some other engine has read already.
+/// Weight of the time to read shared tokens, which some other engine may have read already. Where none
+/// has, it weighs on all engines alike.
 const AGAIN: f64 = 5.0;
 /// Part of the time to read the shared tokens that is added for an engine which is not home to the
 /// prompt, so that prompts with the same beginning meet at one engine.
@@ -207,8 +208,8 @@
     pub missing: u64,
     /// Tokens of this prompt that others share.
     pub shared: u64,
-    /// Shared tokens of this prompt that its cache lacks and another engine's holds.
-    pub again: u64,
+    /// Those of them that its cache lacks.
+    pub shared_missing: u64,
     /// Requests under way there.
     pub requests: u32,
     /// Requests that it runs at once.
@@ -263,15 +264,11 @@
 }
 
 /// Marks the engine of each stage that is home to a prompt.
-///
-/// With `unshared`, the home is taken to lack only so many tokens of the prompt, since all hosts send
-/// the shared ones there.
-pub fn mark_homes(candidates: &mut [Candidate], unshared: Option<u64>) {
+pub fn mark_homes(candidates: &mut [Candidate]) {
     for stage in [Stage::Prefill, Stage::Decode] {
         let of_stage = candidates.iter_mut().filter(|it| it.stage == stage);
         if let Some(home) = of_stage.max_by_key(|it| it.rank) {
             home.is_home = true;
-            home.missing = home.missing.min(unshared.unwrap_or(u64::MAX).max(1));
         }
     }
 }
@@ -304,7 +301,7 @@
             true => Duration::ZERO,
             false => times.reading(candidate.stage, candidate.shared).mul_f64(STRANGE),
         };
-        let again = times.reading(Stage::Prefill, candidate.again).mul_f64(AGAIN);
+        let again = times.reading(Stage::Prefill, candidate.shared_missing).mul_f64(AGAIN);
         Offer { choice, cost: estimate.first_event + slowed + strange + again }
     }
 }
--- a/gateway/src/pick.rs
+++ b/gateway/src/pick.rs
@@ -60,7 +60,10 @@
 pub fn alone(state: &State, ask: &Ask) -> Option<(Placement, bool)> {
     let fleet = fleet(state, &ask.service);
     let mut candidates = fleet.candidates(ask, &state.cache);
-    engine::mark_homes(&mut candidates, Some(ask.prompt.unshared()));
+    // Without the dispatcher's picture of the caches: all hosts send the shared tokens to their homes.
+    for home in candidates.iter_mut().filter(|it| it.is_home) {
+        home.missing = home.missing.min(ask.prompt.unshared().max(1));
+    }
     let standing = Standing { objective: ask.objective, elapsed: ask.elapsed };
     let placement = dispatch::place(&candidates, &fleet.times, standing)?;
     let starts = engine::starts(standing, placement.reader.estimate);
