refactor(gateway): the heartbeat that membership hears is the one that is sent

Beat and Status repeated Heartbeat field by field and were taken apart into it on arrival. Also gone: two things that nobody read, whether a connection carried a request before and the membership's own host.

--- a/gateway/src/membership.rs
+++ b/gateway/src/membership.rs
@@ -41,7 +41,7 @@
 }
 
 /// What one heartbeat tells.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
     /// Who sent it.
     pub host: Host,
@@ -128,11 +128,6 @@
         }
     }
 
-    /// Returns this host.
-    pub fn own(&self) -> &Host {
-        &self.own
-    }
-
     /// Notes a host that the store names; it counts as there once it is heard.
     pub fn introduce(&mut self, host: Host) {
         if host.name == self.own.name {
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -11,7 +11,7 @@
     dispatch::{Ask, Number, Verdict},
     follow,
     load::Work,
-    membership::{Change, Heartbeat, Host, ROUND},
+    membership::{Change, Heartbeat, ROUND},
     pace, registry,
     watch::Sight,
 };
@@ -32,9 +32,9 @@
 #[derive(Debug, Serialize, Deserialize)]
 pub enum Packet {
     /// A host tells that it is there.
-    Beat(Beat),
+    Beat(Heartbeat),
     /// A host wants a heartbeat in return.
-    Query(Beat),
+    Query(Heartbeat),
     /// A host found another one down.
     Missing(id::Host),
     /// All of a host's work, with the last grant that it includes, and paces as it measured them.
@@ -53,41 +53,17 @@
     Verdict(id::Host, Number, Verdict),
 }
 
-/// A heartbeat.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct Beat {
-    host: Host,
-    status: Status,
-    /// How long it has claimed to place the requests of all.
-    claim: Option<Duration>,
-}
-
-/// What a host says of itself; the others are told at once when it changes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-struct Status {
-    ready: bool,
-    leaving: bool,
-    fit: bool,
-    cut_off: bool,
-}
-
-impl Status {
-    fn new(context: &Context) -> Status {
-        let state = context.state();
-        Status {
-            ready: context.is_ready(),
-            leaving: context.is_leaving(),
-            fit: !context.is_leaving() && state.is_fresh(clock::now()),
-            cut_off: state.is_cut_off(),
-        }
-    }
-}
-
-impl Beat {
-    fn new(context: &Context) -> Beat {
-        let status = Status::new(context);
-        let claim = context.state().membership.claim(clock::now()).filter(|_| status.fit);
-        Beat { host: context.settings.host.clone(), status, claim }
+/// Returns what this host tells of itself now.
+fn heartbeat(context: &Context) -> Heartbeat {
+    let (state, now) = (context.state(), clock::now());
+    let fit = !context.is_leaving() && state.is_fresh(now);
+    Heartbeat {
+        host: context.settings.host.clone(),
+        ready: context.is_ready(),
+        leaving: context.is_leaving(),
+        fit,
+        cut_off: state.is_cut_off(),
+        claim: state.membership.claim(now).filter(|_| fit),
     }
 }
 
@@ -192,8 +168,9 @@
     let mut last = None;
     loop {
         elect(&context);
-        let beat = Beat::new(&context);
-        let news = Some((beat.status, beat.claim.is_some()));
+        let beat = heartbeat(&context);
+        // A claim that only grew older is no news.
+        let news = Some(Heartbeat { claim: beat.claim.map(|_| Duration::ZERO), ..beat.clone() });
         let tick = context.state_mut().membership.tick(clock::now());
         let round = context.state_mut().membership.next_round();
         if news == last {
@@ -233,12 +210,12 @@
     match packet {
         Packet::Beat(beat) => hear_beat(context, beat),
         Packet::Query(asking) => {
-            send_to(context, &[asking.host.peers], &Packet::Beat(Beat::new(context)));
+            send_to(context, &[asking.host.peers], &Packet::Beat(heartbeat(context)));
             hear_beat(context, asking);
         }
         Packet::Missing(host) => {
             let asked = context.state_mut().membership.doubt(&host, clock::now());
-            send_to(context, asked.as_slice(), &Packet::Query(Beat::new(context)));
+            send_to(context, asked.as_slice(), &Packet::Query(heartbeat(context)));
         }
         Packet::Work(host, seen, work, paces) => {
             let (mut state, now) = (context.state_mut(), clock::now());
@@ -269,16 +246,14 @@
     }
 }
 
-fn hear_beat(context: &Context, beat: Beat) {
-    let Beat { host, status: Status { ready, leaving, fit, cut_off }, claim } = beat;
-    let beat = Heartbeat { host, ready, leaving, fit, cut_off, claim };
+fn hear_beat(context: &Context, beat: Heartbeat) {
     let change = context.state_mut().membership.hear(beat, clock::now());
     note(context, change);
 }
 
 /// Chooses the dispatcher anew where that is due, and has it told of this host's work.
 fn elect(context: &Context) {
-    let fit = Status::new(context).fit;
+    let fit = heartbeat(context).fit;
     let changed = context.state_mut().membership.elect(fit, clock::now());
     if changed {
         let host = context.state().membership.dispatcher().clone();
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -48,8 +48,6 @@
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
     idle_until: Moment,
-    /// Whether it carried a request before.
-    pub reused: bool,
 }
 
 impl Drop for Connection {
@@ -104,7 +102,6 @@
         if connection.sender.is_closed() {
             return;
         }
-        connection.reused = true;
         let keep = keep.map_or(IDLE_TIME, |it| it.saturating_sub(Duration::from_millis(500)));
         connection.idle_until = clock::now() + keep.min(IDLE_TIME);
         let mut idle = self.idle.borrow_mut();
@@ -172,7 +169,7 @@
             tracing::debug!(%err, "a connection to a target ended");
         }
     });
-    Ok(Connection { sender, driver, idle_until: Moment::ZERO, reused: false })
+    Ok(Connection { sender, driver, idle_until: Moment::ZERO })
 }
 
 /// Makes a connection fail once it was silent for `bound` and probes are not answered.
