--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -4,7 +4,11 @@
 use std::time::Duration;
 
 use fuchsiaknot_gateway::{
+    cache::Cache,
     configuration::{Repeat, Route},
+    dispatch::{Ask, Engine, Fleet, place},
+    engine::{Choice, Standing},
+    load::Work,
     prompt::{Part, Prompt},
     target::{Stage, Target},
 };
@@ -12,6 +16,9 @@
 
 use fuchsiaknot_gateway::registry::Key;
 
+/// Service of all engines and requests here.
+pub(crate) const SERVICE: &str = "models";
+
 pub(crate) fn ms(count: u64) -> Duration {
     Duration::from_millis(count)
 }
@@ -27,7 +34,7 @@
         id: id.into(),
         incarnation: Some(1),
         sequence,
-        service: "models".into(),
+        service: SERVICE.into(),
         address: "127.0.0.1:9000".parse().unwrap(),
         data_centre: "a".into(),
         slots: 4,
@@ -62,3 +69,38 @@
         output: 100,
     }
 }
+
+/// Returns an idle engine.
+pub(crate) fn engine(key: Key, name: &str, stage: Stage) -> Engine {
+    Engine {
+        key,
+        id: name.into(),
+        stage,
+        slots: 32,
+        memory: 700_000,
+        work: Work::default(),
+        failures: 0.0,
+        slowness: 1.0,
+    }
+}
+
+/// Returns a request that its caller sends for the first time.
+pub(crate) fn ask(number: u64, prompt: Prompt, objective: Duration) -> Ask {
+    Ask {
+        number,
+        service: SERVICE.into(),
+        prompt,
+        priority: 1,
+        objective,
+        elapsed: Duration::ZERO,
+        patience: ms(400),
+        resumes: false,
+        avoid: Vec::new(),
+    }
+}
+
+/// Returns where a request that has just arrived has its prompt read.
+pub(crate) fn reader(fleet: &Fleet, ask: &Ask, cache: &Cache) -> Choice {
+    let standing = Standing { objective: ask.objective, elapsed: ask.elapsed };
+    place(&fleet.candidates(ask, cache), &fleet.times, standing).unwrap().reader
+}
--- a/gateway/tests/dispatch.rs
+++ b/gateway/tests/dispatch.rs
@@ -2,37 +2,20 @@
 
 mod common;
 
-use std::{collections::HashMap, time::Duration};
+use std::collections::HashMap;
 
 use fuchsiaknot_core::id;
 use fuchsiaknot_gateway::{
     cache::Cache,
-    dispatch::{Ask, Decided, Decision, Engine, Fleet, Queue, place},
-    engine::{Standing, Times},
-    load::Work,
-    prompt::Prompt,
+    dispatch::{Ask, Decided, Decision, Fleet, Queue},
+    engine::Times,
     registry::Key,
     target::Stage,
 };
 
-use common::{keys, ms, prompt};
+use common::{SERVICE, ask, engine, keys, ms, prompt, reader};
 use rstest::rstest;
 
-const SERVICE: &str = "models";
-
-fn engine(key: Key, name: &str, stage: Stage) -> Engine {
-    Engine {
-        key,
-        id: name.into(),
-        stage,
-        slots: 32,
-        memory: 700_000,
-        work: Work::default(),
-        failures: 0.0,
-        slowness: 1.0,
-    }
-}
-
 /// Returns two engines that read and two that generate.
 fn fleet(keys: &[Key]) -> HashMap<id::Service, Fleet> {
     let stages = [Stage::Prefill, Stage::Prefill, Stage::Decode, Stage::Decode];
@@ -42,20 +25,6 @@
     HashMap::from([(SERVICE.into(), fleet)])
 }
 
-fn ask(number: u64, prompt: Prompt, objective: Duration) -> Ask {
-    Ask {
-        number,
-        service: SERVICE.into(),
-        prompt,
-        priority: 1,
-        objective,
-        elapsed: Duration::ZERO,
-        patience: ms(400),
-        resumes: false,
-        avoid: Vec::new(),
-    }
-}
-
 fn placed(decided: &[Decided]) -> Vec<u64> {
     let placed = decided.iter().filter(|it| matches!(it.decision, Decision::Place(_)));
     placed.map(|it| it.ask.number).collect()
@@ -132,10 +101,7 @@
     fleet.engines.truncate(3);
     fleet.engines[0].work.prompt_tokens = 14_000;
     let ask = ask(1, prompt(beginning, 6000, "second", 2000), ms(600));
-    let candidates = fleet.candidates(&ask, &cache);
-    let standing = Standing { objective: ms(600), elapsed: Duration::ZERO };
-    let placement = place(&candidates, &fleet.times, standing).unwrap();
-    assert_eq!(placement.reader.key, keys[expected]);
+    assert_eq!(reader(fleet, &ask, &cache).key, keys[expected]);
 }
 
 /// Pattern: a burst beyond what can be read in time. What can still be on time goes before what is
@@ -233,8 +199,6 @@
     for engine in &mut fleet.engines[..2] {
         engine.work.prompt_tokens = 12_000;
     }
-    let engines = fleet.candidates(&ask(1, prompt("s", 10, "p", 3000), ms(400)), &Cache::default());
-    let standing = Standing { objective: ms(400), elapsed: Duration::ZERO };
-    let placement = place(&engines, &fleet.times, standing).unwrap();
-    assert_eq!(placement.reader.stage, expected);
+    let ask = ask(1, prompt("s", 10, "p", 3000), ms(400));
+    assert_eq!(reader(fleet, &ask, &Cache::default()).stage, expected);
 }
--- a/gateway/tests/pace.rs
+++ b/gateway/tests/pace.rs
@@ -6,15 +6,15 @@
 
 use fuchsiaknot_gateway::{
     cache::Cache,
-    dispatch::{Ask, Engine, Fleet, place},
-    engine::{Standing, Times},
+    dispatch::{Engine, Fleet},
+    engine::Times,
     load::Work,
     pace::{Paces, Sample},
     registry::Key,
     target::Stage,
 };
 
-use common::{keys, ms, prompt};
+use common::{ask, engine, keys, ms, prompt, reader};
 
 /// Returns paces of three engines, of which the last takes `slow` times as long between two events.
 fn paces(keys: &[Key], slow: f64) -> Paces {
@@ -72,30 +72,12 @@
 fn slow_avoided() {
     let keys = keys(3);
     let engine = |at: usize, slowness: f64, requests: u32| Engine {
-        key: keys[at],
-        id: format!("e{at}").into(),
-        stage: Stage::Decode,
-        slots: 32,
-        memory: 700_000,
         work: Work { requests, prompt_tokens: 500, memory_tokens: 1000 },
-        failures: 0.0,
         slowness,
+        ..engine(keys[at], &format!("e{at}"), Stage::Decode)
     };
     let engines = vec![engine(0, 1.0, 10), engine(1, 1.0, 10), engine(2, 5.0, 0)];
     let fleet = Fleet { times: Times::default(), engines };
-    let ask = Ask {
-        number: 1,
-        service: "models".into(),
-        prompt: prompt("s", 10, "p", 600),
-        priority: 1,
-        objective: ms(300),
-        elapsed: Duration::ZERO,
-        patience: ms(400),
-        resumes: false,
-        avoid: Vec::new(),
-    };
-    let candidates = fleet.candidates(&ask, &Cache::default());
-    let standing = Standing { objective: ms(300), elapsed: Duration::ZERO };
-    let reader = place(&candidates, &fleet.times, standing).unwrap().reader.key;
-    assert_ne!(reader, keys[2]);
+    let ask = ask(1, prompt("s", 10, "p", 600), ms(300));
+    assert_ne!(reader(&fleet, &ask, &Cache::default()).key, keys[2]);
 }
