fix(membership): hosts that start together know each other at once, and the dispatcher stays while the store is away

In a round with a change of the host's own state, the heartbeat went to all hosts that are up instead of to the round's hosts, so hosts that are down lost their turn and got the next one seven cycles later. A starting host changes its state in nearly every round.

Change: a round keeps the turn of hosts that are down; the first three cycles include them; a host that comes up gets a heartbeat in return. A host is barred from dispatching when its list of targets is older than the others' lists, not when it is old. The test of a host without a fresh list is replaced by two: a host that knows no targets, and a dispatcher that is cut off alone, seen by itself and by others.

--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -28,10 +28,7 @@
     upstream::Pool,
     watch::Watch,
 };
-use fuchsiaknot_core::{
-    clock::{self, Moment},
-    id,
-};
+use fuchsiaknot_core::{clock, id};
 
 /// Settings of the request path on one host.
 #[derive(Debug, Clone)]
@@ -155,11 +152,6 @@
         self.configuration_watch.age(clock::now()).as_millis() as u64
     }
 
-    /// Returns whether there is a configuration and the list of targets was confirmed recently.
-    pub fn is_fresh(&self, now: Moment) -> bool {
-        self.configuration.is_some() && self.targets_watch.age(now) < MAX_FRESH_AGE
-    }
-
     /// Returns whether the last call for either table failed.
     pub fn is_store_unreachable(&self) -> bool {
         self.configuration_watch.has_failed() || self.targets_watch.has_failed()
@@ -177,8 +169,6 @@
     }
 }
 
-/// Age up to which the list of targets counts as fresh.
-const MAX_FRESH_AGE: Duration = Duration::from_millis(2200);
 /// Time for which a peer's report of its own work is used; a few heartbeat intervals.
 const PEER_WORK_TTL: Duration = Duration::from_secs(1);
 
@@ -301,6 +291,20 @@
         !self.is_shutting_down() && self.state().configuration.is_some()
     }
 
+    /// Returns whether this host knows configuration and targets and is not shutting down, so that
+    /// it can be the dispatcher of other hosts.
+    pub fn can_dispatch(&self) -> bool {
+        self.is_ready() && self.state().targets_watch.is_known()
+    }
+
+    /// Elects the dispatcher from what this host knows now; returns whether it changed.
+    pub fn elect_dispatcher(&self) -> bool {
+        let can_dispatch = self.can_dispatch();
+        let (mut state, now) = (self.state_mut(), clock::now());
+        let targets_age = can_dispatch.then(|| state.targets_watch.age(now));
+        state.membership.elect_dispatcher(targets_age, now)
+    }
+
     /// Takes one retry from the budget of a service; returns whether there was one left.
     pub fn take_retry(&self, service: &id::Service) -> bool {
         let hosts = self.state().membership.live_count();
--- a/gateway/src/dispatcher.rs
+++ b/gateway/src/dispatcher.rs
@@ -148,12 +148,9 @@
         return;
     }
     tracing::warn!(code = 8004, host = %dispatcher, "dispatcher does not answer; placing requests without it");
-    let now = clock::now();
-    let mut state = context.state_mut();
-    state.membership.exclude_dispatcher(dispatcher, now + EXCLUSION_TIME);
-    let can_dispatch = state.is_fresh(now);
-    state.membership.elect_dispatcher(can_dispatch, now);
-    drop(state);
+    let until = clock::now() + EXCLUSION_TIME;
+    context.state_mut().membership.exclude_dispatcher(dispatcher, until);
+    context.elect_dispatcher();
     context.work_changed.notify_one();
 }
 
--- a/gateway/src/membership.rs
+++ b/gateway/src/membership.rs
@@ -19,6 +19,11 @@
 const WATCHER_COUNT: usize = 2;
 /// Number of cycles over all hosts after which hosts that are down are sent a heartbeat too.
 const CYCLES_PER_DOWN_HEARTBEAT: u64 = 7;
+/// Number of first cycles in which hosts that are not up yet are sent a heartbeat each time: the
+/// first heartbeat is lost when its receiver has not started.
+const INITIAL_CYCLES: u64 = 3;
+/// Time by which a dispatcher's list of targets may be older than the newest list of any host.
+const MAX_TARGETS_LAG: Duration = Duration::from_millis(2200);
 /// Time by which a heartbeat may be late before its host is probed.
 const HEARTBEAT_GRACE: Duration = Duration::from_millis(350);
 /// Time within which a probed host must answer; it allows for some lost datagrams.
@@ -55,8 +60,11 @@
     pub ready: bool,
     /// Whether it is shutting down and sends no more heartbeats.
     pub leaving: bool,
-    /// Whether its list of targets is fresh, so that it can be the dispatcher of other hosts.
+    /// Whether it knows configuration and targets and is not shutting down, so that it can be the
+    /// dispatcher of other hosts.
     pub can_dispatch: bool,
+    /// Time since the store last confirmed its list of targets.
+    pub targets_age: Duration,
     /// Whether its last calls to the store failed.
     pub store_unreachable: bool,
     /// Time for which it has claimed to be the dispatcher; `None` without a claim.
@@ -105,6 +113,8 @@
     ready: bool,
     leaving: bool,
     can_dispatch: bool,
+    /// Time at which the store last confirmed the host's list of targets.
+    targets_confirmed_at: Moment,
     store_unreachable: bool,
     claimed_at: Option<Moment>,
     /// Time of the last heartbeat; `None` when the host is known only from the store.
@@ -146,6 +156,7 @@
             ready: false,
             leaving: false,
             can_dispatch: false,
+            targets_confirmed_at: Moment::ZERO,
             store_unreachable: false,
             claimed_at: None,
             last_heard: None,
@@ -169,6 +180,7 @@
             ready: heartbeat.ready,
             leaving: heartbeat.leaving,
             can_dispatch: heartbeat.can_dispatch,
+            targets_confirmed_at: now.saturating_sub(heartbeat.targets_age),
             store_unreachable: heartbeat.store_unreachable,
             claimed_at: heartbeat.claim_age.map(|it| now.saturating_sub(it)),
             last_heard: Some(now),
@@ -227,16 +239,24 @@
 
     /// Returns the addresses for the next heartbeat round, which continues after the last host of
     /// the previous one.
-    pub fn next_round(&mut self) -> Vec<SocketAddr> {
+    ///
+    /// With `to_all`, for a change of this host's state, they include every host that is up. The
+    /// hosts that are down keep their turn, since a starting host changes its state in nearly every
+    /// round.
+    pub fn next_round(&mut self, to_all: bool) -> Vec<SocketAddr> {
         let after = (Bound::Excluded(&self.last_reached), Bound::Unbounded);
         let until = (Bound::Unbounded, Bound::Included(&self.last_reached));
         let cycle =
             self.peers.range::<id::Host, _>(after).chain(self.peers.range::<id::Host, _>(until));
         let staying = cycle.filter(|(_, it)| !it.leaving);
         let round: Vec<(&id::Host, &Peer)> = staying.take(HOSTS_PER_ROUND).collect();
-        let include_down = self.cycles.is_multiple_of(CYCLES_PER_DOWN_HEARTBEAT);
-        let due = round.iter().filter(|(_, it)| it.up || include_down);
-        let addresses = due.map(|(_, it)| it.host.peer_address).collect();
+        let include_down =
+            self.cycles < INITIAL_CYCLES || self.cycles.is_multiple_of(CYCLES_PER_DOWN_HEARTBEAT);
+        let due = round.iter().filter(|(_, it)| if it.up { !to_all } else { include_down });
+        let mut addresses: Vec<SocketAddr> = due.map(|(_, it)| it.host.peer_address).collect();
+        if to_all {
+            addresses.extend(self.peer_addresses());
+        }
         let Some((last, _)) = round.last() else { return addresses };
         let last = (*last).clone();
         if last <= self.last_reached {
@@ -263,23 +283,38 @@
 
     /// Elects the host that dispatches this host's requests; returns whether it changed.
     ///
+    /// `own_targets_age` is the time since the store last confirmed this host's list of targets;
+    /// `None` when this host cannot be dispatcher. A host whose list is older than that of the
+    /// others by more than [`MAX_TARGETS_LAG`] is not elected. While the store is away, all lists
+    /// age together, and the dispatcher stays.
+    ///
     /// Hosts may disagree for a while; that affects only how well requests are placed.
-    pub fn elect_dispatcher(&mut self, own_can_dispatch: bool, now: Moment) -> bool {
+    pub fn elect_dispatcher(&mut self, own_targets_age: Option<Duration>, now: Moment) -> bool {
         self.excluded_dispatchers.retain(|_, until| now < *until);
-        let own = Candidate {
+        let own_confirmed_at = own_targets_age.map(|it| now.saturating_sub(it));
+        let peers = self.peers.iter().filter(|(_, it)| it.up && it.can_dispatch);
+        let peers: Vec<(&id::Host, &Peer)> = peers.collect();
+        let peers_confirmed_at = peers.iter().map(|(_, it)| it.targets_confirmed_at);
+        let newest = peers_confirmed_at.chain(own_confirmed_at).max().unwrap_or_default();
+        // What a peer's list lagged behind when it was last heard of, not what it lags behind now.
+        let is_current = |confirmed_at: Moment, heard_at: Moment| {
+            newest.min(heard_at) <= confirmed_at + MAX_TARGETS_LAG
+        };
+        let own = own_confirmed_at.filter(|it| is_current(*it, now)).map(|_| Candidate {
             name: self.own.name.clone(),
             cpu_millicores: self.own.cpu_millicores,
             claimed_at: self.claimed_at,
-        };
-        let peers = self.peers.iter().filter(|(_, it)| it.up && it.can_dispatch);
-        let peers = peers.filter(|(name, _)| !self.excluded_dispatchers.contains_key(*name));
+        });
+        let peers = peers.into_iter().filter(|(name, it)| {
+            !self.excluded_dispatchers.contains_key(*name)
+                && is_current(it.targets_confirmed_at, it.last_heard.unwrap_or_default())
+        });
         let peers = peers.map(|(name, it)| Candidate {
             name: name.clone(),
             cpu_millicores: it.host.cpu_millicores,
             claimed_at: it.claimed_at,
         });
-        let candidates: Vec<Candidate> =
-            own_can_dispatch.then_some(own).into_iter().chain(peers).collect();
+        let candidates: Vec<Candidate> = own.into_iter().chain(peers).collect();
         let chosen = election::elect(&candidates).map(|it| it.name.clone());
         let is_own = chosen.as_ref() == Some(&self.own.name);
         self.claimed_at = is_own.then(|| self.claimed_at.unwrap_or(now));
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -56,12 +56,13 @@
 /// Returns the current heartbeat of this host.
 fn heartbeat(context: &Context) -> Heartbeat {
     let (state, now) = (context.state(), clock::now());
-    let can_dispatch = !context.is_shutting_down() && state.is_fresh(now);
+    let can_dispatch = context.can_dispatch();
     Heartbeat {
         host: context.settings.host.clone(),
         ready: context.is_ready(),
         leaving: context.is_shutting_down(),
         can_dispatch,
+        targets_age: state.targets_watch.age(now),
         store_unreachable: state.is_store_unreachable(),
         claim_age: state.membership.claim_age(now).filter(|_| can_dispatch),
     }
@@ -171,18 +172,15 @@
     loop {
         elect_dispatcher(&context);
         let heartbeat = heartbeat(&context);
-        // The growing age of a claim alone is not a change to send to all.
+        // Growing ages alone are not a change to send to all.
         let state = Some(Heartbeat {
+            targets_age: Duration::ZERO,
             claim_age: heartbeat.claim_age.map(|_| Duration::ZERO),
             ..heartbeat.clone()
         });
         let tick = context.state_mut().membership.tick(clock::now());
-        let round = context.state_mut().membership.next_round();
-        if state == last_state {
-            send_to(&context, &round, &Packet::Heartbeat(heartbeat.clone()));
-        } else {
-            send_to_all(&context, &Packet::Heartbeat(heartbeat.clone()));
-        }
+        let round = context.state_mut().membership.next_round(state != last_state);
+        send_to(&context, &round, &Packet::Heartbeat(heartbeat.clone()));
         last_state = state;
         send_to(&context, &tick.probe, &Packet::Probe(heartbeat));
         for host in tick.report {
@@ -257,16 +255,19 @@
     }
 }
 
-fn handle_heartbeat(context: &Context, heartbeat: Heartbeat) {
-    let change = context.state_mut().membership.handle_heartbeat(heartbeat, clock::now());
+/// Handles a heartbeat. A host that came up gets one in return, so that both know each other at
+/// once.
+fn handle_heartbeat(context: &Context, received: Heartbeat) {
+    let change = context.state_mut().membership.handle_heartbeat(received, clock::now());
+    if let Some(Change::Up(host)) = &change {
+        send(context, host, &Packet::Heartbeat(heartbeat(context)));
+    }
     record_changes(context, change);
 }
 
 /// Elects the dispatcher, and reports this host's work to a new one.
 fn elect_dispatcher(context: &Context) {
-    let can_dispatch = heartbeat(context).can_dispatch;
-    let changed = context.state_mut().membership.elect_dispatcher(can_dispatch, clock::now());
-    if changed {
+    if context.elect_dispatcher() {
         let host = context.state().membership.dispatcher().clone();
         tracing::info!(code = 8025, %host, "dispatcher changed");
         context.work_changed.notify_one();
--- a/gateway/src/watch.rs
+++ b/gateway/src/watch.rs
@@ -144,6 +144,11 @@
         now.saturating_sub(self.confirmed_at.unwrap_or_default())
     }
 
+    /// Returns whether the table was read.
+    pub fn is_known(&self) -> bool {
+        self.confirmed_at.is_some()
+    }
+
     /// Returns whether this host's last call to the store failed.
     pub fn has_failed(&self) -> bool {
         self.failed_at.is_some()
--- a/gateway/tests/election.rs
+++ b/gateway/tests/election.rs
@@ -29,6 +29,7 @@
         ready: true,
         leaving: false,
         can_dispatch: true,
+        targets_age: Duration::ZERO,
         store_unreachable: false,
         claim_age,
     }
@@ -64,7 +65,7 @@
                     member.handle_heartbeat(heartbeat(other, *claim), now);
                 }
             }
-            if member.elect_dispatcher(true, now) {
+            if member.elect_dispatcher(Some(Duration::ZERO), now) {
                 changes.push(round);
             }
         }
@@ -77,7 +78,7 @@
     let mut first = Membership::new(host(1));
     first.handle_heartbeat(heartbeat(2, Some(ms(5000))), ms(9000));
     first.handle_heartbeat(heartbeat(3, None), ms(9000));
-    first.elect_dispatcher(true, ms(9000));
+    first.elect_dispatcher(Some(Duration::ZERO), ms(9000));
     first
 }
 
@@ -93,18 +94,68 @@
 fn dispatcher_silent() {
     let mut first = three_hosts();
     first.exclude_dispatcher("h002".into(), ms(9500));
-    assert!(first.elect_dispatcher(true, ms(9001)));
+    assert!(first.elect_dispatcher(Some(Duration::ZERO), ms(9001)));
     assert_ne!(first.dispatcher(), "h002");
-    first.elect_dispatcher(true, ms(9500));
+    first.elect_dispatcher(Some(Duration::ZERO), ms(9500));
     assert_eq!(first.dispatcher(), "h002");
     assert_eq!(first.claim_age(ms(9500)), None);
 }
 
-/// A host without a fresh list of targets is not elected.
+/// A host that knows no targets yet is not elected.
 #[test]
-fn stale_host() {
+fn starting_host() {
     let mut first = Membership::new(host(1));
     first.handle_heartbeat(heartbeat(2, None), ms(0));
-    first.elect_dispatcher(false, ms(0));
+    first.elect_dispatcher(None, ms(0));
     assert_eq!(first.dispatcher(), "h002");
 }
+
+/// The dispatcher is cut off from the store, and its list of targets ages while the others' lists
+/// stay fresh: another host is elected, also by the cut-off host itself.
+#[rstest]
+#[case::seen_by_others(1, 2)]
+#[case::seen_by_itself(2, 2)]
+fn stale_dispatcher(#[case] own: usize, #[case] cut_off: usize) {
+    let mut members = Membership::new(host(own));
+    let mut elected = Vec::new();
+    for now in (0..4000).step_by(150) {
+        let targets_age = |at| ms(if at == cut_off { now } else { 0 });
+        for at in (1..=3).filter(|at| *at != own) {
+            let claim_age = (at == cut_off).then(|| ms(5000 + now));
+            let heartbeat = Heartbeat { targets_age: targets_age(at), ..heartbeat(at, claim_age) };
+            members.handle_heartbeat(heartbeat, ms(5000 + now));
+        }
+        members.elect_dispatcher(Some(targets_age(own)), ms(5000 + now));
+        elected.push(members.dispatcher().clone());
+    }
+    assert_eq!(elected[13], if own == 2 { "h001" } else { "h002" }, "{elected:?}");
+    assert_ne!(elected.last().unwrap(), "h002", "{elected:?}");
+}
+
+/// The store is away for eight seconds. Each of 58 hosts last heard of it at another moment, and
+/// hears of a tenth of the others in each round. All keep the same dispatcher throughout.
+#[test]
+fn store_away() {
+    const COUNT: usize = 58;
+    let mut members: Vec<Membership> = (0..COUNT).map(|at| Membership::new(host(at))).collect();
+    let mut dispatchers = std::collections::BTreeSet::new();
+    for round in 0..80 {
+        let now = 20_000 + 150 * round as u64;
+        let targets_age = |at: usize| ms((at * 23 % 1200) as u64 + (now - 20_000).min(8000));
+        let claims: Vec<_> = members.iter().map(|it| it.claim_age(ms(now))).collect();
+        for (at, member) in members.iter_mut().enumerate() {
+            for (other, claim_age) in claims.iter().enumerate().filter(|(it, _)| *it != at) {
+                if (other + at) % 10 == round % 10 {
+                    let targets_age = targets_age(other);
+                    let heartbeat = Heartbeat { targets_age, ..heartbeat(other, *claim_age) };
+                    member.handle_heartbeat(heartbeat, ms(now));
+                }
+            }
+            member.elect_dispatcher(Some(targets_age(at)), ms(now));
+            if 30 <= round {
+                dispatchers.insert(member.dispatcher().clone());
+            }
+        }
+    }
+    assert_eq!(dispatchers.len(), 1, "{dispatchers:?}");
+}
--- a/gateway/tests/membership.rs
+++ b/gateway/tests/membership.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::time::Duration;
+
 use fuchsiaknot_gateway::membership::{Change, Heartbeat, Host, Membership};
 
 use common::ms;
@@ -23,6 +25,7 @@
         ready: true,
         leaving: false,
         can_dispatch: true,
+        targets_age: Duration::ZERO,
         store_unreachable: false,
         claim_age: None,
     }
@@ -90,7 +93,7 @@
     let leaving = Heartbeat { leaving: true, ready: false, ..heartbeat("h2", 2) };
     assert_eq!(members.handle_heartbeat(leaving, ms(10)), Some(Change::Down("h2".into())));
     assert_eq!(members.caller_addresses("a", true), [host("h1", 1).caller_address]);
-    assert_eq!(members.next_round(), []);
+    assert_eq!(members.next_round(false), []);
 }
 
 /// A host known only from the store is sent heartbeats, but no callers.
@@ -99,7 +102,7 @@
     let mut members = Membership::new(host("h1", 1));
     members.add_registered(host("h2", 2));
     assert_eq!(members.caller_addresses("a", false), []);
-    assert_eq!(members.next_round(), [host("h2", 2).peer_address]);
+    assert_eq!(members.next_round(false), [host("h2", 2).peer_address]);
 }
 
 #[test]
@@ -119,7 +122,7 @@
     for heartbeat in &heartbeats {
         members.handle_heartbeat(heartbeat.clone(), ms(0));
     }
-    let mut reached: Vec<_> = (0..5).flat_map(|_| members.next_round()).collect();
+    let mut reached: Vec<_> = (0..5).flat_map(|_| members.next_round(false)).collect();
     assert_eq!(reached.len(), 80);
     reached.truncate(79);
     reached.sort();
@@ -127,3 +130,46 @@
     assert_eq!(reached.len(), 79);
     assert_eq!(members.tick(ms(5 * 150 + 349)), Default::default());
 }
+
+/// All of 110 hosts lose power and start again within 250 ms, in an arbitrary order, with the list
+/// of hosts from the store. A starting host changes its state in each of its first rounds. Although
+/// the first heartbeats reach hosts that have not started, all hosts know each other within two
+/// cycles of heartbeats.
+#[test]
+fn restarted_together() {
+    const COUNT: usize = 110;
+    const STATE_CHANGES: usize = 8;
+    let start = |at: usize| (at * 37 % COUNT) as u64 * 250 / COUNT as u64;
+    let hosts: Vec<Host> = (0..COUNT).map(|at| host(&format!("h{at:03}"), at as u16)).collect();
+    let mut members: Vec<Membership> = hosts.iter().cloned().map(Membership::new).collect();
+    for members in &mut members {
+        for host in &hosts {
+            members.add_registered(host.clone());
+        }
+    }
+    let deliver = |members: &mut [Membership], from: usize, to: usize, now: u64| {
+        let heartbeat = |at: usize| Heartbeat { host: hosts[at].clone(), ..heartbeat("", 0) };
+        if start(to) <= now
+            && members[to].handle_heartbeat(heartbeat(from), ms(now)).is_some()
+            && start(from) <= now
+        {
+            members[from].handle_heartbeat(heartbeat(to), ms(now));
+        }
+    };
+    let mut sent = 0;
+    let two_cycles = 2 * COUNT.div_ceil(16) as u64 * 150;
+    for now in 0..start(COUNT - 1).max(250) + two_cycles {
+        for from in (0..COUNT).filter(|at| start(*at) <= now && (now - start(*at)) % 150 == 0) {
+            let round = (now - start(from)) / 150;
+            let addresses = members[from].next_round(round < STATE_CHANGES as u64);
+            sent += addresses.len();
+            for address in addresses {
+                let to = usize::from(address.port()) - 1000;
+                deliver(&mut members, from, to, now);
+            }
+        }
+    }
+    let known: Vec<usize> = members.iter().map(Membership::live_count).collect();
+    assert!(known.iter().all(|it| *it == COUNT), "{known:?}");
+    assert!(sent < COUNT * COUNT * (STATE_CHANGES + 3), "{sent} datagrams");
+}
