perf(dispatch): sum the work of all hosts as it is reported, and compare a prompt with a shortlist of engines

Cause: for each decision the dispatcher added up the reports of all hosts at each engine, and compared each prompt with every engine, with a rendezvous hash each. With 295 hosts and 2,560 engines this took more than a host's processor share: prompts waited although the fleet was nearly idle.

Change: load::Tracker keeps the sums and updates them with each report, grant and expiry. A prompt is compared with its homes, the holders of its shared parts and the least loaded engines of each stage; homes are remembered until the engines change. The sort no longer clones keys.

--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -165,7 +165,7 @@
     /// Returns the work of all hosts at a target; none for an unknown target.
     pub fn total_work(&self, key: Key) -> Work {
         let target = self.registry.get(key);
-        target.map_or(Work::default(), |it| self.load.total(key, &it.id, clock::now()))
+        target.map_or(Work::default(), |it| self.load.total(key, &it.id))
     }
 }
 
--- a/gateway/src/dispatch.rs
+++ b/gateway/src/dispatch.rs
@@ -22,6 +22,7 @@
     prefix_cache,
     prompt::Prompt,
     registry::Key,
+    shortlist::{HomeIndex, Ranking},
     target::Stage,
 };
 
@@ -84,6 +85,8 @@
 pub struct Queue {
     requests: BTreeMap<(id::Host, RequestNumber), QueuedRequest>,
     late_share: LateShare,
+    /// Homes of the prompts, by service.
+    homes: HashMap<id::Service, HomeIndex>,
 }
 
 /// Recently placed tokens, of all requests and of late ones, with exponential decay.
@@ -183,31 +186,39 @@
         cache: &prefix_cache::Index,
         now: Moment,
     ) -> Vec<DecidedRequest> {
-        let mut order: Vec<_> = self
-            .requests
+        let Queue { requests, late_share, homes } = self;
+        let mut order: Vec<_> = requests
             .iter()
             .filter_map(|(key, it)| {
                 let fleet = fleets.get(&it.request.service)?;
                 Some((it.sort_key(&fleet.latency_model, now), key.clone()))
             })
             .collect();
-        let late_first = self.late_share.is_late_due();
-        order.sort_by_key(|((is_late, start, priority), key)| {
-            (*is_late != late_first, *start, *priority, key.clone())
+        let late_first = late_share.is_late_due();
+        order.sort_unstable_by(|((a_late, a_start, a_priority), a), (b_sort_key, b)| {
+            let (b_late, b_start, b_priority) = b_sort_key;
+            let a_sort_key = (*a_late != late_first, a_start, a_priority, a);
+            a_sort_key.cmp(&(*b_late != late_first, b_start, b_priority, b))
         });
+        let ranked = fleets.iter_mut().map(|(service, fleet)| {
+            let homes = homes.remove(service).unwrap_or_default();
+            (service.clone(), RankedFleet::new(fleet, homes))
+        });
+        let mut fleets: HashMap<id::Service, RankedFleet> = ranked.collect();
         let mut decided = Vec::new();
         for ((is_late, ..), key) in order {
-            let Some(queued) = self.requests.get(&key) else { continue };
+            let Some(queued) = requests.get(&key) else { continue };
             let Some(fleet) = fleets.get_mut(&queued.request.service) else { continue };
             let decision = fleet.decide(queued, cache, now);
             let Some(decision) = decision else { continue };
             if matches!(decision, Decision::Place(_)) {
-                self.late_share.record_placement(queued.request.prompt.unshared_tokens(), is_late);
+                late_share.record_placement(queued.request.prompt.unshared_tokens(), is_late);
             }
-            if let Some(queued) = self.requests.remove(&key) {
+            if let Some(queued) = requests.remove(&key) {
                 decided.push(DecidedRequest { host: key.0, request: queued.request, decision });
             }
         }
+        homes.extend(fleets.into_iter().map(|(service, fleet)| (service, fleet.homes)));
         decided
     }
 }
@@ -254,8 +265,8 @@
 }
 
 impl Engine {
-    /// Returns the engine as a candidate for a prompt.
-    pub fn candidate(
+    /// Returns the engine as a candidate for a prompt, without its rendezvous hash.
+    fn candidate(
         &self,
         prompt: &Prompt,
         cache: &prefix_cache::Index,
@@ -264,21 +275,32 @@
         let missing_tokens = cache.missing_tokens(self.key, prompt);
         let shared_tokens = prompt.tokens - prompt.unshared_tokens();
         Candidate {
-            key: self.key,
-            stage: self.stage,
-            rendezvous_hash: balancer::rendezvous_hash(&self.id, prompt.affinity_key()),
-            is_home: false,
-            queued_tokens: self.work.prompt_tokens,
             missing_tokens: latency_model.weighted_tokens(prompt, missing_tokens),
             shared_tokens,
             missing_shared_tokens: missing_tokens
                 .saturating_sub(prompt.unshared_tokens())
                 .min(shared_tokens),
+            needed_kv_tokens: prompt.tokens + prompt.max_output_tokens,
+            ..self.without_prompt()
+        }
+    }
+
+    /// Returns the engine as a candidate for a prompt without tokens.
+    pub(crate) fn without_prompt(&self) -> Candidate {
+        Candidate {
+            key: self.key,
+            stage: self.stage,
+            rendezvous_hash: 0,
+            is_home: false,
+            queued_tokens: self.work.prompt_tokens,
+            missing_tokens: 0,
+            shared_tokens: 0,
+            missing_shared_tokens: 0,
             requests: self.work.requests,
             slots: self.slots,
             used_kv_tokens: self.work.kv_tokens,
             kv_capacity_tokens: self.kv_capacity_tokens,
-            needed_kv_tokens: prompt.tokens + prompt.max_output_tokens,
+            needed_kv_tokens: 0,
             failure_rate: self.failure_rate,
             slowness: self.slowness,
         }
@@ -286,20 +308,61 @@
 }
 
 impl Fleet {
-    /// Returns the engines that a request may go to.
+    /// Returns the engines that a request may go to, with the homes of its prompt marked.
     pub fn candidates(&self, request: &Request, cache: &prefix_cache::Index) -> Vec<Candidate> {
         let eligible = self.engines.iter().filter(|it| !request.avoid.contains(&it.id));
-        let mut candidates: Vec<Candidate> =
-            eligible.map(|it| it.candidate(&request.prompt, cache, &self.latency_model)).collect();
+        let part = request.prompt.affinity_key();
+        let mut candidates: Vec<Candidate> = eligible
+            .map(|it| Candidate {
+                rendezvous_hash: balancer::rendezvous_hash(&it.id, part),
+                ..it.candidate(&request.prompt, cache, &self.latency_model)
+            })
+            .collect();
         engine::mark_homes(&mut candidates);
         candidates
     }
+}
+
+/// A fleet during one run of the dispatcher, with what makes its decisions fast.
+#[derive(Debug)]
+struct RankedFleet<'a> {
+    fleet: &'a mut Fleet,
+    ranking: Ranking,
+    homes: HomeIndex,
+}
+
+impl<'a> RankedFleet<'a> {
+    fn new(fleet: &'a mut Fleet, mut homes: HomeIndex) -> RankedFleet<'a> {
+        homes.set_engines(&fleet.engines);
+        let ranking = Ranking::new(&fleet.engines, &fleet.latency_model);
+        RankedFleet { fleet, ranking, homes }
+    }
+
+    /// Returns the engines that can be the best choice for a request.
+    fn candidates(&mut self, request: &Request, cache: &prefix_cache::Index) -> Vec<Candidate> {
+        let Fleet { engines, latency_model } = &*self.fleet;
+        let prompt = &request.prompt;
+        let part = prompt.affinity_key();
+        let homes = self.homes.homes(engines, part, &request.avoid);
+        let kv_tokens = prompt.tokens + prompt.max_output_tokens;
+        let is_avoided = |position: usize| {
+            !request.avoid.is_empty()
+                && engines.get(position).is_some_and(|it| request.avoid.contains(&it.id))
+        };
+        let shortlist = self.ranking.shortlist(kv_tokens, homes, cache.holders(part), is_avoided);
+        let engines = shortlist.into_iter().filter_map(|position| engines.get(position));
+        let candidates = engines.map(|it| Candidate {
+            is_home: homes.contains(&Some(it.key)),
+            ..it.candidate(prompt, cache, latency_model)
+        });
+        candidates.collect()
+    }
 
     /// Returns whether an engine's backlog is short enough for one more prompt.
     fn accepts_prompt(&self, key: Key) -> bool {
-        let engine = self.engines.iter().find(|it| it.key == key);
+        let engine = self.ranking.position(key).and_then(|it| self.fleet.engines.get(it));
         engine.is_some_and(|it| {
-            let backlog = self.latency_model.prefill_time(it.stage, it.work.prompt_tokens);
+            let backlog = self.fleet.latency_model.prefill_time(it.stage, it.work.prompt_tokens);
             backlog.mul_f64(it.slowness) <= MAX_ENGINE_BACKLOG
         })
     }
@@ -316,7 +379,7 @@
         now: Moment,
     ) -> Option<Decision> {
         let candidates = self.candidates(&queued.request, cache);
-        let placement = place(&candidates, &self.latency_model, queued.latency_budget(now));
+        let placement = place(&candidates, &self.fleet.latency_model, queued.latency_budget(now));
         if let Some(placement) = placement {
             let starts_now = self.accepts_prompt(placement.prefill_engine.key);
             self.add_work(&queued.request, placement, cache);
@@ -334,10 +397,12 @@
     }
 
     fn add_work(&mut self, request: &Request, placement: Placement, cache: &prefix_cache::Index) {
-        for (key, work) in placement.work(&request.prompt, cache, &self.latency_model) {
-            if let Some(engine) = self.engines.iter_mut().find(|it| it.key == key) {
-                engine.work = engine.work.plus(work);
-            }
+        let Fleet { engines, latency_model } = &mut *self.fleet;
+        for (key, work) in placement.work(&request.prompt, cache, latency_model) {
+            let Some(position) = self.ranking.position(key) else { continue };
+            let Some(engine) = engines.get_mut(position) else { continue };
+            engine.work = engine.work.plus(work);
+            self.ranking.update(position, engine, latency_model);
         }
     }
 }
--- a/gateway/src/dispatcher.rs
+++ b/gateway/src/dispatcher.rs
@@ -210,6 +210,7 @@
 
 fn decide(context: &Rc<Context>) {
     let now = clock::now();
+    context.state_mut().load.expire(now);
     let decided = {
         let state = context.state();
         let mut queue = context.dispatcher.queue.borrow_mut();
--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -252,7 +252,7 @@
     }
 
     /// Returns the expected latencies of the request there.
-    fn estimate(&self, latency_model: &LatencyModel) -> Estimate {
+    pub(crate) fn estimate(&self, latency_model: &LatencyModel) -> Estimate {
         let prefill_time =
             latency_model.prefill_time(self.stage, self.queued_tokens + self.missing_tokens);
         let failure_penalty = FAILURE_PENALTY.mul_f64(self.failure_rate);
@@ -393,7 +393,7 @@
 
 impl Candidate {
     /// Returns a measure of how much one more generation would be slowed down here.
-    fn occupancy(&self) -> f64 {
+    pub(crate) fn occupancy(&self) -> f64 {
         let slots = f64::from(self.requests) / f64::from(self.slots.max(1));
         let memory = self.used_kv_tokens as f64 / self.kv_capacity_tokens.max(1) as f64;
         let occupancy = slots.max(memory)
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! Everything runs on one thread. The modules that decide (`balancer`, `configuration`, `deadline`,
 //! `dispatch`, `election`, `engine`, `event_stream`, `health`, `load`, `membership`, `poison`,
-//! `prefix_cache`, `registry`, `retry_after`, `retry_budget`, `slowness`, `watch`) do no I/O and
-//! read no clock; `dispatcher`, `forward`, `http_server`, `peers`, `reservation`, `store_sync`,
+//! `prefix_cache`, `registry`, `retry_after`, `retry_budget`, `shortlist`, `slowness`, `watch`) do no
+//! I/O and read no clock; `dispatcher`, `forward`, `http_server`, `peers`, `reservation`, `store_sync`,
 //! `stream_relay` and `upstream` call them. A deployment's platform supplies its names and formats
 //! through [`store::Store`], [`headers::HeaderNames`] and [`directory::Directory`].
 
@@ -38,6 +38,7 @@
 pub mod retry_after;
 pub mod retry_budget;
 pub mod selection;
+mod shortlist;
 pub mod slowness;
 pub mod store;
 pub mod store_sync;
--- a/gateway/src/prefix_cache.rs
+++ b/gateway/src/prefix_cache.rs
@@ -17,6 +17,8 @@
 #[derive(Debug, Default)]
 pub struct Index {
     engines: SecondaryMap<Key, Engine>,
+    /// Engines that hold each part that prompts share.
+    holders: HashMap<SmolStr, Vec<Key>>,
 }
 
 #[derive(Debug, Default)]
@@ -37,10 +39,21 @@
     pub fn record_prefill(&mut self, key: Key, parts: &[Part], capacity: u64) {
         let Some(entry) = self.engines.entry(key) else { return };
         let engine = entry.or_default();
-        for part in parts {
-            engine.record_use(part);
+        for (at, part) in parts.iter().enumerate() {
+            let is_new = engine.record_use(part);
+            // The last part belongs to one request.
+            if is_new && at + 1 < parts.len() {
+                self.holders.entry(part.id.clone()).or_default().push(key);
+            }
+        }
+        for id in engine.evict(capacity) {
+            remove_holder(&mut self.holders, &id, key);
         }
-        engine.evict(capacity);
+    }
+
+    /// Returns the engines that are expected to hold a part that prompts share.
+    pub fn holders(&self, part: &str) -> &[Key] {
+        self.holders.get(part).map_or(&[], Vec::as_slice)
     }
 
     /// Returns the tokens of the leading parts that an engine is expected to hold.
@@ -62,22 +75,36 @@
 
     /// Removes an engine.
     pub fn forget(&mut self, key: Key) {
-        self.engines.remove(key);
+        for id in self.engines.remove(key).into_iter().flat_map(|it| it.parts.into_keys()) {
+            remove_holder(&mut self.holders, &id, key);
+        }
+    }
+}
+
+fn remove_holder(holders: &mut HashMap<SmolStr, Vec<Key>>, part: &SmolStr, key: Key) {
+    let Some(keys) = holders.get_mut(part) else { return };
+    keys.retain(|it| *it != key);
+    if keys.is_empty() {
+        holders.remove(part);
     }
 }
 
 impl Engine {
-    fn record_use(&mut self, part: &Part) {
+    /// Records the use of a part; returns whether the engine did not hold it.
+    fn record_use(&mut self, part: &Part) -> bool {
         self.last_use += 1;
         let replaced = self.parts.insert(part.id.clone(), (self.last_use, part.tokens));
         if replaced.is_none() {
             self.tokens += part.tokens;
         }
         self.uses.push_back((part.id.clone(), self.last_use));
+        replaced.is_none()
     }
 
-    /// Evicts the least recently used parts beyond the capacity, and compacts the log of uses.
-    fn evict(&mut self, capacity: u64) {
+    /// Evicts and returns the least recently used parts beyond the capacity, and compacts the log
+    /// of uses.
+    fn evict(&mut self, capacity: u64) -> Vec<SmolStr> {
+        let mut evicted = Vec::new();
         if MAX_STALE_USES + 2 * self.parts.len() < self.uses.len() {
             let parts = &self.parts;
             self.uses.retain(|(id, number)| parts.get(id).is_some_and(|(last, _)| last == number));
@@ -90,8 +117,10 @@
                 }
                 self.parts.remove(id);
                 self.tokens -= tokens;
+                evicted.push(id.clone());
             }
             self.uses.pop_front();
         }
+        evicted
     }
 }
--- a/gateway/src/store_sync.rs
+++ b/gateway/src/store_sync.rs
@@ -390,7 +390,7 @@
     }
 }
 
-/// Drops expired targets, idle connections, grants and records of broken requests, forever.
+/// Drops expired targets, idle connections, reports, grants and records of broken requests, forever.
 pub async fn expire_state(context: Rc<Context>) {
     loop {
         sleep(EXPIRY_INTERVAL).await;
@@ -401,7 +401,7 @@
         context.pool.close_expired();
         let now = clock::now();
         let mut state = context.state_mut();
-        state.load.expire_grants(now);
+        state.load.expire(now);
         state.poison.expire(now);
     }
 }
--- /dev/null
+++ b/gateway/tests/decision_time.rs
@@ -0,0 +1,68 @@
+//! Time of the dispatcher's decisions against the size of the fleet and of the queue.
+
+mod common;
+
+use std::{collections::HashMap, time::Instant};
+
+use fuchsiaknot_core::id;
+use fuchsiaknot_gateway::{
+    dispatch::{Fleet, Queue},
+    engine::LatencyModel,
+    prefix_cache,
+    target::Stage,
+};
+
+use common::{SERVICE, engine, keys, ms, prompt, request};
+
+/// Prints the time of one run of the dispatcher for each request in the queue, while all engines
+/// are busy, so that each request is compared with engines and stays queued.
+#[test]
+#[ignore = "measures time"]
+fn by_size() {
+    for engines in [18, 64, 90, 720, 3000] {
+        let keys = keys(engines);
+        let mut cache = prefix_cache::Index::default();
+        for (at, key) in keys.iter().enumerate() {
+            for part in 0..20 {
+                let parts = prompt(&format!("s{}", (at * 7 + part) % 400), 6000, "own", 500).parts;
+                cache.record_prefill(*key, &parts, 700_000);
+            }
+        }
+        let fleet: HashMap<id::Service, Fleet> = [(
+            SERVICE.into(),
+            Fleet {
+                latency_model: LatencyModel::default(),
+                engines: (0..engines)
+                    .map(|at| {
+                        let stage = if at % 4 == 0 { Stage::Prefill } else { Stage::Decode };
+                        let mut engine = engine(keys[at], &format!("i-{at:010}"), stage);
+                        engine.work.prompt_tokens = 6000 + at as u64;
+                        engine
+                    })
+                    .collect(),
+            },
+        )]
+        .into();
+        for queued in [10, 100, 1000] {
+            let mut queue = Queue::default();
+            for number in 0..queued {
+                let prompt =
+                    prompt(&format!("s{}", number % 400), 6000, &format!("p{number}"), 900);
+                queue.add("h1".into(), request(number, prompt, ms(100_000)), ms(0));
+            }
+            let mut fleets = fleet.clone();
+            let start = Instant::now();
+            queue.decide(&mut fleets, &cache, ms(0));
+            let first = start.elapsed();
+            let mut fleets = fleet.clone();
+            let start = Instant::now();
+            queue.decide(&mut fleets, &cache, ms(1));
+            let took = start.elapsed();
+            println!(
+                "{engines} engines, {queued} queued: {:.1} us a request, {:.1} in the first run",
+                took.as_secs_f64() * 1e6 / queued as f64,
+                first.as_secs_f64() * 1e6 / queued as f64
+            );
+        }
+    }
+}
--- a/gateway/tests/dispatch.rs
+++ b/gateway/tests/dispatch.rs
@@ -6,7 +6,7 @@
 
 use fuchsiaknot_core::id;
 use fuchsiaknot_gateway::{
-    dispatch::{DecidedRequest, Decision, Fleet, Queue, Request},
+    dispatch::{DecidedRequest, Decision, Engine, Fleet, Queue, Request},
     engine::LatencyModel,
     prefix_cache,
     registry::Key,
@@ -14,6 +14,7 @@
 };
 
 use common::{SERVICE, engine, keys, ms, prefill_engine, prompt, request};
+use rand::{Rng, SeedableRng, rngs::StdRng};
 use rstest::rstest;
 
 /// Returns two prefill engines and two decode engines.
@@ -211,3 +212,43 @@
     let request = request(1, prompt("s", 10, "p", 3000), ms(400));
     assert_eq!(prefill_engine(fleet, &request, &prefix_cache::Index::default()).stage, expected);
 }
+
+/// In a large fleet, a prompt is compared only with the least loaded engines, its homes and the
+/// holders of its shared parts. It goes where the comparison with all engines would send it.
+#[test]
+fn large_fleet() {
+    const ENGINES: usize = 400;
+    let keys = keys(ENGINES);
+    let mut rng = StdRng::seed_from_u64(11);
+    let mut placed = 0;
+    for round in 0..200 {
+        let mut cache = prefix_cache::Index::default();
+        let mut engines: Vec<Engine> = Vec::new();
+        for (at, key) in keys.iter().enumerate() {
+            let stage = if at % 4 == 0 { Stage::Prefill } else { Stage::Decode };
+            let mut engine = engine(*key, &format!("e{at}"), stage);
+            engine.work.prompt_tokens = rng.random_range(0..9000);
+            engine.work.requests = rng.random_range(0..34);
+            engines.push(engine);
+        }
+        for _ in 0..rng.random_range(0..6) {
+            let held = prompt("contract", 6000, "held", 100).parts;
+            cache.record_prefill(keys[rng.random_range(0..ENGINES)], &held, 700_000);
+        }
+        let fleet = Fleet { latency_model: LatencyModel::default(), engines };
+        let prompt = prompt("contract", 6000, "own", rng.random_range(100..9000));
+        let request = request(round, prompt, ms(5000));
+        let expected = prefill_engine(&fleet, &request, &cache);
+        let mut fleets = HashMap::from([(SERVICE.into(), fleet)]);
+        let mut queue = Queue::default();
+        queue.add("h1".into(), request, ms(0));
+        let decided = queue.decide(&mut fleets, &cache, ms(0));
+        // A prompt for a busy engine stays in the queue.
+        let Some(Decision::Place(placement)) = decided.first().map(|it| it.decision) else {
+            continue;
+        };
+        placed += 1;
+        assert_eq!(placement.prefill_engine, expected, "round {round}");
+    }
+    assert!(50 < placed, "{placed}");
+}
