perf(store-sync): read the host list first, and watch the store only once registered; trial of an outbox

Cause: of 295 hosts that start at once, each waited for its announcement, which the store refuses when more than a second of them is waiting, and until then knew no other host.

Change: the host list is read before the announcement, too, since the rows of a former run are still there after a failure of all hosts; a host becomes a watcher only when it is registered.

--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -21,6 +21,7 @@
     logging::Log,
     membership::{Host, Membership},
     metrics::Metrics,
+    outbox::Outbox,
     poison, prefix_cache,
     registry::{Event, Key, Registry},
     retry_budget::{self, Budget},
@@ -84,10 +85,16 @@
     pub work_changed: Notify,
     /// Notified when this host learns that it has missed a change in the store.
     pub update_missed: Notify,
+    /// Notified when this host may have become a watcher of the store.
+    pub watch_role_changed: Notify,
     bounds: Cell<Bounds>,
     /// Number of the last grant of each dispatcher that this host's own work includes.
     last_grants: RefCell<HashMap<id::Host, u64>>,
     peer_socket: RefCell<Option<Rc<UdpSocket>>>,
+    /// Datagrams between hosts that wait for room in the socket's send buffer.
+    pub outbox: RefCell<Outbox>,
+    /// Notified when datagrams wait in `outbox`.
+    pub outbox_filled: Notify,
     shutting_down: Cell<bool>,
     open_requests: Rc<Cell<usize>>,
     state: RefCell<State>,
@@ -208,8 +215,11 @@
             dispatcher: Dispatcher::default(),
             work_changed: Notify::new(),
             update_missed: Notify::new(),
+            watch_role_changed: Notify::new(),
             last_grants: RefCell::default(),
             peer_socket: RefCell::default(),
+            outbox: RefCell::default(),
+            outbox_filled: Notify::new(),
             shutdown_started: Notify::new(),
             shutting_down: Cell::new(false),
             open_requests: Rc::default(),
--- a/gateway/src/membership.rs
+++ b/gateway/src/membership.rs
@@ -97,6 +97,8 @@
     own: Host,
     peers: BTreeMap<id::Host, Peer>,
     dispatcher: id::Host,
+    /// Whether this host is registered in the store and has read the other hosts there.
+    registered: bool,
     /// Time since which this host claims to be the dispatcher.
     claimed_at: Option<Moment>,
     /// Last host of the previous heartbeat round.
@@ -136,6 +138,7 @@
     pub fn new(own: Host) -> Membership {
         Membership {
             dispatcher: own.name.clone(),
+            registered: false,
             claimed_at: None,
             last_reached: own.name.clone(),
             cycles: 0,
@@ -323,14 +326,22 @@
         true
     }
 
+    /// Records that this host is registered in the store and has read the other hosts there.
+    pub fn set_registered(&mut self) {
+        self.registered = true;
+    }
+
     /// Returns whether this host watches the store for the others: it is one of the largest
     /// hosts that can reach the store.
+    ///
+    /// A host that is not registered yet knows no others. It is no watcher: otherwise, each of many
+    /// hosts that start at once would call the store for each target that starts with them.
     pub fn is_watcher(&self, own_store_unreachable: bool) -> bool {
         let order = |host: &Host| (Reverse(host.cpu_millicores), host.name.clone());
         let peers =
             self.peers.values().filter(|it| it.up && !it.store_unreachable).map(|it| &it.host);
         let before = peers.filter(|it| order(it) < order(&self.own)).count();
-        !own_store_unreachable && before < WATCHER_COUNT
+        self.registered && !own_store_unreachable && before < WATCHER_COUNT
     }
 
     /// Returns the time for which this host has claimed to be the dispatcher.
--- a/gateway/src/store_sync.rs
+++ b/gateway/src/store_sync.rs
@@ -164,6 +164,7 @@
                 tokio::select! {
                     () = sleep(time) => {}
                     () = context.update_missed.notified() => {}
+                    () = context.watch_role_changed.notified() => {}
                 }
                 continue;
             }
@@ -406,9 +407,14 @@
     }
 }
 
-/// Announces this host in the store and reads the other hosts there, retrying until both succeed.
+/// Reads the other hosts in the store and announces this host there, retrying until it succeeds.
+///
+/// The hosts are read twice: first because the rows of a former run are still there after a failure
+/// of all hosts, while many announcements at once take the store seconds; then for the hosts that
+/// announced themselves in between. Those that do so later send this host a heartbeat.
 pub async fn register_host<S: Store>(context: Rc<Context>, store: S) {
     let mut backoff = Backoff::new("hosts");
+    read_hosts(&context, &store, &mut backoff).await;
     let own = context.settings.host.clone();
     loop {
         match store.announce(&own).await {
@@ -416,17 +422,23 @@
             Err(err) => backoff.record_failure(&err, &context).await,
         }
     }
+    read_hosts(&context, &store, &mut backoff).await;
+    context.state_mut().membership.set_registered();
+    context.watch_role_changed.notify_waiters();
+}
+
+async fn read_hosts<S: Store>(context: &Context, store: &S, backoff: &mut Backoff) {
     loop {
         match store.hosts().await {
             Ok(hosts) => {
-                backoff.record_success(&context);
+                backoff.record_success(context);
                 let mut state = context.state_mut();
                 for host in hosts {
                     state.membership.add_registered(host);
                 }
                 return;
             }
-            Err(err) => backoff.record_failure(&err, &context).await,
+            Err(err) => backoff.record_failure(&err, context).await,
         }
     }
 }
--- a/gateway/tests/membership.rs
+++ b/gateway/tests/membership.rs
@@ -131,6 +131,22 @@
     assert_eq!(members.tick(ms(5 * 150 + 349)), Default::default());
 }
 
+/// Of several hundred hosts that start at once, only the two largest watch the store, also while
+/// they do not know each other yet.
+#[test]
+fn watchers() {
+    let mut members = Membership::new(host("h1", 1));
+    assert!(!members.is_watcher(false));
+    members.set_registered();
+    assert!(members.is_watcher(false));
+    assert!(!members.is_watcher(true));
+    for name in ["h2", "h3"] {
+        let host = Host { cpu_millicores: 500, ..host(name, 2) };
+        members.handle_heartbeat(Heartbeat { host, ..heartbeat(name, 2) }, ms(0));
+    }
+    assert!(!members.is_watcher(false));
+}
+
 /// All of 110 hosts lose power and start again within 250 ms, in an arbitrary order, with the list
 /// of hosts from the store. A starting host changes its state in each of its first rounds. Although
 /// the first heartbeats reach hosts that have not started, all hosts know each other within two
