revert: no outbox for datagrams

On a kernel with the usual send buffer of 208 KiB, several hundred datagrams at once may exceed it; docs/CAPACITY.md names it.

--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -21,7 +21,6 @@
     logging::Log,
     membership::{Host, Membership},
     metrics::Metrics,
-    outbox::Outbox,
     poison, prefix_cache,
     registry::{Event, Key, Registry},
     retry_budget::{self, Budget},
@@ -91,10 +90,6 @@
     /// Number of the last grant of each dispatcher that this host's own work includes.
     last_grants: RefCell<HashMap<id::Host, u64>>,
     peer_socket: RefCell<Option<Rc<UdpSocket>>>,
-    /// Datagrams between hosts that wait for room in the socket's send buffer.
-    pub outbox: RefCell<Outbox>,
-    /// Notified when datagrams wait in `outbox`.
-    pub outbox_filled: Notify,
     shutting_down: Cell<bool>,
     open_requests: Rc<Cell<usize>>,
     state: RefCell<State>,
@@ -218,8 +213,6 @@
             watch_role_changed: Notify::new(),
             last_grants: RefCell::default(),
             peer_socket: RefCell::default(),
-            outbox: RefCell::default(),
-            outbox_filled: Notify::new(),
             shutdown_started: Notify::new(),
             shutting_down: Cell::new(false),
             open_requests: Rc::default(),
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -1,7 +1,7 @@
 //! Request path of an entry host in front of the services in the operators' configuration.
 //!
 //! Everything runs on one thread. The modules that decide (`balancer`, `configuration`, `deadline`,
-//! `dispatch`, `election`, `engine`, `event_stream`, `health`, `load`, `membership`, `outbox`, `poison`,
+//! `dispatch`, `election`, `engine`, `event_stream`, `health`, `load`, `membership`, `poison`,
 //! `prefix_cache`, `registry`, `retry_after`, `retry_budget`, `shortlist`, `slowness`, `watch`) do no
 //! I/O and read no clock; `dispatcher`, `forward`, `http_server`, `peers`, `reservation`, `store_sync`,
 //! `stream_relay` and `upstream` call them. A deployment's platform supplies its names and formats
@@ -27,7 +27,6 @@
 pub mod logging;
 pub mod membership;
 pub mod metrics;
-pub mod outbox;
 pub mod peers;
 pub mod poison;
 pub mod prefill;
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -29,8 +29,6 @@
     pub connections_opened: IntCounter,
     /// Calls to the store, by outcome.
     pub store_calls: IntCounterVec,
-    /// Datagrams to other hosts that waited for room in the send buffer or were dropped, by outcome.
-    pub datagrams: IntCounterVec,
     /// Duration of the stages of a request, in seconds: waiting for placement, until the first
     /// event, between two events, and the whole request.
     pub latency: HistogramVec,
@@ -92,11 +90,6 @@
                 "Calls to the store, by outcome.",
                 "outcome",
             )?,
-            datagrams: counters(
-                "datagrams_total",
-                "Datagrams to other hosts that were not sent at once, by outcome.",
-                "outcome",
-            )?,
             latency: histograms("latency_seconds", "Time by stage of a request.", "stage")?,
             store_call_time: histograms(
                 "store_call_seconds",
@@ -113,9 +106,6 @@
         for reason in Reason::ALL {
             metrics.refused.with_label_values(&[reason.code()]);
         }
-        for outcome in ["delayed", "dropped"] {
-            metrics.datagrams.with_label_values(&[outcome]);
-        }
         Ok(metrics)
     }
 
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -80,7 +80,7 @@
     send_to(context, &addresses, packet);
 }
 
-/// Sends a datagram to each address; returns whether all were sent or wait to be sent.
+/// Sends a datagram to each address; returns whether all were sent.
 fn send_to(context: &Context, addresses: &[SocketAddr], packet: &Packet) -> bool {
     let Some(socket) = context.peer_socket() else { return false };
     let bytes = match postcard::to_stdvec(packet) {
@@ -90,30 +90,14 @@
             return false;
         }
     };
-    let mut outbox = context.outbox.borrow_mut();
-    let outcome = outbox.send(&bytes, addresses, |datagram, to| socket.try_send_to(datagram, to));
-    if !outbox.is_empty() {
-        context.outbox_filled.notify_one();
-    }
-    context.metrics.datagrams.with_label_values(&["delayed"]).inc_by(outcome.delayed);
-    context.metrics.datagrams.with_label_values(&["dropped"]).inc_by(outcome.dropped);
-    outcome.dropped == 0
-}
-
-/// Sends the datagrams that wait, whenever the socket has room, forever.
-async fn flush_outbox(context: Rc<Context>, socket: Rc<UdpSocket>) {
-    loop {
-        context.outbox_filled.notified().await;
-        while !context.outbox.borrow().is_empty() {
-            if let Err(err) = socket.writable().await {
-                tracing::debug!(%err, "cannot wait for room in the send buffer");
-                break;
-            }
-            let mut outbox = context.outbox.borrow_mut();
-            let dropped = outbox.flush(|datagram, to| socket.try_send_to(datagram, to));
-            context.metrics.datagrams.with_label_values(&["dropped"]).inc_by(dropped);
+    let mut sent = true;
+    for address in addresses {
+        if let Err(err) = socket.try_send_to(&bytes, *address) {
+            tracing::debug!(%address, %err, "cannot send a datagram");
+            sent = false;
         }
     }
+    sent
 }
 
 /// Reports this host's work to the dispatcher, forever.
@@ -177,11 +161,9 @@
     let socket = Rc::new(UdpSocket::bind(context.settings.host.peer_address).await?);
     context.set_peer_socket(Some(Rc::clone(&socket)));
     let sender = tokio::task::spawn_local(send_heartbeats(Rc::clone(&context)));
-    let flusher = tokio::task::spawn_local(flush_outbox(Rc::clone(&context), Rc::clone(&socket)));
     let result = receive_packets(&context, &socket).await;
     context.set_peer_socket(None);
     sender.abort();
-    flusher.abort();
     result
 }
 
