--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -28,10 +28,7 @@
     upstream::Pool,
     watch::Watch,
 };
-use fuchsiaknot_core::{
-    clock::{self, Moment},
-    id,
-};
+use fuchsiaknot_core::{clock, id};
 
 /// Settings of the request path on one host.
 #[derive(Debug, Clone)]
@@ -46,8 +43,6 @@
     pub metrics_address: Option<SocketAddr>,
     /// Bounds as read at startup.
     pub bounds: Bounds,
-    /// Whether the whole system starts for the first time, so that no engine has cached anything.
-    pub is_first_start: bool,
     /// Time after an outage of the store within which targets whose entries expired may announce
     /// themselves again.
     pub reannounce_grace: Duration,
@@ -71,8 +66,6 @@
 pub struct Context {
     /// Settings as read at startup.
     pub settings: Settings,
-    /// Time at which the process started.
-    pub started_at: Moment,
     /// Names of the request and response headers.
     pub header_names: HeaderNames,
     /// Prefill protocol of the engines.
@@ -209,7 +202,6 @@
         Context {
             bounds: Cell::new(settings.bounds),
             settings,
-            started_at: clock::now(),
             header_names,
             prefill_api,
             metrics,
--- a/gateway/src/dispatch.rs
+++ b/gateway/src/dispatch.rs
@@ -39,23 +39,6 @@
 /// Factor by which the counts of recently placed tokens decay with each placement.
 const SHARE_DECAY: f64 = 0.99;
 
-/// Time after a host became dispatcher in which it assumes that the home engines hold the shared
-/// parts of prompts that it has not placed yet.
-const ASSUMPTION_TIME: Duration = Duration::from_secs(10);
-
-/// Returns whether a dispatcher assumes that the home engines hold the shared parts of a prompt
-/// about which its prefix cache index says nothing.
-///
-/// A host that takes over from another dispatcher, or starts again together with all others, has an
-/// empty index, while the engines still hold what was placed on them before. Without the assumption
-/// it would expect every prompt to be prefilled whole, refuse the long ones, and spread prompts with
-/// the same shared part over all engines. When the whole system starts for the first time, the
-/// caches are empty indeed.
-pub fn assumes_held(claim_age: Duration, uptime: Duration, is_first_start: bool) -> bool {
-    let from_start = uptime < claim_age + ASSUMPTION_TIME;
-    claim_age < ASSUMPTION_TIME && !(is_first_start && from_start)
-}
-
 /// A request to be placed on the engines.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Request {
--- a/gateway/src/dispatcher.rs
+++ b/gateway/src/dispatcher.rs
@@ -13,9 +13,7 @@
 
 use crate::{
     context::{Context, State},
-    dispatch::{
-        self, DecidedRequest, Decision, Fleet, Placement, Queue, Reply, Request, RequestNumber,
-    },
+    dispatch::{DecidedRequest, Decision, Fleet, Placement, Queue, Reply, Request, RequestNumber},
     engine::{Choice, Estimate},
     peers::{self, Packet},
     registry::Registry,
@@ -160,7 +158,6 @@
 pub fn handle_request(context: &Rc<Context>, host: id::Host, request: Request) {
     let number = request.number;
     let others_queued = !context.dispatcher.queue.borrow().is_empty();
-    assume_held_prefix(context, &request);
     context.dispatcher.queue.borrow_mut().add(host.clone(), request, clock::now());
     if others_queued {
         wake(context);
@@ -173,27 +170,6 @@
     }
 }
 
-/// Records for a while after this host became dispatcher that the home engines hold the shared parts
-/// of prompts that it has not placed yet.
-fn assume_held_prefix(context: &Context, request: &Request) {
-    let now = clock::now();
-    let mut state = context.state_mut();
-    let (prompt, service) = (&request.prompt, &request.service);
-    let Some(claim_age) = state.membership.claim_age(now) else { return };
-    let uptime = now.saturating_sub(context.started_at);
-    if !dispatch::assumes_held(claim_age, uptime, context.settings.is_first_start)
-        || prompt.shared_parts().is_empty()
-        || !state.prefix_cache.holders(prompt.affinity_key()).is_empty()
-    {
-        return;
-    }
-    let homes = selection::home_engines(&state, service, prompt.affinity_key());
-    let capacity = state.kv_capacity_tokens(service);
-    for key in homes.into_iter().flatten() {
-        state.prefix_cache.assume_held(key, prompt.shared_parts(), capacity);
-    }
-}
-
 /// Passes a dispatcher's reply to the pending request; a grant that nobody takes is acknowledged at
 /// once.
 pub fn handle_reply(context: &Context, dispatcher: id::Host, number: RequestNumber, reply: Reply) {
--- a/gateway/src/prefix_cache.rs
+++ b/gateway/src/prefix_cache.rs
@@ -37,21 +37,12 @@
     /// Records that an engine prefills a prompt with these parts; its cache holds `capacity`
     /// tokens.
     pub fn record_prefill(&mut self, key: Key, parts: &[Part], capacity: u64) {
-        // The last part belongs to one request.
-        self.record_uses(key, parts, parts.len().saturating_sub(1), capacity);
-    }
-
-    /// Records that an engine is expected to hold these parts that prompts share; its cache holds
-    /// `capacity` tokens.
-    pub fn assume_held(&mut self, key: Key, shared_parts: &[Part], capacity: u64) {
-        self.record_uses(key, shared_parts, shared_parts.len(), capacity);
-    }
-
-    fn record_uses(&mut self, key: Key, parts: &[Part], shared_count: usize, capacity: u64) {
         let Some(entry) = self.engines.entry(key) else { return };
         let engine = entry.or_default();
         for (at, part) in parts.iter().enumerate() {
-            if engine.record_use(part) && at < shared_count {
+            let is_new = engine.record_use(part);
+            // The last part belongs to one request.
+            if is_new && at + 1 < parts.len() {
                 self.holders.entry(part.id.clone()).or_default().push(key);
             }
         }
--- a/gateway/src/selection.rs
+++ b/gateway/src/selection.rs
@@ -9,7 +9,6 @@
     engine::{self, LatencyBudget},
     job::Job,
     registry::Key,
-    shortlist::{self, Homes},
     target::{Stage, Target},
 };
 
@@ -57,13 +56,6 @@
     Fleet { latency_model, engines: engines.collect() }
 }
 
-/// Returns the home engines of a service's prompts with this shared part.
-pub(crate) fn home_engines(state: &State, service: &id::Service, part: &str) -> Homes {
-    let engines = untried(state, service, &[]);
-    let stage = |target: &Target| target.stage.unwrap_or(Stage::Decode);
-    shortlist::homes_among(engines.iter().map(|(key, it)| (*key, &it.id, stage(it))), part)
-}
-
 /// Returns where this host places a request without the dispatcher, and whether it should start
 /// now.
 pub fn place_locally(state: &State, request: &Request) -> Option<(Placement, bool)> {
--- a/gateway/src/shortlist.rs
+++ b/gateway/src/shortlist.rs
@@ -182,23 +182,14 @@
     }
 }
 
+/// Returns the engine of each stage with the highest rendezvous hash.
 fn find_homes(engines: &[Engine], part: &str, avoid: &[id::Target]) -> Homes {
-    let eligible = engines.iter().filter(|it| !avoid.contains(&it.id));
-    homes_among(eligible.map(|it| (it.key, &it.id, it.stage)), part)
-}
-
-/// Returns the home engines of prompts with this shared part: the engine of each stage with the
-/// highest rendezvous hash.
-pub(crate) fn homes_among<'a>(
-    engines: impl Iterator<Item = (Key, &'a id::Target, Stage)>,
-    part: &str,
-) -> Homes {
     let mut best: [Option<(u64, Key)>; 2] = [None; 2];
-    for (key, id, stage) in engines {
-        let hash = balancer::rendezvous_hash(id, part);
-        let best = &mut best[usize::from(stage == Stage::Decode)];
+    for engine in engines.iter().filter(|it| !avoid.contains(&it.id)) {
+        let hash = balancer::rendezvous_hash(&engine.id, part);
+        let best = &mut best[usize::from(engine.stage == Stage::Decode)];
         if best.is_none_or(|(highest, _)| highest <= hash) {
-            *best = Some((hash, key));
+            *best = Some((hash, engine.key));
         }
     }
     best.map(|it| it.map(|(_, key)| key))
--- a/gateway/tests/dispatch.rs
+++ b/gateway/tests/dispatch.rs
@@ -6,7 +6,7 @@
 
 use fuchsiaknot_core::id;
 use fuchsiaknot_gateway::{
-    dispatch::{DecidedRequest, Decision, Engine, Fleet, Queue, Request, assumes_held},
+    dispatch::{DecidedRequest, Decision, Engine, Fleet, Queue, Request},
     engine::LatencyModel,
     prefix_cache,
     registry::Key,
@@ -213,50 +213,6 @@
     assert_eq!(prefill_engine(fleet, &request, &prefix_cache::Index::default()).stage, expected);
 }
 
-/// Only a dispatcher that took over, or a process that started again, assumes that engines hold what
-/// it has not placed itself, and only for a while.
-#[rstest]
-#[case::took_over_early(2000, 16_000, true, true)]
-#[case::first_dispatcher(14_000, 14_500, true, false)]
-#[case::took_over(100, 40_000, true, true)]
-#[case::long_ago(10_000, 40_000, true, false)]
-#[case::all_restarted(100, 600, false, true)]
-#[case::all_started(100, 600, true, false)]
-fn held_prefixes(
-    #[case] claim_age: u64,
-    #[case] uptime: u64,
-    #[case] is_first_start: bool,
-    #[case] expected: bool,
-) {
-    assert_eq!(assumes_held(ms(claim_age), ms(uptime), is_first_start), expected);
-}
-
-/// All hosts are killed and start again, and the engines still hold the shared parts. The new
-/// dispatcher gets a burst of long prompts. It expects only their own tokens to be prefilled and
-/// refuses none.
-#[rstest]
-#[case::assumed(true, 0)]
-#[case::unknown(false, 4)]
-fn burst_after_restart(#[case] is_assumed: bool, #[case] refused: usize) {
-    let keys = keys(4);
-    let mut cache = prefix_cache::Index::default();
-    let mut queue = Queue::default();
-    for number in 0..8 {
-        let home = keys[number % 2];
-        let prompt = prompt(&format!("s{}", number % 2), 24_000, &format!("p{number}"), 1000);
-        if is_assumed {
-            cache.assume_held(home, prompt.shared_parts(), 700_000);
-        }
-        let request = Request { max_wait: ms(300), ..request(number as u64, prompt, ms(600)) };
-        queue.add("h1".into(), request, ms(0));
-    }
-    let mut fleets = fleet(&keys);
-    fleets.get_mut(SERVICE).unwrap().engines.truncate(3);
-    let decided = queue.decide(&mut fleets, &cache, ms(0));
-    let is_refused = |it: &&DecidedRequest| matches!(it.decision, Decision::Refuse(_));
-    assert_eq!(decided.iter().filter(is_refused).count(), refused, "{decided:?}");
-}
-
 /// In a large fleet, a prompt is compared only with the least loaded engines, its homes and the
 /// holders of its shared parts. It goes where the comparison with all engines would send it.
 #[test]
