perf(engine): generate on a decode engine that holds the prompt's shared parts

Cause: the decode engine was the least occupied one, and it keeps the KV cache that it fetches. Copies of each shared part went to all decode engines and displaced each other within seconds, so that few of them could prefill a long prompt from their own cache while the prefill engines were busy.

Change: the cost of a decode engine includes what it has to fetch; the home engine saves half of that for parts that no engine holds yet.

--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -377,21 +377,36 @@
     deadline.mul_f64(QUEUE_DEADLINE_SHARE).max(objective / 2)
 }
 
-/// Returns the least occupied decode engine with room, to generate from a prompt that another
-/// engine prefilled.
+/// Returns the decode engine with room that is best to generate from a prompt that another engine
+/// prefilled: little occupied, and holding the prompt's shared parts already.
+///
+/// The engine keeps the KV cache that it fetches. If prompts with the same shared part always went
+/// to the least occupied engine, copies of the part would displace other parts on all engines.
 pub fn choose_decode_engine(candidates: &[Candidate]) -> Option<Key> {
     let decode_engines = candidates.iter().filter(|it| it.stage == Stage::Decode);
     let available = decode_engines.filter(|it| it.has_room());
-    let best = available.min_by(|a, b| a.occupancy().total_cmp(&b.occupancy()));
+    let cost = |it: &Candidate| it.occupancy() + it.fetch_cost();
+    let best = available.min_by(|a, b| cost(a).total_cmp(&cost(b)));
     best.map(|it| it.key)
 }
 
+/// Occupancy added for each thousand tokens that an engine has to fetch.
+const FETCHED_KILOTOKEN_COST: f64 = 0.01;
+/// Share of that cost which the home engine saves for shared parts that it does not hold yet.
+const HOME_FETCH_SAVING: f64 = 0.5;
 /// Occupancy added for each thousand prompt tokens queued.
 const QUEUED_KILOTOKEN_COST: f64 = 0.02;
 /// Occupancy added to all engines, so that slowness counts even against an idle engine.
 const BASE_OCCUPANCY: f64 = 0.2;
 
 impl Candidate {
+    /// Returns the cost of fetching the prompt's KV cache, as an addition to the occupancy.
+    fn fetch_cost(&self) -> f64 {
+        let saving = if self.is_home { HOME_FETCH_SAVING } else { 0.0 };
+        let fetched = self.missing_tokens as f64 - saving * self.missing_shared_tokens as f64;
+        fetched / 1e3 * FETCHED_KILOTOKEN_COST
+    }
+
     /// Returns a measure of how much one more generation would be slowed down here.
     pub(crate) fn occupancy(&self) -> f64 {
         let slots = f64::from(self.requests) / f64::from(self.slots.max(1));
--- a/gateway/tests/dispatch.rs
+++ b/gateway/tests/dispatch.rs
@@ -2,12 +2,12 @@
 
 mod common;
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use fuchsiaknot_core::id;
 use fuchsiaknot_gateway::{
     dispatch::{DecidedRequest, Decision, Engine, Fleet, Queue, Request},
-    engine::LatencyModel,
+    engine::{LatencyModel, choose_decode_engine},
     prefix_cache,
     registry::Key,
     target::Stage,
@@ -213,6 +213,36 @@
     assert_eq!(prefill_engine(fleet, &request, &prefix_cache::Index::default()).stage, expected);
 }
 
+/// Prompts with a few shared parts, one after another, while the decode engines are little occupied.
+/// Each shared part stays on one decode engine instead of being copied to all of them; an engine
+/// that is far more occupied than the others gets no further prompt.
+#[test]
+fn decode_engine_holds_prefix() {
+    let keys = keys(10);
+    let mut cache = prefix_cache::Index::default();
+    let mut rng = StdRng::seed_from_u64(5);
+    let mut used: BTreeMap<String, BTreeSet<Key>> = BTreeMap::new();
+    for number in 0..120 {
+        let part = format!("s{}", number % 6);
+        let mut engines: Vec<Engine> = Vec::new();
+        for (at, key) in keys.iter().enumerate() {
+            let stage = if at < 2 { Stage::Prefill } else { Stage::Decode };
+            let mut engine = engine(*key, &format!("e{at}"), stage);
+            engine.work.requests = if at == 9 { 28 } else { rng.random_range(0..3) };
+            engines.push(engine);
+        }
+        let fleet = Fleet { latency_model: LatencyModel::default(), engines };
+        let prompt = prompt(&part, 13_000, &format!("p{number}"), 4000);
+        let request = request(number, prompt.clone(), ms(600));
+        let candidates = fleet.candidates(&request, &cache);
+        let decode_engine = choose_decode_engine(&candidates).unwrap();
+        assert_ne!(decode_engine, keys[9]);
+        cache.record_prefill(decode_engine, &prompt.parts, 450_000);
+        used.entry(part).or_default().insert(decode_engine);
+    }
+    assert!(used.values().all(|it| it.len() == 1), "{used:?}");
+}
+
 /// In a large fleet, a prompt is compared only with the least loaded engines, its homes and the
 /// holders of its shared parts. It goes where the comparison with all engines would send it.
 #[test]
