--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -391,7 +391,7 @@
 }
 
 /// Occupancy added for each thousand tokens that an engine has to fetch.
-const FETCHED_KILOTOKEN_COST: f64 = 0.01;
+const FETCHED_KILOTOKEN_COST: f64 = 0.02;
 /// Share of that cost which the home engine saves for shared parts that it does not hold yet.
 const HOME_FETCH_SAVING: f64 = 0.5;
 /// Occupancy added for each thousand prompt tokens queued.
