perf(engine): generate in the data centre where the prompt was prefilled

Cause: a KV cache takes twice as long between data centres, and four of five handovers crossed them: the decode engine was chosen before the prefill engine and without regard to its data centre. For the longest prompts that time decides whether they are late.

Change: the prefill engine is chosen first; the cost of a decode engine in another data centre grows with the prompt, and the shortlist has the least occupied engine of each data centre.

--- a/gateway/src/dispatch.rs
+++ b/gateway/src/dispatch.rs
@@ -252,6 +252,8 @@
     pub id: id::Target,
     /// Stage that the engine runs.
     pub stage: Stage,
+    /// Data centre of the engine, as an index into those of its service.
+    pub data_centre: u16,
     /// Largest number of requests that it runs concurrently.
     pub slots: u32,
     /// KV cache memory, in tokens.
@@ -290,6 +292,7 @@
         Candidate {
             key: self.key,
             stage: self.stage,
+            data_centre: self.data_centre,
             rendezvous_hash: 0,
             is_home: false,
             queued_tokens: self.work.prompt_tokens,
@@ -431,12 +434,15 @@
     latency_model: &LatencyModel,
     latency_budget: LatencyBudget,
 ) -> Option<Placement> {
-    let decode_engine = engine::choose_decode_engine(candidates);
-    let prefill_candidates =
-        candidates.iter().filter(|it| it.stage == Stage::Decode || decode_engine.is_some());
+    let can_decode = candidates.iter().any(|it| it.stage == Stage::Decode && it.has_room());
+    let prefill_candidates = candidates.iter().filter(|it| it.stage == Stage::Decode || can_decode);
     let prefill_candidates: Vec<Candidate> = prefill_candidates.copied().collect();
     let prefill_engine = engine::choose(&prefill_candidates, latency_model, latency_budget)?;
-    let decode_engine = decode_engine.filter(|_| prefill_engine.stage == Stage::Prefill);
+    let data_centre = candidates.iter().find(|it| it.key == prefill_engine.key)?.data_centre;
+    let decode_engine = match prefill_engine.stage {
+        Stage::Prefill => engine::choose_decode_engine(candidates, data_centre),
+        Stage::Decode => None,
+    };
     Some(Placement { prefill_engine, decode_engine })
 }
 
--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -215,6 +215,8 @@
     pub key: Key,
     /// Stage that the engine runs.
     pub stage: Stage,
+    /// Data centre of the engine, as an index into those of its service.
+    pub data_centre: u16,
     /// Rendezvous hash of the engine and the prompt's last shared part; the same on all hosts.
     pub rendezvous_hash: u64,
     /// Whether the engine is home to the prompt: preferred for all prompts with the same shared
@@ -377,22 +379,26 @@
     deadline.mul_f64(QUEUE_DEADLINE_SHARE).max(objective / 2)
 }
 
-/// Returns the decode engine with room that is best to generate from a prompt that another engine
-/// prefilled: little occupied, and holding the prompt's shared parts already.
+/// Returns the decode engine with room that is best to generate from a prompt that an engine in
+/// `data_centre` prefilled: little occupied, in the same data centre, and holding the prompt's shared
+/// parts already.
 ///
 /// The engine keeps the KV cache that it fetches. If prompts with the same shared part always went
 /// to the least occupied engine, copies of the part would displace other parts on all engines.
-pub fn choose_decode_engine(candidates: &[Candidate]) -> Option<Key> {
+pub fn choose_decode_engine(candidates: &[Candidate], data_centre: u16) -> Option<Key> {
     let decode_engines = candidates.iter().filter(|it| it.stage == Stage::Decode);
     let available = decode_engines.filter(|it| it.has_room());
-    let cost = |it: &Candidate| it.occupancy() + it.fetch_cost();
+    let cost = |it: &Candidate| it.occupancy() + it.fetch_cost(data_centre);
     let best = available.min_by(|a, b| cost(a).total_cmp(&cost(b)));
     best.map(|it| it.key)
 }
 
 /// Occupancy added for each thousand tokens that an engine has to fetch.
 const FETCHED_KILOTOKEN_COST: f64 = 0.02;
-/// Share of that cost which the home engine saves for shared parts that it does not hold yet.
+/// Occupancy added for each thousand tokens of a prompt that come from another data centre, which
+/// takes twice as long.
+const REMOTE_KILOTOKEN_COST: f64 = 0.005;
+/// Share of the cost of fetching which the home engine saves for shared parts that it does not hold yet.
 const HOME_FETCH_SAVING: f64 = 0.5;
 /// Occupancy added for each thousand prompt tokens queued.
 const QUEUED_KILOTOKEN_COST: f64 = 0.02;
@@ -400,11 +406,15 @@
 const BASE_OCCUPANCY: f64 = 0.2;
 
 impl Candidate {
-    /// Returns the cost of fetching the prompt's KV cache, as an addition to the occupancy.
-    fn fetch_cost(&self) -> f64 {
+    /// Returns the cost of fetching the prompt's KV cache from an engine in `data_centre`, as an
+    /// addition to the occupancy.
+    fn fetch_cost(&self, data_centre: u16) -> f64 {
         let saving = if self.is_home { HOME_FETCH_SAVING } else { 0.0 };
         let fetched = self.missing_tokens as f64 - saving * self.missing_shared_tokens as f64;
-        fetched / 1e3 * FETCHED_KILOTOKEN_COST
+        let prompt_tokens =
+            (self.missing_tokens + self.shared_tokens - self.missing_shared_tokens) as f64;
+        let remote = if self.data_centre == data_centre { 0.0 } else { prompt_tokens };
+        (fetched * FETCHED_KILOTOKEN_COST + remote * REMOTE_KILOTOKEN_COST) / 1e3
     }
 
     /// Returns a measure of how much one more generation would be slowed down here.
--- a/gateway/src/selection.rs
+++ b/gateway/src/selection.rs
@@ -39,10 +39,12 @@
         state.slowness.median(of_stage)
     };
     let (prefill_median, decode_median) = (median(Stage::Prefill), median(Stage::Decode));
+    let mut data_centres: Vec<&id::DataCentre> = Vec::new();
     let engines = targets.iter().map(|(key, target)| Engine {
         key: *key,
         id: target.id.clone(),
         stage: stage(target),
+        data_centre: index_of(&mut data_centres, &target.data_centre),
         slots: target.slots,
         kv_capacity_tokens,
         work: state.total_work(*key),
@@ -56,6 +58,15 @@
     Fleet { latency_model, engines: engines.collect() }
 }
 
+/// Returns the index of a data centre in the list, to which it is added if it is new.
+fn index_of<'a>(data_centres: &mut Vec<&'a id::DataCentre>, name: &'a id::DataCentre) -> u16 {
+    let index = data_centres.iter().position(|it| *it == name).unwrap_or_else(|| {
+        data_centres.push(name);
+        data_centres.len() - 1
+    });
+    u16::try_from(index).unwrap_or(u16::MAX)
+}
+
 /// Returns where this host places a request without the dispatcher, and whether it should start
 /// now.
 pub fn place_locally(state: &State, request: &Request) -> Option<(Placement, bool)> {
--- a/gateway/src/shortlist.rs
+++ b/gateway/src/shortlist.rs
@@ -5,7 +5,7 @@
 //! hold the shared parts, only the least loaded can be the cheapest. So only these, the homes and
 //! the holders are compared in detail, and a decision takes little longer in a large fleet.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use fuchsiaknot_core::id;
 use slotmap::SecondaryMap;
@@ -39,6 +39,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Load {
     stage: Stage,
+    data_centre: u16,
     /// Expected milliseconds to the first event of a typical prompt.
     first_event_ms: f64,
     /// Measure of how much one more generation would be slowed down.
@@ -52,6 +53,7 @@
         let candidate = Candidate { missing_tokens: TYPICAL_TOKENS, ..engine.without_prompt() };
         Load {
             stage: engine.stage,
+            data_centre: engine.data_centre,
             first_event_ms: candidate.estimate(latency_model).first_event.as_secs_f64() * 1e3,
             occupancy: candidate.occupancy(),
             has_slot: candidate.requests < candidate.slots,
@@ -114,7 +116,7 @@
     ) -> Vec<usize> {
         let (mut prefill, mut decode) =
             (Least::<LEAST_LOADED>::new(), Least::<LEAST_LOADED>::new());
-        let mut least_occupied = Least::<1>::new();
+        let mut least_occupied: BTreeMap<u16, Least<1>> = BTreeMap::new();
         for (position, load) in self.loads.iter().enumerate() {
             if !load.has_slot || load.free_kv_tokens < kv_tokens || is_avoided(position) {
                 continue;
@@ -123,11 +125,13 @@
                 Stage::Prefill => prefill.offer(load.first_event_ms, position),
                 Stage::Decode => {
                     decode.offer(load.first_event_ms, position);
-                    least_occupied.offer(load.occupancy, position);
+                    let of_data_centre = least_occupied.entry(load.data_centre);
+                    of_data_centre.or_insert_with(Least::new).offer(load.occupancy, position);
                 }
             }
         }
-        let least = [prefill.found, decode.found, least_occupied.found].into_iter().flatten();
+        let least_occupied = least_occupied.into_values().flat_map(|it| it.found);
+        let least = prefill.found.into_iter().chain(decode.found).chain(least_occupied);
         let homes = homes.into_iter().flatten();
         let holders = holders.iter().take(MAX_HOLDERS).copied();
         let known = homes.chain(holders).filter_map(|key| self.position(key));
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -76,6 +76,7 @@
         key,
         id: name.into(),
         stage,
+        data_centre: 0,
         slots: 32,
         kv_capacity_tokens: 700_000,
         work: Work::default(),
--- a/gateway/tests/dispatch.rs
+++ b/gateway/tests/dispatch.rs
@@ -235,7 +235,7 @@
         let prompt = prompt(&part, 13_000, &format!("p{number}"), 4000);
         let request = request(number, prompt.clone(), ms(600));
         let candidates = fleet.candidates(&request, &cache);
-        let decode_engine = choose_decode_engine(&candidates).unwrap();
+        let decode_engine = choose_decode_engine(&candidates, 0).unwrap();
         assert_ne!(decode_engine, keys[9]);
         cache.record_prefill(decode_engine, &prompt.parts, 450_000);
         used.entry(part).or_default().insert(decode_engine);
@@ -243,6 +243,41 @@
     assert!(used.values().all(|it| it.len() == 1), "{used:?}");
 }
 
+/// Five data centres with engines of both stages, all equally occupied. The KV cache of a long prompt
+/// stays in the data centre where it was prefilled; when the engines there are far more occupied,
+/// another data centre generates.
+#[rstest]
+#[case::equally_occupied(2, true)]
+#[case::far_more_occupied(28, false)]
+fn decode_in_same_data_centre(#[case] requests: u32, #[case] expected: bool) {
+    let keys = keys(50);
+    let mut rng = StdRng::seed_from_u64(3);
+    for number in 0..40 {
+        let mut engines: Vec<Engine> = Vec::new();
+        for (at, key) in keys.iter().enumerate() {
+            let stage = if at < 10 { Stage::Prefill } else { Stage::Decode };
+            let mut engine = engine(*key, &format!("e{at}"), stage);
+            engine.data_centre = at as u16 % 5;
+            engine.work.requests = if at % 5 == 0 { requests } else { rng.random_range(1..3) };
+            if stage == Stage::Prefill && at % 5 != 0 {
+                engine.work.prompt_tokens = 90_000;
+            }
+            engines.push(engine);
+        }
+        let prompt = prompt(&format!("s{number}"), 10, &format!("p{number}"), 20_000);
+        let fleet = Fleet { latency_model: LatencyModel::default(), engines };
+        let mut fleets = HashMap::from([(SERVICE.into(), fleet)]);
+        let mut queue = Queue::default();
+        queue.add("h1".into(), request(number, prompt, ms(600)), ms(0));
+        let decided = queue.decide(&mut fleets, &prefix_cache::Index::default(), ms(0));
+        let Decision::Place(placement) = decided[0].decision else { panic!("{decided:?}") };
+        assert_eq!(placement.prefill_engine.stage, Stage::Prefill);
+        let decode_engine = placement.decode_engine.unwrap();
+        let at = keys.iter().position(|it| *it == decode_engine).unwrap();
+        assert_eq!(at % 5 == 0, expected, "engine {at}");
+    }
+}
+
 /// In a large fleet, a prompt is compared only with the least loaded engines, its homes and the
 /// holders of its shared parts. It goes where the comparison with all engines would send it.
 #[test]
