--- a/gateway/src/dispatch.rs
+++ b/gateway/src/dispatch.rs
@@ -22,7 +22,7 @@
     prefix_cache,
     prompt::Prompt,
     registry::Key,
-    shortlist::{HomeIndex, Ranking},
+    shortlist::{Affinity, Ranking},
     target::Stage,
 };
 
@@ -86,7 +86,7 @@
     requests: BTreeMap<(id::Host, RequestNumber), QueuedRequest>,
     late_share: LateShare,
     /// Homes of the prompts, by service.
-    homes: HashMap<id::Service, HomeIndex>,
+    homes: HashMap<id::Service, Affinity>,
 }
 
 /// Recently placed tokens, of all requests and of late ones, with exponential decay.
@@ -200,16 +200,16 @@
             let a_sort_key = (*a_late != late_first, a_start, a_priority, a);
             a_sort_key.cmp(&(*b_late != late_first, b_start, b_priority, b))
         });
-        let ranked = fleets.iter_mut().map(|(service, fleet)| {
+        let runs = fleets.iter_mut().map(|(service, fleet)| {
             let homes = homes.remove(service).unwrap_or_default();
-            (service.clone(), RankedFleet::new(fleet, homes))
+            (service.clone(), Run::new(fleet, homes))
         });
-        let mut fleets: HashMap<id::Service, RankedFleet> = ranked.collect();
+        let mut runs: HashMap<id::Service, Run> = runs.collect();
         let mut decided = Vec::new();
         for ((is_late, ..), key) in order {
             let Some(queued) = requests.get(&key) else { continue };
-            let Some(fleet) = fleets.get_mut(&queued.request.service) else { continue };
-            let decision = fleet.decide(queued, cache, now);
+            let Some(run) = runs.get_mut(&queued.request.service) else { continue };
+            let decision = run.decide(queued, cache, now);
             let Some(decision) = decision else { continue };
             if matches!(decision, Decision::Place(_)) {
                 late_share.record_placement(queued.request.prompt.unshared_tokens(), is_late);
@@ -218,7 +218,7 @@
                 decided.push(DecidedRequest { host: key.0, request: queued.request, decision });
             }
         }
-        homes.extend(fleets.into_iter().map(|(service, fleet)| (service, fleet.homes)));
+        homes.extend(runs.into_iter().map(|(service, run)| (service, run.homes)));
         decided
     }
 }
@@ -326,19 +326,19 @@
     }
 }
 
-/// A fleet during one run of the dispatcher, with what makes its decisions fast.
+/// One run of the dispatcher over a fleet.
 #[derive(Debug)]
-struct RankedFleet<'a> {
+struct Run<'a> {
     fleet: &'a mut Fleet,
     ranking: Ranking,
-    homes: HomeIndex,
+    homes: Affinity,
 }
 
-impl<'a> RankedFleet<'a> {
-    fn new(fleet: &'a mut Fleet, mut homes: HomeIndex) -> RankedFleet<'a> {
+impl<'a> Run<'a> {
+    fn new(fleet: &'a mut Fleet, mut homes: Affinity) -> Run<'a> {
         homes.set_engines(&fleet.engines);
         let ranking = Ranking::new(&fleet.engines, &fleet.latency_model);
-        RankedFleet { fleet, ranking, homes }
+        Run { fleet, ranking, homes }
     }
 
     /// Returns the engines that can be the best choice for a request.
--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -398,7 +398,8 @@
 /// Occupancy added for each thousand tokens of a prompt that come from another data centre, which
 /// takes twice as long.
 const REMOTE_KILOTOKEN_COST: f64 = 0.005;
-/// Share of the cost of fetching which the home engine saves for shared parts that it does not hold yet.
+/// Share of the cost of fetching which the home engine saves for shared parts that it does not hold
+/// yet.
 const HOME_FETCH_SAVING: f64 = 0.5;
 /// Occupancy added for each thousand prompt tokens queued.
 const QUEUED_KILOTOKEN_COST: f64 = 0.02;
--- a/gateway/src/shortlist.rs
+++ b/gateway/src/shortlist.rs
@@ -148,13 +148,13 @@
 
 /// Home engines of the prompts of one service, by the identifier of the last shared part.
 #[derive(Debug, Default)]
-pub(crate) struct HomeIndex {
+pub(crate) struct Affinity {
     /// Engines among which the homes were chosen.
     engines: Vec<(Key, Stage)>,
     by_part: HashMap<smol_str::SmolStr, Homes>,
 }
 
-impl HomeIndex {
+impl Affinity {
     /// Forgets all homes if the engines changed.
     pub(crate) fn set_engines(&mut self, engines: &[Engine]) {
         let is_same = self.engines.len() == engines.len()
