--- a/gateway/src/membership.rs
+++ b/gateway/src/membership.rs
@@ -299,7 +299,7 @@
         let peers: Vec<(&id::Host, &Peer)> = peers.collect();
         let peers_confirmed_at = peers.iter().map(|(_, it)| it.targets_confirmed_at);
         let newest = peers_confirmed_at.chain(own_confirmed_at).max().unwrap_or_default();
-        // What a peer's list lagged behind when it was last heard of, not what it lags behind now.
+        // A peer's lag at the time of its last heartbeat; later confirmations are not known here yet.
         let is_current = |confirmed_at: Moment, heard_at: Moment| {
             newest.min(heard_at) <= confirmed_at + MAX_TARGETS_LAG
         };
--- a/gateway/tests/election.rs
+++ b/gateway/tests/election.rs
@@ -132,8 +132,8 @@
     assert_ne!(elected.last().unwrap(), "h002", "{elected:?}");
 }
 
-/// The store is away for eight seconds. Each of 58 hosts last heard of it at another moment, and
-/// hears of a tenth of the others in each round. All keep the same dispatcher throughout.
+/// The store is away for eight seconds. Each of 58 hosts got its last answer at another moment, and
+/// gets heartbeats from a tenth of the others in each round. All keep the same dispatcher throughout.
 #[test]
 fn store_away() {
     const COUNT: usize = 58;
--- a/gateway/tests/load.rs
+++ b/gateway/tests/load.rs
@@ -22,7 +22,10 @@
     assert_eq!(tracker.total(key, &"t".into()).requests, 2);
     tracker.remove(key, ONE);
     assert_eq!(tracker.total(key, &"t".into()).requests, 1);
+    tracker.add(key, ONE);
     tracker.expire(ms(1000));
+    assert_eq!(tracker.total(key, &"t".into()).requests, 1);
+    tracker.remove(key, ONE);
     assert_eq!(tracker.total(key, &"t".into()), Work::default());
 }
 
