feat(observability): log a retry that the budget refuses, and a connection closed after a timeout

Change: 8013 has over_budget; 8053 is written for such a connection, with open_request=true if a request was cut. No change of logic.

--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -255,7 +255,9 @@
         if matches!(failure, Failure::Broken(_)) {
             self.announce_broken(key);
         }
+        let was_sent = !matches!(failure, Failure::NotSent(_));
         let stop = self.stop_reason(&failure);
+        let over_budget = stop.is_none() && was_sent && !context.take_retry(&self.job.service);
         tracing::info!(code = 8013,
             id = %self.job.id,
             service = %self.job.service,
@@ -265,13 +267,13 @@
             failure = ?failure,
             left_ms = self.job.time_left().as_millis() as u64,
             stop = stop.map(Reason::code),
+            over_budget,
             "attempt failed"
         );
-        let was_sent = !matches!(failure, Failure::NotSent(_));
         if let Some(reason) = stop {
             return Err(reason);
         }
-        if was_sent && !context.take_retry(&self.job.service) {
+        if over_budget {
             return Err(if self.may_have_run { Reason::TargetFailed } else { Reason::RetryBudget });
         }
         context.metrics.retried.with_label_values(&[retry_reason.code()]).inc();
--- a/gateway/src/http_server.rs
+++ b/gateway/src/http_server.rs
@@ -119,7 +119,12 @@
     let result = tokio::select! {
         result = connection.as_mut() => result,
         reason = watchdog.expired() => {
-            tracing::debug!(reason = reason.code(), "caller's connection closed after a timeout");
+            tracing::info!(
+                code = 8053,
+                reason = reason.code(),
+                open_request = watchdog.has_open_request(),
+                "caller's connection closed after a timeout"
+            );
             return;
         }
         _ = phase.wait_for(|it| *it == Phase::Closing) => {
--- a/gateway/src/watchdog.rs
+++ b/gateway/src/watchdog.rs
@@ -51,6 +51,11 @@
         self.changed.notify_one();
     }
 
+    /// Returns whether a request is being read or answered on the connection.
+    pub fn has_open_request(&self) -> bool {
+        matches!(*self.phase.lock().expect("watchdog lock poisoned"), Phase::Busy)
+    }
+
     /// Waits until a timeout has passed and returns the reason for closing the connection.
     pub async fn expired(&self) -> Reason {
         loop {
