fix(relay): keep the attempt at a silent target until another one has answered

Callers saw: a stream without an end, or 502, although its target was sound and went on after 1.7 s. Cause: after 0.9 to 1.2 s of silence the relay closed the connection to the target first and only then asked whether the stream may continue elsewhere; without an attempt, a retry in the budget, or a target that takes it, the stream was cut. Idempotent requests were given up at the head timeout in the same way. Change: the silent attempt goes on beside the search for another target; what answers first is used, and without another target the host goes on waiting. An attempt counts from when it is sent, since it may now be dropped while it waits.

--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -1,6 +1,6 @@
 //! Forwards callers' requests to targets and the responses back.
 
-use std::{rc::Rc, time::Duration};
+use std::{pin::pin, rc::Rc, time::Duration};
 
 use fuchsiaknot_core::{
     clock::{self, Moment},
@@ -8,7 +8,7 @@
 };
 use hyper::{Request, Response, StatusCode, body::Incoming, header};
 use smol_str::SmolStr;
-use tokio::sync::mpsc;
+use tokio::{sync::mpsc, time::timeout};
 
 use crate::{
     attempt::{self, Attempt, Failure, InFlight, Options},
@@ -109,6 +109,20 @@
     }
 }
 
+/// Why a job has no response yet.
+enum SendError {
+    /// The attempt at a target failed.
+    Failed(Key, Failure),
+    /// The job is given up.
+    GivenUp(Reason),
+}
+
+impl From<(Key, Failure)> for SendError {
+    fn from((key, failure): (Key, Failure)) -> SendError {
+        SendError::Failed(key, failure)
+    }
+}
+
 /// Forwards one job and keeps the state of its attempts.
 pub(crate) struct Forwarder {
     pub(crate) context: Rc<Context>,
@@ -147,12 +161,10 @@
             };
             let key = attempt.response.key;
             let is_server_error = attempt.response.head.status.is_server_error();
-            let outcome =
-                if attempt.response.is_stream() && attempt.response.head.status.is_success() {
-                    self.begin_stream(attempt).await
-                } else {
-                    self.forward_whole(attempt).await
-                };
+            let outcome = match attempt.response.is_event_stream() {
+                true => self.begin_stream(attempt).await,
+                false => self.forward_whole(attempt).await,
+            };
             match outcome {
                 Ok(response) if is_server_error && self.take_retry_after_error() => {
                     self.context.state_mut().health.record_error(key);
@@ -198,24 +210,24 @@
             }
             let sent = if self.is_engine_service() {
                 let reservation = self.reserve_engines(last_event_id.is_some()).await?;
-                self.run_on_engines(reservation, last_event_id).await
+                self.run_on_engines(reservation, last_event_id).await.map_err(SendError::from)
             } else {
                 let key = selection::service_target(&self.context, &self.job, &self.tried);
                 let key = key.ok_or_else(|| self.no_target_reason())?;
                 let in_flight = InFlight::new(&self.context, &self.job, key, 0);
-                let options = Options {
-                    last_event_id,
-                    head_timeout: self.job.head_timeout(),
-                    prefilled: None,
-                };
-                self.send(in_flight, options).await
+                let options = Options { last_event_id, ..Options::default() };
+                match self.job.head_timeout() {
+                    Some(timeout) => self.send_hedged(in_flight, options, timeout).await,
+                    None => self.send(in_flight, options).await.map_err(SendError::from),
+                }
             };
             match sent {
                 Ok(attempt) => {
                     self.context.metrics.attempts.with_label_values(&["answered"]).inc();
                     return Ok(attempt);
                 }
-                Err((key, failure)) => self.record_failure(key, failure)?,
+                Err(SendError::Failed(key, failure)) => self.record_failure(key, failure)?,
+                Err(SendError::GivenUp(reason)) => return Err(reason),
             }
         }
     }
@@ -235,11 +247,59 @@
     ) -> Result<Attempt, (Key, Failure)> {
         let key = in_flight.key;
         self.tried.push(key);
-        let sent = attempt::send(&self.context, &self.job, in_flight, options).await;
-        if !matches!(sent, Err(Failure::NotSent(_))) {
-            self.job.attempts_sent.set(self.job.attempts_sent.get() + 1);
+        send_counted(&self.context, &self.job, in_flight, options).await.map_err(|it| (key, it))
+    }
+
+    /// Sends the job to a target and, when it does not answer within `head_timeout`, also to another
+    /// one; the first response is used.
+    ///
+    /// The first attempt goes on meanwhile: its target may answer after all, and there may be no
+    /// other target, or no retry left in the budget.
+    async fn send_hedged(
+        &mut self,
+        in_flight: InFlight,
+        options: Options<'_>,
+        head_timeout: Duration,
+    ) -> Result<Attempt, SendError> {
+        let key = in_flight.key;
+        let (context, job) = (Rc::clone(&self.context), Rc::clone(&self.job));
+        self.tried.push(key);
+        let mut first = pin!(send_counted(&context, &job, in_flight, options));
+        if let Ok(sent) = timeout(head_timeout, first.as_mut()).await {
+            return sent.map_err(|failure| SendError::Failed(key, failure));
+        }
+        let mut second = pin!(self.replace_silent(key, options.last_event_id));
+        tokio::select! {
+            sent = first.as_mut() => match sent {
+                Ok(attempt) => Ok(attempt),
+                Err(failure) => {
+                    attempt::record_health(&context, key, &failure);
+                    if matches!(failure, Failure::Broken(_)) {
+                        announce_broken(&context, &job, key);
+                    }
+                    second.await.map_err(SendError::GivenUp)
+                }
+            },
+            sent = second.as_mut() => match sent {
+                Ok(attempt) => Ok(attempt),
+                Err(_) => first.await.map_err(|failure| SendError::Failed(key, failure)),
+            },
         }
-        sent.map_err(|failure| (key, failure))
+    }
+
+    /// Sends the job to another target because the one of a running attempt is silent. The caller of
+    /// this function keeps that attempt until the other target has answered.
+    ///
+    /// # Errors
+    /// Returns the reason why there is no other attempt.
+    pub(crate) async fn replace_silent(
+        &mut self,
+        silent: Key,
+        last_event_id: Option<u64>,
+    ) -> Result<Attempt, Reason> {
+        self.record_failure(silent, Failure::Silent)?;
+        // Boxed because it may hedge again.
+        Box::pin(self.send_until_answered(last_event_id)).await
     }
 
     /// Records a failed attempt and takes a retry from the budget.
@@ -253,7 +313,7 @@
         context.metrics.attempts.with_label_values(&[retry_reason.code()]).inc();
         self.may_have_run |= failure.may_have_run();
         if matches!(failure, Failure::Broken(_)) {
-            self.announce_broken(key);
+            announce_broken(&context, &self.job, key);
         }
         let was_sent = !matches!(failure, Failure::NotSent(_));
         let stop = self.stop_reason(&failure);
@@ -280,19 +340,6 @@
         Ok(())
     }
 
-    /// Tells all hosts that the request broke off at a target, which it may have crashed.
-    fn announce_broken(&self, key: Key) {
-        let target = self.context.state().registry.get(key).map(|it| it.id.clone());
-        let Some(target) = target else { return };
-        let request = self.job.fingerprint();
-        self.context.state_mut().poison.record_interrupted_run(
-            request,
-            target.clone(),
-            clock::now(),
-        );
-        peers::send_to_all(&self.context, &Packet::AttemptBroken(request, target));
-    }
-
     /// Returns the reason for making no further attempt, if any.
     fn stop_reason(&mut self, failure: &Failure) -> Option<Reason> {
         match failure {
@@ -419,6 +466,32 @@
     }
 }
 
+/// Sends a job to a target and counts the attempt unless the request was not sent.
+///
+/// It is counted before the response, so that an attempt that is dropped meanwhile counts too.
+async fn send_counted(
+    context: &Context,
+    job: &Job,
+    in_flight: InFlight,
+    options: Options<'_>,
+) -> Result<Attempt, Failure> {
+    job.attempts_sent.set(job.attempts_sent.get() + 1);
+    let sent = attempt::send(context, job, in_flight, options).await;
+    if matches!(sent, Err(Failure::NotSent(_))) {
+        job.attempts_sent.set(job.attempts_sent.get() - 1);
+    }
+    sent
+}
+
+/// Tells all hosts that a request broke off at a target, which it may have crashed.
+fn announce_broken(context: &Context, job: &Job, key: Key) {
+    let target = context.state().registry.get(key).map(|it| it.id.clone());
+    let Some(target) = target else { return };
+    let request = job.fingerprint();
+    context.state_mut().poison.record_interrupted_run(request, target.clone(), clock::now());
+    peers::send_to_all(context, &Packet::AttemptBroken(request, target));
+}
+
 /// Logs a response that was forwarded to its end and records its latency.
 pub(crate) fn log_response(
     context: &Context,
--- a/gateway/src/stream_relay.rs
+++ b/gateway/src/stream_relay.rs
@@ -40,6 +40,16 @@
     }
 }
 
+/// How a stream goes on after its target was silent.
+enum Continuation {
+    /// At the same target, with what it sent next.
+    Same(Result<Option<Event>, Failure>),
+    /// At another target.
+    Other(Box<Attempt>),
+    /// Not at all, since the caller disconnected.
+    CallerGone,
+}
+
 /// Relay of one stream to its caller.
 pub(crate) struct Relay {
     forwarder: Forwarder,
@@ -84,8 +94,19 @@
                 }
                 Err(failure) => {
                     self.last_event_at = None;
-                    let resumed = self.resume(attempt, failure).await;
+                    let resumed = match failure {
+                        Failure::Silent => match self.outlast(&mut attempt, &mut splitter).await {
+                            Continuation::Same(same) => {
+                                next = same;
+                                continue;
+                            }
+                            Continuation::Other(other) => Some(*other),
+                            Continuation::CallerGone => return self.record_disconnect(),
+                        },
+                        failure => self.resume(attempt, failure).await,
+                    };
                     let Some(resumed) = resumed else { return };
+                    self.log_resumed(&resumed);
                     attempt = resumed;
                     splitter = Splitter::default();
                 }
@@ -116,18 +137,41 @@
         }
     }
 
+    /// Waits for the next event of a silent target while the job is sent to another one, which takes
+    /// the stream over if it answers first.
+    ///
+    /// The silent target keeps its attempt until then, since it may go on, and there may be no other
+    /// target, or no retry left in the budget.
+    async fn outlast(&mut self, attempt: &mut Attempt, splitter: &mut Splitter) -> Continuation {
+        let Relay { forwarder, sender, last_event_id, .. } = self;
+        let (job, key) = (Rc::clone(&forwarder.job), attempt.response.key);
+        tokio::select! {
+            next = next_event(attempt, splitter, &job, false) => return Continuation::Same(next),
+            () = sender.closed() => return Continuation::CallerGone,
+            replacement = forwarder.replace_silent(key, *last_event_id) => match replacement {
+                Ok(resumed) if resumed.response.is_event_stream() => {
+                    return Continuation::Other(Box::new(resumed));
+                }
+                Ok(_) | Err(_) => {}
+            },
+        }
+        tokio::select! {
+            next = next_event(attempt, splitter, &job, true) => Continuation::Same(next),
+            () = sender.closed() => Continuation::CallerGone,
+        }
+    }
+
     /// Resumes the stream at another target after the last event, or ends it with an error; the
     /// caller then sees an incomplete response.
     async fn resume(&mut self, attempt: Attempt, failure: Failure) -> Option<Attempt> {
         let key = attempt.response.key;
         drop(attempt);
-        let sender = self.sender.clone();
         let resumed = match self.forwarder.record_failure(key, failure) {
             Err(reason) => Err(reason),
             Ok(()) => {
                 tokio::select! {
                     resumed = self.forwarder.send_until_answered(self.last_event_id) => resumed,
-                    () = sender.closed() => {
+                    () = self.sender.closed() => {
                         self.record_disconnect();
                         return None;
                     }
@@ -135,26 +179,20 @@
             }
         };
         match resumed {
-            Ok(attempt)
-                if attempt.response.is_stream() && attempt.response.head.status.is_success() =>
-            {
-                tracing::info!(code = 8031,
-                    id = %self.forwarder.job.id,
-                    target = %attempt.response.target.id,
-                    after = self.last_event_id,
-                    "stream resumed at another target"
-                );
-                Some(attempt)
-            }
-            Ok(attempt) => {
-                self.abort(attempt.response.head.status.as_str()).await;
-                None
-            }
-            Err(reason) => {
-                self.abort(reason.code()).await;
-                None
-            }
+            Ok(attempt) if attempt.response.is_event_stream() => return Some(attempt),
+            Ok(attempt) => self.abort(attempt.response.head.status.as_str()).await,
+            Err(reason) => self.abort(reason.code()).await,
         }
+        None
+    }
+
+    fn log_resumed(&self, attempt: &Attempt) {
+        tracing::info!(code = 8031,
+            id = %self.forwarder.job.id,
+            target = %attempt.response.target.id,
+            after = self.last_event_id,
+            "stream resumed at another target"
+        );
     }
 
     /// Ends the stream with an error, once the caller has read all events or the deadline has
--- a/gateway/src/target_response.rs
+++ b/gateway/src/target_response.rs
@@ -84,6 +84,11 @@
         content_type.is_some_and(|it| it.as_bytes().starts_with(b"text/event-stream"))
     }
 
+    /// Returns whether the response is a stream that may reach the caller.
+    pub fn is_event_stream(&self) -> bool {
+        self.is_stream() && self.head.status.is_success()
+    }
+
     /// Returns the headers to forward.
     pub fn headers(&self) -> HeaderMap {
         end_to_end(&self.head.headers)
