fix(http): do not drop a request that arrives as its connection's idle timeout passes

Callers could see: a connection that ends with neither an answer nor a refusal, after the request was read and even passed on to a target. The timer and the notice of a new phase were waited for together, in random order; when both were ready the connection was closed although its request was being served. A host with little processor time polls seldom, so both are ready more often. Change: the phase is checked again when the timeout passes, and the connection is polled before its timer.

--- a/gateway/src/http_server.rs
+++ b/gateway/src/http_server.rs
@@ -117,6 +117,8 @@
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let result = tokio::select! {
+        // Polled first, so that a request that has arrived is read before a timeout is considered.
+        biased;
         result = connection.as_mut() => result,
         reason = watchdog.expired() => {
             tracing::info!(
--- a/gateway/src/watchdog.rs
+++ b/gateway/src/watchdog.rs
@@ -68,8 +68,12 @@
                     continue;
                 }
             };
+            if due <= Instant::now() {
+                return reason;
+            }
+            // The phase may have changed by the time the timeout passes, so it is checked again.
             tokio::select! {
-                () = sleep_until(due) => return reason,
+                () = sleep_until(due) => {}
                 () = self.changed.notified() => {}
             }
         }
