fix(http): apply the idle and header timeouts in force to open connections

Callers could see: a connection closed under them within the idle timeout that the newest configuration grants. Cause: a connection kept the limits of its accept, so a raised timeout did not apply to it. Found while looking for the cause of the streams without an end beside a change of the configuration; not seen in the users' report. Change: the watchdog reads the limits whenever a timeout passes.

--- a/gateway/src/http_server.rs
+++ b/gateway/src/http_server.rs
@@ -62,7 +62,7 @@
 /// Serves the connections of a listener until `phase` is [`Phase::Closing`].
 pub async fn serve<H, F>(
     listener: TcpListener,
-    limits: impl Fn() -> Limits,
+    limits: impl Fn() -> Limits + Clone + 'static,
     mut phase: watch::Receiver<Phase>,
     handle: H,
 ) where
@@ -84,13 +84,13 @@
             }
         };
         let handle = Rc::clone(&handle);
-        tokio::task::spawn_local(serve_connection(stream, limits(), phase.clone(), handle));
+        tokio::task::spawn_local(serve_connection(stream, limits.clone(), phase.clone(), handle));
     }
 }
 
 async fn serve_connection<H, F>(
     stream: TcpStream,
-    limits: Limits,
+    limits: impl Fn() -> Limits,
     mut phase: watch::Receiver<Phase>,
     handle: Rc<H>,
 ) where
@@ -102,7 +102,7 @@
         return;
     }
     let idle = watchdog::Phase::Idle(Instant::now());
-    let watchdog = Arc::new(Watchdog::new(idle, limits.header_timeout, limits.idle_timeout));
+    let watchdog = Arc::new(Watchdog::new(idle));
     let stream = WatchedStream::new(stream, Arc::clone(&watchdog));
     let request_watchdog = Arc::clone(&watchdog);
     let service = service_fn(move |request| {
@@ -113,14 +113,14 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(None)
-        .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
+        .max_buf_size(limits().max_header_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let result = tokio::select! {
         // Polled first, so that a request that has arrived is read before a timeout is considered.
         biased;
         result = connection.as_mut() => result,
-        reason = watchdog.expired() => {
+        reason = watchdog.expired(&limits) => {
             tracing::info!(
                 code = 8053,
                 reason = reason.code(),
--- a/gateway/src/watchdog.rs
+++ b/gateway/src/watchdog.rs
@@ -8,7 +8,6 @@
     pin::Pin,
     sync::{Arc, Mutex},
     task::{Context, Poll},
-    time::Duration,
 };
 
 use fuchsiaknot_core::verdict::Reason;
@@ -19,6 +18,8 @@
     time::{Instant, sleep_until},
 };
 
+use crate::http_server::Limits;
+
 /// State of a connection that decides which timeout applies.
 #[derive(Debug, Clone, Copy)]
 pub enum Phase {
@@ -30,19 +31,17 @@
     Busy,
 }
 
-/// Phase of one connection and its timeouts.
+/// Phase of one connection.
 #[derive(Debug)]
 pub struct Watchdog {
     phase: Mutex<Phase>,
     changed: Notify,
-    header_timeout: Duration,
-    idle_timeout: Duration,
 }
 
 impl Watchdog {
     /// Creates the watchdog of a connection that starts in `phase`.
-    pub fn new(phase: Phase, header_timeout: Duration, idle_timeout: Duration) -> Watchdog {
-        Watchdog { phase: Mutex::new(phase), changed: Notify::new(), header_timeout, idle_timeout }
+    pub fn new(phase: Phase) -> Watchdog {
+        Watchdog { phase: Mutex::new(phase), changed: Notify::new() }
     }
 
     /// Changes the phase and restarts its timeout.
@@ -57,12 +56,14 @@
     }
 
     /// Waits until a timeout has passed and returns the reason for closing the connection.
-    pub async fn expired(&self) -> Reason {
+    ///
+    /// `limits` returns the timeouts in force, which may change while the connection is open.
+    pub async fn expired(&self, limits: impl Fn() -> Limits) -> Reason {
         loop {
             let phase = *self.phase.lock().expect("watchdog lock poisoned");
             let (due, reason) = match phase {
-                Phase::Idle(since) => (since + self.idle_timeout, Reason::IdleTimeout),
-                Phase::Header(since) => (since + self.header_timeout, Reason::HeaderTimeout),
+                Phase::Idle(since) => (since + limits().idle_timeout, Reason::IdleTimeout),
+                Phase::Header(since) => (since + limits().header_timeout, Reason::HeaderTimeout),
                 Phase::Busy => {
                     self.changed.notified().await;
                     continue;
@@ -71,7 +72,7 @@
             if due <= Instant::now() {
                 return reason;
             }
-            // The phase may have changed by the time the timeout passes, so it is checked again.
+            // Phase and limits may have changed by the time the timeout passes: checked again.
             tokio::select! {
                 () = sleep_until(due) => {}
                 () = self.changed.notified() => {}
--- a/gateway/tests/watchdog.rs
+++ b/gateway/tests/watchdog.rs
@@ -7,13 +7,24 @@
     time::Duration,
 };
 
-use fuchsiaknot_gateway::watchdog::{Phase, Watchdog};
+use fuchsiaknot_gateway::{
+    http_server::Limits,
+    watchdog::{Phase, Watchdog},
+};
 use tokio::time::{Instant, sleep};
 
 const IDLE_TIMEOUT: Duration = Duration::from_millis(5);
 /// The order in which two ready events are handled is random, so one round may miss the fault.
 const ROUNDS: usize = 30;
 
+fn limits() -> Limits {
+    Limits {
+        max_header_bytes: 8192,
+        header_timeout: Duration::from_secs(1),
+        idle_timeout: IDLE_TIMEOUT,
+    }
+}
+
 /// A request that arrived at the moment of the idle timeout was dropped with its connection.
 #[test]
 fn request_at_timeout() {
@@ -21,8 +32,8 @@
     runtime.block_on(async {
         for round in 0..ROUNDS {
             let idle = Phase::Idle(Instant::now());
-            let watchdog = Watchdog::new(idle, Duration::from_secs(1), IDLE_TIMEOUT);
-            let mut expired = pin!(watchdog.expired());
+            let watchdog = Watchdog::new(idle);
+            let mut expired = pin!(watchdog.expired(limits));
             let first = poll_fn(|cx| Poll::Ready(expired.as_mut().poll(cx))).await;
             assert!(first.is_pending());
             sleep(IDLE_TIMEOUT * 2).await;
@@ -37,6 +48,6 @@
 fn idle_connection() {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap();
     let idle = Phase::Idle(Instant::now());
-    let watchdog = Watchdog::new(idle, Duration::from_secs(1), IDLE_TIMEOUT);
-    assert_eq!(runtime.block_on(watchdog.expired()).code(), "idle-timeout");
+    let watchdog = Watchdog::new(idle);
+    assert_eq!(runtime.block_on(watchdog.expired(limits)).code(), "idle-timeout");
 }
