fix(relay): decide between two targets when one of them goes on with the stream

Callers could see: a stream that is cut when its silent target breaks off while another one is about to take it over (a crash often begins with silence), or because the other target had sent a head and then broke off; and a gap of 2.7 s where the silent target went on after 1.7 s. Change: the search goes on when the silent target breaks off; the other target takes over with its first event. A response that breaks off there counts as a failed attempt.

--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -161,7 +161,7 @@
             };
             let key = attempt.response.key;
             let is_server_error = attempt.response.head.status.is_server_error();
-            let outcome = match attempt.response.is_event_stream() {
+            let outcome = match attempt.response.is_successful_stream() {
                 true => self.begin_stream(attempt).await,
                 false => self.forward_whole(attempt).await,
             };
@@ -268,15 +268,12 @@
         if let Ok(sent) = timeout(head_timeout, first.as_mut()).await {
             return sent.map_err(|failure| SendError::Failed(key, failure));
         }
-        let mut second = pin!(self.replace_silent(key, options.last_event_id));
+        let mut second = pin!(self.send_to_another(key, options.last_event_id));
         tokio::select! {
             sent = first.as_mut() => match sent {
                 Ok(attempt) => Ok(attempt),
                 Err(failure) => {
-                    attempt::record_health(&context, key, &failure);
-                    if matches!(failure, Failure::Broken(_)) {
-                        announce_broken(&context, &job, key);
-                    }
+                    record_target_failure(&context, &job, key, &failure);
                     second.await.map_err(SendError::GivenUp)
                 }
             },
@@ -287,12 +284,11 @@
         }
     }
 
-    /// Sends the job to another target because the one of a running attempt is silent. The caller of
-    /// this function keeps that attempt until the other target has answered.
+    /// Sends the job to another target because `silent` has not answered yet.
     ///
     /// # Errors
-    /// Returns the reason why there is no other attempt.
-    pub(crate) async fn replace_silent(
+    /// Returns the reason why no other target answers.
+    async fn send_to_another(
         &mut self,
         silent: Key,
         last_event_id: Option<u64>,
@@ -308,13 +304,10 @@
     /// Returns the reason for making no further attempt.
     pub(crate) fn record_failure(&mut self, key: Key, failure: Failure) -> Result<(), Reason> {
         let context = Rc::clone(&self.context);
-        attempt::record_health(&context, key, &failure);
+        record_target_failure(&context, &self.job, key, &failure);
         let retry_reason = failure.retry_reason();
         context.metrics.attempts.with_label_values(&[retry_reason.code()]).inc();
         self.may_have_run |= failure.may_have_run();
-        if matches!(failure, Failure::Broken(_)) {
-            announce_broken(&context, &self.job, key);
-        }
         let was_sent = !matches!(failure, Failure::NotSent(_));
         let stop = self.stop_reason(&failure);
         let over_budget = stop.is_none() && was_sent && !context.take_retry(&self.job.service);
@@ -384,7 +377,7 @@
     /// Waits for the first event of a stream and spawns a task that relays the events.
     async fn begin_stream(&mut self, mut attempt: Attempt) -> Result<Response<Body>, Failure> {
         let mut splitter = Splitter::default();
-        let first = next_event(&mut attempt, &mut splitter, &self.job, false).await?;
+        let first = next_event(&mut attempt, &mut splitter, &self.job, None).await?;
         attempt.in_flight.finish_prefill();
         let time_to_first_event = clock::now().saturating_sub(self.job.arrived);
         self.job.time_to_first_event.set(Some(time_to_first_event));
@@ -483,8 +476,13 @@
     sent
 }
 
-/// Tells all hosts that a request broke off at a target, which it may have crashed.
-fn announce_broken(context: &Context, job: &Job, key: Key) {
+/// Records a failed attempt in the health of its target. If it broke off, tells all hosts, since the
+/// request may have crashed the target.
+pub(crate) fn record_target_failure(context: &Context, job: &Job, key: Key, failure: &Failure) {
+    attempt::record_health(context, key, failure);
+    if !matches!(failure, Failure::Broken(_)) {
+        return;
+    }
     let target = context.state().registry.get(key).map(|it| it.id.clone());
     let Some(target) = target else { return };
     let request = job.fingerprint();
--- a/gateway/src/stream_relay.rs
+++ b/gateway/src/stream_relay.rs
@@ -1,6 +1,6 @@
 //! Relays a stream of events to a caller, and resumes it at another target when it breaks off.
 
-use std::{rc::Rc, time::Duration};
+use std::{pin::pin, rc::Rc, time::Duration};
 
 use fuchsiaknot_core::clock::{self, Moment};
 use tokio::{sync::mpsc, time::timeout};
@@ -8,7 +8,7 @@
 use crate::{
     attempt::{Attempt, Failure},
     event_stream::{Event, Splitter},
-    forward::{Forwarder, log_response},
+    forward::{self, Forwarder, log_response},
     job::Job,
     registry::Key,
     response::Truncated,
@@ -16,18 +16,19 @@
 
 /// Reads the next whole event; `None` at the end of a complete stream.
 ///
-/// The silence timeout applies only after the first event, when `has_begun` is set.
+/// Fails with [`Failure::Silent`] when the target sends nothing for `max_silence`; without one, waits
+/// until the job's deadline.
 pub(crate) async fn next_event(
     attempt: &mut Attempt,
     splitter: &mut Splitter,
     job: &Job,
-    has_begun: bool,
+    max_silence: Option<Duration>,
 ) -> Result<Option<Event>, Failure> {
     loop {
         if let Some(event) = splitter.next_event() {
             return Ok(Some(event));
         }
-        let silence = job.silence_timeout().filter(|_| has_begun).unwrap_or(Duration::MAX);
+        let silence = max_silence.unwrap_or(Duration::MAX);
         let chunk = match attempt.response.chunk(silence.min(job.time_left())).await {
             Err(Failure::Expired) if silence < job.time_left() => return Err(Failure::Silent),
             other => other?,
@@ -40,12 +41,20 @@
     }
 }
 
+/// A stream that goes on at another target.
+struct Replacement {
+    attempt: Attempt,
+    splitter: Splitter,
+    /// First event from there; `None` if the stream had ended.
+    first: Option<Event>,
+}
+
 /// How a stream goes on after its target was silent.
 enum Continuation {
     /// At the same target, with what it sent next.
     Same(Result<Option<Event>, Failure>),
     /// At another target.
-    Other(Box<Attempt>),
+    Other(Box<Replacement>),
     /// Not at all, since the caller disconnected.
     CallerGone,
 }
@@ -94,26 +103,29 @@
                 }
                 Err(failure) => {
                     self.last_event_at = None;
-                    let resumed = match failure {
-                        Failure::Silent => match self.outlast(&mut attempt, &mut splitter).await {
-                            Continuation::Same(same) => {
-                                next = same;
-                                continue;
+                    if matches!(failure, Failure::Silent) {
+                        match self.hedge(&mut attempt, &mut splitter).await {
+                            Continuation::Same(same) => next = same,
+                            Continuation::Other(other) => {
+                                self.log_resumed(&other.attempt);
+                                (attempt, splitter) = (other.attempt, other.splitter);
+                                next = Ok(other.first);
                             }
-                            Continuation::Other(other) => Some(*other),
                             Continuation::CallerGone => return self.record_disconnect(),
-                        },
-                        failure => self.resume(attempt, failure).await,
-                    };
-                    let Some(resumed) = resumed else { return };
+                        }
+                        continue;
+                    }
+                    let Some(resumed) = self.resume(attempt, failure).await else { return };
                     self.log_resumed(&resumed);
                     attempt = resumed;
                     splitter = Splitter::default();
                 }
             }
             let job = Rc::clone(&self.forwarder.job);
+            // Before its first event a stream may be queued at its target.
+            let max_silence = job.silence_timeout().filter(|_| self.last_event_id.is_some());
             next = tokio::select! {
-                next = next_event(&mut attempt, &mut splitter, &job, self.last_event_id.is_some()) => next,
+                next = next_event(&mut attempt, &mut splitter, &job, max_silence) => next,
                 () = self.sender.closed() => {
                     self.record_disconnect();
                     return;
@@ -137,26 +149,43 @@
         }
     }
 
-    /// Waits for the next event of a silent target while the job is sent to another one, which takes
-    /// the stream over if it answers first.
+    /// Waits for a silent target while the job is sent to another one. The stream goes on where the
+    /// next event comes from.
     ///
-    /// The silent target keeps its attempt until then, since it may go on, and there may be no other
-    /// target, or no retry left in the budget.
-    async fn outlast(&mut self, attempt: &mut Attempt, splitter: &mut Splitter) -> Continuation {
+    /// The attempt at the silent target is kept until then: the target may go on, and there may be no
+    /// other one, or no retry left in the budget.
+    async fn hedge(&mut self, attempt: &mut Attempt, splitter: &mut Splitter) -> Continuation {
         let Relay { forwarder, sender, last_event_id, .. } = self;
-        let (job, key) = (Rc::clone(&forwarder.job), attempt.response.key);
-        tokio::select! {
-            next = next_event(attempt, splitter, &job, false) => return Continuation::Same(next),
+        let (context, job) = (Rc::clone(&forwarder.context), Rc::clone(&forwarder.job));
+        let key = attempt.response.key;
+        let mut replacement = pin!(replace_silent(forwarder, key, *last_event_id));
+        let failure = tokio::select! {
+            next = next_event(attempt, splitter, &job, None) => match next {
+                Err(failure @ Failure::Broken(_)) => Some(failure),
+                next => return Continuation::Same(next),
+            },
+            other = replacement.as_mut() => match other {
+                Some(other) => return Continuation::Other(Box::new(other)),
+                None => None,
+            },
             () = sender.closed() => return Continuation::CallerGone,
-            replacement = forwarder.replace_silent(key, *last_event_id) => match replacement {
-                Ok(resumed) if resumed.response.is_event_stream() => {
-                    return Continuation::Other(Box::new(resumed));
+        };
+        let Some(failure) = failure else {
+            return tokio::select! {
+                next = next_event(attempt, splitter, &job, job.silence_timeout()) => {
+                    Continuation::Same(next)
                 }
-                Ok(_) | Err(_) => {}
-            },
-        }
+                () = sender.closed() => Continuation::CallerGone,
+            };
+        };
         tokio::select! {
-            next = next_event(attempt, splitter, &job, true) => Continuation::Same(next),
+            other = replacement => match other {
+                Some(other) => {
+                    forward::record_target_failure(&context, &job, key, &failure);
+                    Continuation::Other(Box::new(other))
+                }
+                None => Continuation::Same(Err(failure)),
+            },
             () = sender.closed() => Continuation::CallerGone,
         }
     }
@@ -179,7 +208,7 @@
             }
         };
         match resumed {
-            Ok(attempt) if attempt.response.is_event_stream() => return Some(attempt),
+            Ok(attempt) if attempt.response.is_successful_stream() => return Some(attempt),
             Ok(attempt) => self.abort(attempt.response.head.status.as_str()).await,
             Err(reason) => self.abort(reason.code()).await,
         }
@@ -238,3 +267,27 @@
         response.finish(context);
     }
 }
+
+/// Sends a job to another target than the silent one, and waits for the first event after
+/// `last_event_id`; `None` if no target takes it.
+async fn replace_silent(
+    forwarder: &mut Forwarder,
+    silent: Key,
+    last_event_id: Option<u64>,
+) -> Option<Replacement> {
+    let job = Rc::clone(&forwarder.job);
+    let mut failed = (silent, Failure::Silent);
+    loop {
+        let (key, failure) = failed;
+        forwarder.record_failure(key, failure).ok()?;
+        let mut attempt = forwarder.send_until_answered(last_event_id).await.ok()?;
+        if !attempt.response.is_successful_stream() {
+            return None;
+        }
+        let mut splitter = Splitter::default();
+        match next_event(&mut attempt, &mut splitter, &job, None).await {
+            Ok(first) => return Some(Replacement { attempt, splitter, first }),
+            Err(failure) => failed = (attempt.response.key, failure),
+        }
+    }
+}
--- a/gateway/src/target_response.rs
+++ b/gateway/src/target_response.rs
@@ -84,8 +84,8 @@
         content_type.is_some_and(|it| it.as_bytes().starts_with(b"text/event-stream"))
     }
 
-    /// Returns whether the response is a stream that may reach the caller.
-    pub fn is_event_stream(&self) -> bool {
+    /// Returns whether the response is a stream with a success status.
+    pub fn is_successful_stream(&self) -> bool {
         self.is_stream() && self.head.status.is_success()
     }
 
