fix(attempt): compare a silence with the time left when its wait began

Callers saw: a stream that is cut well before its deadline, because its target was silent for 0.9 to 1.2 s and less than that was left afterwards. Cause: whether a wait had ended with the silence or with the deadline was decided with the time left after the wait, so such a silence counted as the deadline and the stream was cut without a search for another target. Change: the time left is taken before the wait, for streams and for response heads. Result: silence::silence_near_deadline failed before (the caller got no complete answer) and passes now.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -178,9 +178,10 @@
     let mut connection = connected.map_err(|err| Failure::NotSent(err.to_string()))?;
     let mut request = job.target_request(&context.header_names, &target, options);
     request.headers_mut().extend(headers);
-    let head_timeout = options.head_timeout.unwrap_or(Duration::MAX).min(job.time_left());
+    let time_left = job.time_left();
+    let head_timeout = options.head_timeout.unwrap_or(Duration::MAX).min(time_left);
     match timeout(head_timeout, connection.send(request)).await {
-        Err(_) if head_timeout < job.time_left() => Err(Failure::Silent),
+        Err(_) if head_timeout < time_left => Err(Failure::Silent),
         Err(_) => Err(Failure::Expired),
         Ok(Err(RequestError::NotSent)) => Err(Failure::NotSent(RequestError::NotSent.to_string())),
         Ok(Err(err)) => Err(Failure::Broken(err.to_string())),
--- a/gateway/src/stream_relay.rs
+++ b/gateway/src/stream_relay.rs
@@ -28,9 +28,9 @@
         if let Some(event) = splitter.next_event() {
             return Ok(Some(event));
         }
-        let silence = max_silence.unwrap_or(Duration::MAX);
-        let chunk = match attempt.response.chunk(silence.min(job.time_left())).await {
-            Err(Failure::Expired) if silence < job.time_left() => return Err(Failure::Silent),
+        let (silence, time_left) = (max_silence.unwrap_or(Duration::MAX), job.time_left());
+        let chunk = match attempt.response.chunk(silence.min(time_left)).await {
+            Err(Failure::Expired) if silence < time_left => return Err(Failure::Silent),
             other => other?,
         };
         match chunk {
