fix(forward): prefer a late response to the server error of a second target

Callers saw: 500 for an idempotent request whose first target answered 200 after 1.7 s. Cause: the first response head ended the wait, also that of a server error. Change: with a server error from the second target the host waits for the first one for as long as a sound target may be silent, and then forwards the error.

--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -15,7 +15,7 @@
     configuration::RequestKind,
     context::Context,
     event_stream::Splitter,
-    job::{self, Job},
+    job::{self, Job, MAX_SILENCE_TIMEOUT},
     peers::{self, Packet},
     registry::Key,
     response::{self, Body},
@@ -278,6 +278,13 @@
                 }
             },
             sent = second.as_mut() => match sent {
+                Ok(attempt) if attempt.response.head.status.is_server_error() => {
+                    // The first target may still have a better response.
+                    match timeout(MAX_SILENCE_TIMEOUT, first).await {
+                        Ok(Ok(attempt)) => Ok(attempt),
+                        Ok(Err(_)) | Err(_) => Ok(attempt),
+                    }
+                }
                 Ok(attempt) => Ok(attempt),
                 Err(_) => first.await.map_err(|failure| SendError::Failed(key, failure)),
             },
--- a/gateway/src/job.rs
+++ b/gateway/src/job.rs
@@ -42,7 +42,7 @@
 const MIN_SILENCE_TIMEOUT: Duration = Duration::from_millis(900);
 /// Maximum silence of a target after which its stream is resumed at another; callers disconnect
 /// after two seconds of silence.
-const MAX_SILENCE_TIMEOUT: Duration = Duration::from_millis(1200);
+pub(crate) const MAX_SILENCE_TIMEOUT: Duration = Duration::from_millis(1200);
 
 /// A caller's request while it is forwarded, with the state of its attempts.
 #[derive(Debug)]
