fix(shutdown): wait until the last responses are written, not only handed over

Callers could see: a complete response that a shutdown cuts while they read it, with time left in the grace period. Cause: a request counted as open until its response was handed to the HTTP library, which may hold megabytes that the caller has not read yet. Change: the shutdown waits until all callers' connections are closed, at most to the end of the grace period; each connection holds a receiver of the phase.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -58,7 +58,7 @@
     signal::unix::{Signal, SignalKind, signal},
     sync,
     task::{JoinSet, spawn_local},
-    time::{Instant, sleep},
+    time::{Instant, sleep, timeout_at},
 };
 
 use crate::{
@@ -75,8 +75,9 @@
 const GRACE_MARGIN: Duration = Duration::from_millis(500);
 /// Interval at which the settings are reloaded without a signal.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(3);
-/// Interval at which a shutdown checks for open requests.
-const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Time from the close of the last connection to the end of the process, in which the connections
+/// to targets close too.
+const RELEASE_DELAY: Duration = Duration::from_millis(50);
 /// Timeout for removing this host from the store at shutdown.
 const WITHDRAW_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -95,6 +96,7 @@
 ) -> io::Result<()> {
     let (phase, phase_watch) = sync::watch::channel(Phase::Open);
     serve_ports(&context, directory, &phase_watch)?;
+    drop(phase_watch);
     let mut tasks = JoinSet::new();
     tasks.spawn_local(store_sync::sync_table::<_, store_sync::ConfigurationTable>(
         Rc::clone(&context),
@@ -210,8 +212,8 @@
     }
 }
 
-/// Shuts down in order: removes the host from the directory, closes the ports, waits for open
-/// requests.
+/// Shuts down in order: removes the host from the directory, closes the ports, waits until
+/// all connections are closed.
 async fn shut_down<S: Store>(context: &Rc<Context>, store: &S, phase: &sync::watch::Sender<Phase>) {
     let started = Instant::now();
     tracing::info!(code = 8020, "shutting down; finishing open requests");
@@ -223,10 +225,11 @@
     }
     sleep(CLOSE_DELAY.saturating_sub(started.elapsed())).await;
     phase.send_replace(Phase::Closing);
+    // Each connection keeps a receiver until its last response is written.
     let end = started + context.bounds().grace.saturating_sub(GRACE_MARGIN);
-    while Instant::now() < end && 0 < context.open_request_count() {
-        sleep(DRAIN_POLL_INTERVAL).await;
+    if timeout_at(end, phase.closed()).await.is_err() {
+        tracing::debug!("connections are still open at the end of the grace period");
     }
-    sleep(DRAIN_POLL_INTERVAL).await;
+    sleep(RELEASE_DELAY).await;
     tracing::info!(code = 8022, open = context.open_request_count(), "stopped");
 }
