fix(job): read the body of a request that is refused without it

Callers could see: a reset connection instead of a refusal, for example beside a change of the configuration that removes their route, while they still send the body. Cause: the body was dropped unread, so the connection was closed with unread bytes, which resets it. Change: the refusal is sent at once, and the body is read and dropped meanwhile, within its size limit and five seconds; the connection stays usable.

--- a/gateway/src/job.rs
+++ b/gateway/src/job.rs
@@ -44,6 +44,9 @@
 /// after two seconds of silence.
 pub(crate) const MAX_SILENCE_TIMEOUT: Duration = Duration::from_millis(1200);
 
+/// Time within which the body of a refused request is read and dropped.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// A caller's request while it is forwarded, with the state of its attempts.
 #[derive(Debug)]
 pub struct Job {
@@ -89,13 +92,16 @@
     /// Returns the reason for refusing the request; nothing was sent to a target.
     pub async fn read(context: &Context, request: Request<Incoming>) -> Result<Job, Reason> {
         let (arrived, open) = (clock::now(), context.open_request());
-        let configuration = context.state().configuration.clone().ok_or(Reason::NotReady)?;
+        let configuration = context.state().configuration.clone();
         let (parts, body) = request.into_parts();
-        if configuration.limits.max_header_bytes < head_bytes(&parts) {
-            return Err(Reason::HeaderTooLarge);
-        }
-        let route = find_route(&configuration, &parts).ok_or(Reason::NotFound)?;
-        let service = route.choose_service(rand::random()).cloned().ok_or(Reason::NotFound)?;
+        let (configuration, route, service) = match choose_route(configuration.as_ref(), &parts) {
+            Ok(chosen) => chosen,
+            Err(reason) => {
+                let limits = configuration.map(|it| it.limits).unwrap_or_default();
+                tokio::task::spawn_local(discard_body(body, limits.max_body_bytes));
+                return Err(reason);
+            }
+        };
         let names = &context.header_names;
         let id = request_id(&parts.headers, names);
         let caller_timeout =
@@ -207,6 +213,20 @@
     header_text(headers, &names.request_id).map(SmolStr::new).unwrap_or_default()
 }
 
+/// Returns the configuration in force, and the request's route and service.
+fn choose_route(
+    configuration: Option<&Rc<Configuration>>,
+    parts: &hyper::http::request::Parts,
+) -> Result<(Rc<Configuration>, Rc<Route>, id::Service), Reason> {
+    let configuration = configuration.ok_or(Reason::NotReady)?;
+    if configuration.limits.max_header_bytes < head_bytes(parts) {
+        return Err(Reason::HeaderTooLarge);
+    }
+    let route = find_route(configuration, parts).ok_or(Reason::NotFound)?;
+    let service = route.choose_service(rand::random()).cloned().ok_or(Reason::NotFound)?;
+    Ok((Rc::clone(configuration), route, service))
+}
+
 fn find_route(
     configuration: &Configuration,
     parts: &hyper::http::request::Parts,
@@ -235,3 +255,12 @@
         }
     })
 }
+
+/// Reads and drops the body of a refused request, since a connection that closes with unread bytes is
+/// reset and its caller may not see the response.
+async fn discard_body(body: Incoming, max_bytes: usize) {
+    let read = Limited::new(body, max_bytes).collect();
+    if timeout(DISCARD_TIMEOUT, read).await.is_err() {
+        tracing::debug!("the body of a refused request did not arrive in time");
+    }
+}
