fix(prompt): bound the token counts that are read from headers

Callers could see: a connection that ends with neither an answer nor a refusal. Cause: token counts near 2^64 overflow the sums of the placement; in a debug build that panics in the connection's task, in a release build the sums wrap. Change: counts above 2^32 count as 2^32. Result: prompt::absurd_counts failed before (attempt to add with overflow) and passes.

--- a/gateway/src/prompt.rs
+++ b/gateway/src/prompt.rs
@@ -6,6 +6,10 @@
 
 use crate::headers::HeaderNames;
 
+/// Largest number of tokens that is read for a part or a whole request; larger ones count as this, so
+/// that sums cannot overflow.
+const MAX_TOKENS: u64 = 1 << 32;
+
 /// One part of a prompt; prompts that begin with the same parts share their prefix cache entries.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Part {
@@ -33,7 +37,7 @@
         let parts: Vec<Part> =
             text(&names.prompt_parts).split(',').filter_map(parse_part).collect();
         let mut counts =
-            text(&names.token_counts).split(',').map(|it| it.trim().parse().unwrap_or(0));
+            text(&names.token_counts).split(',').map(|it| parse_tokens(it).unwrap_or(0));
         let part_tokens = parts.iter().map(|it| it.tokens).sum();
         let tokens = counts.next().unwrap_or(0).max(part_tokens);
         Prompt { parts, tokens, max_output_tokens: counts.next().unwrap_or(0) }
@@ -58,5 +62,9 @@
 
 fn parse_part(text: &str) -> Option<Part> {
     let (id, tokens) = text.trim().split_once(':')?;
-    Some(Part { id: SmolStr::new(id), tokens: tokens.parse().ok()? })
+    Some(Part { id: SmolStr::new(id), tokens: parse_tokens(tokens)? })
+}
+
+fn parse_tokens(text: &str) -> Option<u64> {
+    text.trim().parse().ok().map(|it: u64| it.min(MAX_TOKENS))
 }
