feat(observability): log a panic as a numbered event

Cause: a panic in the task of a connection went to standard error only, and event 8012 blamed the caller; none of the lines told this case of a missing answer apart. Change: event 8054, also as the panic hook of the process.

--- a/gateway/src/logging.rs
+++ b/gateway/src/logging.rs
@@ -31,6 +31,9 @@
             .with_span_list(false)
             .with_writer(writer);
         tracing_subscriber::registry().with(LevelFilter::INFO).with(lines).init();
+        std::panic::set_hook(Box::new(|panic| {
+            tracing::error!(code = 8054, %panic, "a task panicked; a request it served has no answer");
+        }));
         Log { _guard: guard, dropped }
     }
 
