fix(job): decide once whether a request runs on engines

Change: the decision is kept beside the route with which the request arrived. Result: silence::silent_engine changes the configuration in that way during the silence and passes; it also passed before, since its stream goes on at the same engine.

--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -208,7 +208,7 @@
             if self.job.time_left().is_zero() {
                 return Err(self.expired_reason());
             }
-            let sent = if self.is_engine_service() {
+            let sent = if self.job.on_engines {
                 let reservation = self.reserve_engines(last_event_id.is_some()).await?;
                 self.run_on_engines(reservation, last_event_id).await.map_err(SendError::from)
             } else {
@@ -232,13 +232,6 @@
         }
     }
 
-    fn is_engine_service(&self) -> bool {
-        let state = self.context.state();
-        let configuration = state.configuration.as_ref();
-        let service = configuration.and_then(|it| it.services.get(&self.job.service));
-        service.is_some_and(|it| it.engine.is_some())
-    }
-
     /// Sends the job to a target and counts the attempt unless the request was not sent.
     pub(crate) async fn send(
         &mut self,
--- a/gateway/src/job.rs
+++ b/gateway/src/job.rs
@@ -56,6 +56,8 @@
     pub route: Rc<Route>,
     /// Service that runs the request, chosen by the route's traffic split.
     pub service: id::Service,
+    /// Whether the service's targets are engines.
+    pub on_engines: bool,
     /// Version of the configuration from which route and service were chosen.
     pub configuration_version: id::Version,
     /// Prompt description from the headers.
@@ -102,6 +104,7 @@
                 return Err(reason);
             }
         };
+        let on_engines = configuration.services.get(&service).is_some_and(|it| it.engine.is_some());
         let names = &context.header_names;
         let id = request_id(&parts.headers, names);
         let caller_timeout =
@@ -121,6 +124,7 @@
             id,
             route,
             service,
+            on_engines,
             configuration_version: configuration.version,
             prompt,
             arrived,
