fix(reservation): use a paused engine when there is no other

Callers saw: 503 no-target at once for new requests while the only engines were paused after a silence of a second, although they go on. Cause: a placement avoided all paused engines even if none was left, unlike that of plain targets; and nothing ended the pause when a silent target went on. Change: paused engines are avoided only while another is left, and an event after a silence ends the pause. Result: silence::request_during_silence failed before (no-target) and passes; all 18 of silence, 23 of forwarding and 7 of streams pass.

--- a/gateway/src/reservation.rs
+++ b/gateway/src/reservation.rs
@@ -65,10 +65,13 @@
     fn placement_request(&self, resumes: bool) -> Request {
         let (job, now) = (&self.job, clock::now());
         let state = self.context.state();
-        let avoided = state
-            .registry
-            .usable(&job.service)
-            .filter(|(key, _)| self.tried.contains(key) || state.health.is_paused(*key, now));
+        let usable = || state.registry.usable(&job.service);
+        let is_tried = |key: &Key| self.tried.contains(key);
+        let is_paused = |key: &Key| state.health.is_paused(*key, now);
+        // A paused engine is better than none: it may only have been silent for a moment.
+        let none_healthy = usable().all(|(key, _)| is_tried(&key) || is_paused(&key));
+        let avoided =
+            usable().filter(|(key, _)| is_tried(key) || (is_paused(key) && !none_healthy));
         let max_wait = match resumes {
             true => engine::MAX_RESUME_WAIT,
             false => engine::max_wait(job.route.latency_objective, job.caller_timeout),
--- a/gateway/src/stream_relay.rs
+++ b/gateway/src/stream_relay.rs
@@ -105,7 +105,12 @@
                     self.last_event_at = None;
                     if matches!(failure, Failure::Silent) {
                         match self.hedge(&mut attempt, &mut splitter).await {
-                            Continuation::Same(same) => next = same,
+                            Continuation::Same(same) => {
+                                if let Ok(Some(_)) = same {
+                                    self.record_recovery(attempt.response.key);
+                                }
+                                next = same;
+                            }
                             Continuation::Other(other) => {
                                 self.log_resumed(&other.attempt);
                                 (attempt, splitter) = (other.attempt, other.splitter);
@@ -215,6 +220,11 @@
         None
     }
 
+    /// Ends the pause of a target that was silent and goes on.
+    fn record_recovery(&self, key: Key) {
+        self.forwarder.context.state_mut().health.record_success(key);
+    }
+
     fn log_resumed(&self, attempt: &Attempt) {
         tracing::info!(code = 8031,
             id = %self.forwarder.job.id,
