feat(log): count calls beyond a request's first, and log what stopped a retry

Event 8013 left stop empty when the retry budget refused a retry, and named neither the prompt's shared parts nor whether an event had arrived; no metric counted calls to targets beyond the first of their request. Event 8013 gets stop=retry-budget, first_ms and shared_parts; calls::Ledger counts the calls of a request, and the metric further_calls_total sums them.

--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     attempt::{self, Attempt, Failure, InFlight, Options},
+    calls::Ledger,
     configuration::RequestKind,
     context::Context,
     event_stream::Splitter,
@@ -238,6 +239,8 @@
         let sent = attempt::send(&self.context, &self.job, in_flight, options).await;
         if !matches!(sent, Err(Failure::NotSent(_))) {
             self.job.attempts_sent.set(self.job.attempts_sent.get() + 1);
+            let further = self.job.record_calls(Ledger::record_run);
+            self.context.metrics.further_calls.with_label_values(&["run"]).inc_by(further.into());
         }
         sent.map_err(|failure| (key, failure))
     }
@@ -256,6 +259,9 @@
             self.announce_broken(key);
         }
         let stop = self.stop_reason(&failure);
+        let was_sent = !matches!(failure, Failure::NotSent(_));
+        let is_refused = stop.is_none() && was_sent && !context.take_retry(&self.job.service);
+        let logged_stop = if is_refused { Some(Reason::RetryBudget) } else { stop };
         tracing::info!(code = 8013,
             id = %self.job.id,
             service = %self.job.service,
@@ -264,14 +270,15 @@
             sent = self.job.attempts_sent.get(),
             failure = ?failure,
             left_ms = self.job.time_left().as_millis() as u64,
-            stop = stop.map(Reason::code),
+            first_ms = self.job.time_to_first_event.get().map(|it| it.as_millis() as u64),
+            shared_parts = ?self.job.prompt.shared_part_ids(),
+            stop = logged_stop.map(Reason::code),
             "attempt failed"
         );
-        let was_sent = !matches!(failure, Failure::NotSent(_));
         if let Some(reason) = stop {
             return Err(reason);
         }
-        if was_sent && !context.take_retry(&self.job.service) {
+        if is_refused {
             return Err(if self.may_have_run { Reason::TargetFailed } else { Reason::RetryBudget });
         }
         context.metrics.retried.with_label_values(&[retry_reason.code()]).inc();
--- a/gateway/src/job.rs
+++ b/gateway/src/job.rs
@@ -19,6 +19,7 @@
 
 use crate::{
     attempt::Options,
+    calls::Ledger,
     configuration::{Configuration, RequestKind, Route},
     context::{Context, OpenRequest},
     engine,
@@ -67,6 +68,8 @@
     pub expires_at: Moment,
     /// Number of attempts whose request was sent to a target.
     pub attempts_sent: Cell<u32>,
+    /// Calls that reached a target.
+    pub calls: Cell<Ledger>,
     /// Engine chosen for the prefill, with its stage and latency estimate.
     pub prefill_choice: Cell<Option<engine::Choice>>,
     /// Time of the last attempt to run the request.
@@ -122,6 +125,7 @@
             prior_time,
             expires_at,
             attempts_sent: Cell::new(0),
+            calls: Cell::default(),
             prefill_choice: Cell::new(None),
             sent_at: Cell::new(None),
             prefilled_at: Cell::new(None),
@@ -165,6 +169,15 @@
         hasher.finish()
     }
 
+    /// Records calls that reached a target; returns how many of them are further calls.
+    pub fn record_calls(&self, record: impl FnOnce(&mut Ledger)) -> u32 {
+        let before = self.calls.get();
+        let mut calls = before;
+        record(&mut calls);
+        self.calls.set(calls);
+        calls.further_calls() - before.further_calls()
+    }
+
     /// Returns whether the route allows no further attempt.
     pub fn attempts_exhausted(&self) -> bool {
         self.route.max_attempts <= self.attempts_sent.get()
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -1,6 +1,6 @@
 //! Request path of an entry host in front of the services in the operators' configuration.
 //!
-//! Everything runs on one thread. The modules that decide (`balancer`, `configuration`, `deadline`,
+//! Everything runs on one thread. The modules that decide (`balancer`, `calls`, `configuration`, `deadline`,
 //! `dispatch`, `election`, `engine`, `event_stream`, `health`, `load`, `membership`, `poison`,
 //! `prefix_cache`, `registry`, `retry_after`, `retry_budget`, `shortlist`, `slowness`, `watch`) do no
 //! I/O and read no clock; `dispatcher`, `forward`, `http_server`, `peers`, `reservation`, `store_sync`,
@@ -9,6 +9,7 @@
 
 pub mod attempt;
 pub mod balancer;
+pub mod calls;
 pub mod configuration;
 pub mod context;
 pub mod deadline;
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -23,6 +23,8 @@
     pub attempts: IntCounterVec,
     /// Retries, by reason.
     pub retried: IntCounterVec,
+    /// Calls that reached a target beyond the first of their request, by kind.
+    pub further_calls: IntCounterVec,
     /// Requests whose caller disconnected.
     pub callers_gone: IntCounter,
     /// Connections opened to targets.
@@ -83,6 +85,11 @@
             refused: counters("refused_total", "Requests refused, by reason.", "reason")?,
             attempts: counters("attempts_total", "Requests sent, by outcome.", "outcome")?,
             retried: counters("retried_total", "Further attempts, by reason.", "reason")?,
+            further_calls: counters(
+                "further_calls_total",
+                "Calls to targets beyond the first of their request, by kind.",
+                "kind",
+            )?,
             callers_gone: counter("callers_gone_total", "Requests whose caller went away.")?,
             connections_opened: counter("connections_total", "Connections opened to targets.")?,
             store_calls: counters(
--- a/gateway/src/prompt.rs
+++ b/gateway/src/prompt.rs
@@ -50,6 +50,11 @@
         self.tokens - self.shared_parts().iter().map(|it| it.tokens).sum::<u64>()
     }
 
+    /// Returns the identifiers of the parts that other requests may share.
+    pub fn shared_part_ids(&self) -> Vec<&str> {
+        self.shared_parts().iter().map(|it| it.id.as_str()).collect()
+    }
+
     /// Returns the parts that other requests may share: all but the last.
     pub fn shared_parts(&self) -> &[Part] {
         self.parts.split_last().map_or(&[], |(_, shared)| shared)
--- a/gateway/src/reservation.rs
+++ b/gateway/src/reservation.rs
@@ -163,6 +163,11 @@
             missing_tokens: reservation.missing_tokens,
         };
         let result = prefill::run(&self.context, &self.job, task).await;
+        if !matches!(result, Err(Failure::NotSent(_))) {
+            let further = self.job.record_calls(|it| it.record_prefill(result.is_ok()));
+            let further_calls = &self.context.metrics.further_calls;
+            further_calls.with_label_values(&["prefill"]).inc_by(further.into());
+        }
         let mut prefilled = result.map_err(|failure| {
             self.tried.push(prefill_engine);
             (prefill_engine, failure.into_prefill_failure())
