fix(retry): take each call beyond a request's first from the retry budget

The budget took one unit for each failed attempt that was sent. Class: a bound that counts another unit than the one that is limited.

calls::Ledger counts the calls of a request and prices its next attempt; Forwarder::pay_for_attempt takes the price before the attempt begins, whole or not at all, on each path: refused and broken attempts, server errors, resumed streams, plain targets. A prompt that was prefilled is kept for another decode engine when the chosen one cannot be reached.

Budget::try_take_retry is now try_take with a count; its three tests pass 1 and are otherwise unchanged.

--- a/gateway/src/calls.rs
+++ b/gateway/src/calls.rs
@@ -1,4 +1,4 @@
-//! Counts the calls that a request makes to targets.
+//! Counts the calls that a request makes to targets, and what its next attempt costs.
 
 /// Calls of one request that reached a target.
 ///
@@ -10,9 +10,27 @@
     prefilled: bool,
     /// Calls that reached a target, without the first accepted prefill.
     calls: u32,
+    /// Further calls taken from the retry budget, made or still to be made.
+    paid: u32,
 }
 
 impl Ledger {
+    /// Returns how many calls the next attempt has to take from the retry budget, when all its
+    /// calls reach a target; `prefills` tells whether it begins with a prefill on another engine.
+    pub fn price(&self, prefills: bool) -> u32 {
+        let mut after = *self;
+        if prefills {
+            after.record_prefill(true);
+        }
+        after.record_run();
+        after.further_calls().saturating_sub(self.paid)
+    }
+
+    /// Records calls taken from the retry budget.
+    pub fn record_payment(&mut self, calls: u32) {
+        self.paid += calls;
+    }
+
     /// Records a prefill that reached an engine.
     pub fn record_prefill(&mut self, accepted: bool) {
         if accepted && !self.prefilled {
--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -308,10 +308,17 @@
         state.membership.elect_dispatcher(targets_age, now)
     }
 
-    /// Takes one retry from the budget of a service; returns whether there was one left.
-    pub fn take_retry(&self, service: &id::Service) -> bool {
+    /// Takes calls beyond the first of their request from the budget of a service; returns whether
+    /// there were enough left.
+    pub fn take_calls(&self, service: &id::Service, count: u32) -> bool {
         let hosts = self.state().membership.live_count();
-        self.with_budget(service, |budget| budget.try_take_retry(hosts, clock::now()))
+        self.with_budget(service, |budget| budget.try_take(count, hosts, clock::now()))
+    }
+
+    /// Returns whether the budget of a service has this many calls left.
+    pub fn permits_calls(&self, service: &id::Service, count: u32) -> bool {
+        let hosts = self.state().membership.live_count();
+        self.with_budget(service, |budget| budget.permits(count, hosts, clock::now()))
     }
 
     /// Counts a caller's request in the retry budget of its service.
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -18,6 +18,7 @@
     event_stream::Splitter,
     job::{self, Job},
     peers::{self, Packet},
+    prefill::Prefilled,
     registry::Key,
     response::{self, Body},
     retry_after, selection,
@@ -116,6 +117,8 @@
     pub(crate) job: Rc<Job>,
     /// Targets that were tried.
     pub(crate) tried: Vec<Key>,
+    /// Prompt prefilled for an engine that then could not be reached.
+    pub(crate) prefilled: Option<Prefilled>,
     /// Number of attempts whose request could not be sent.
     failed_connects: u32,
     /// Whether a target may have started the job.
@@ -130,6 +133,7 @@
             context: Rc::clone(context),
             job: Rc::clone(job),
             tried: Vec::new(),
+            prefilled: None,
             failed_connects: 0,
             may_have_run: false,
             queue_time: Duration::ZERO,
@@ -155,7 +159,7 @@
                     self.forward_whole(attempt).await
                 };
             match outcome {
-                Ok(response) if is_server_error && self.take_retry_after_error() => {
+                Ok(response) if is_server_error && self.retry_after_error() => {
                     self.context.state_mut().health.record_error(key);
                     error_response = Some(response);
                 }
@@ -169,15 +173,15 @@
         }
     }
 
-    /// Takes a retry from the budget after a response with a server error, if the request may be
-    /// retried.
+    /// Counts a retry after a response with a server error, if the request may be retried and the
+    /// retry budget is not spent.
     ///
     /// Returns whether the request is to be retried.
-    fn take_retry_after_error(&self) -> bool {
+    fn retry_after_error(&self) -> bool {
         let retry = RetryReason::TargetFailed.code();
         let retries = self.job.route.kind == RequestKind::Idempotent
             && !self.job.attempts_exhausted()
-            && self.context.take_retry(&self.job.service);
+            && self.can_pay_next();
         if retries {
             self.context.metrics.retried.with_label_values(&[retry]).inc();
         }
@@ -198,11 +202,11 @@
                 return Err(self.expired_reason());
             }
             let sent = if self.is_engine_service() {
-                let reservation = self.reserve_engines(last_event_id.is_some()).await?;
-                self.run_on_engines(reservation, last_event_id).await
+                self.send_to_engines(last_event_id).await?
             } else {
                 let key = selection::service_target(&self.context, &self.job, &self.tried);
                 let key = key.ok_or_else(|| self.no_target_reason())?;
+                self.pay_for_attempt(false)?;
                 let in_flight = InFlight::new(&self.context, &self.job, key, 0);
                 let options = Options {
                     last_event_id,
@@ -245,7 +249,38 @@
         sent.map_err(|failure| (key, failure))
     }
 
-    /// Records a failed attempt and takes a retry from the budget.
+    /// Returns whether the retry budget permits the cheapest further attempt.
+    fn can_pay_next(&self) -> bool {
+        let price = self.job.calls.get().price(false);
+        self.context.permits_calls(&self.job.service, price)
+    }
+
+    /// Takes the calls of the next attempt beyond the request's first from the retry budget.
+    ///
+    /// # Errors
+    /// Returns the reason for giving the job up when the budget cannot pay for all of them.
+    pub(crate) fn pay_for_attempt(&self, prefills: bool) -> Result<(), Reason> {
+        let price = self.job.calls.get().price(prefills);
+        if !self.context.take_calls(&self.job.service, price) {
+            tracing::info!(code = 8041,
+                id = %self.job.id,
+                service = %self.job.service,
+                calls = price,
+                sent = self.job.attempts_sent.get(),
+                "retry budget does not permit the next attempt"
+            );
+            return Err(self.spent_reason());
+        }
+        self.job.record_calls(|it| it.record_payment(price));
+        Ok(())
+    }
+
+    /// Returns the reason for giving up when the retry budget is spent.
+    fn spent_reason(&self) -> Reason {
+        if self.may_have_run { Reason::TargetFailed } else { Reason::RetryBudget }
+    }
+
+    /// Records a failed attempt, and whether the retry budget permits another one.
     ///
     /// # Errors
     /// Returns the reason for making no further attempt.
@@ -259,8 +294,7 @@
             self.announce_broken(key);
         }
         let stop = self.stop_reason(&failure);
-        let was_sent = !matches!(failure, Failure::NotSent(_));
-        let is_refused = stop.is_none() && was_sent && !context.take_retry(&self.job.service);
+        let is_refused = stop.is_none() && !self.can_pay_next();
         let logged_stop = if is_refused { Some(Reason::RetryBudget) } else { stop };
         tracing::info!(code = 8013,
             id = %self.job.id,
@@ -279,7 +313,7 @@
             return Err(reason);
         }
         if is_refused {
-            return Err(if self.may_have_run { Reason::TargetFailed } else { Reason::RetryBudget });
+            return Err(self.spent_reason());
         }
         context.metrics.retried.with_label_values(&[retry_reason.code()]).inc();
         Ok(())
@@ -360,6 +394,7 @@
             context: Rc::clone(&self.context),
             job: Rc::clone(&self.job),
             tried: std::mem::take(&mut self.tried),
+            prefilled: None,
             failed_connects: self.failed_connects,
             may_have_run: true,
             queue_time: Duration::ZERO,
--- a/gateway/src/prefill.rs
+++ b/gateway/src/prefill.rs
@@ -46,6 +46,11 @@
         })
     }
 
+    /// Returns the key of the engine that keeps the KV cache.
+    pub fn key(&self) -> Key {
+        self.key
+    }
+
     /// Records that another engine fetched the KV cache, so that it isn't released on drop.
     pub fn mark_fetched(&mut self) {
         self.fetched = true;
--- a/gateway/src/reservation.rs
+++ b/gateway/src/reservation.rs
@@ -9,7 +9,7 @@
     dispatch::{Placement, Request},
     dispatcher, engine,
     forward::Forwarder,
-    prefill,
+    prefill::{self, Prefilled},
     registry::Key,
     selection,
     target::Stage,
@@ -129,11 +129,34 @@
         }
     }
 
-    /// Runs the job on the reserved engines.
+    /// Reserves engines, and runs the job there if the retry budget can pay for it.
     ///
     /// # Errors
-    /// Returns the engine that failed, and how.
-    pub(crate) async fn run_on_engines(
+    /// Returns the reason when the job is not sent, and otherwise the engine that failed, and how.
+    pub(crate) async fn send_to_engines(
+        &mut self,
+        last_event_id: Option<u64>,
+    ) -> Result<Result<Attempt, (Key, Failure)>, Reason> {
+        if let Some(prefilled) = self.prefilled.take()
+            && let Some(in_flight) = self.reserve_decode_engine(&prefilled)
+        {
+            self.pay_for_attempt(false)?;
+            return Ok(self.run_prefilled(prefilled, in_flight, last_event_id).await);
+        }
+        let reservation = self.reserve_engines(last_event_id.is_some()).await?;
+        self.pay_for_attempt(reservation.stage == Stage::Prefill)?;
+        Ok(self.run_on_engines(reservation, last_event_id).await)
+    }
+
+    /// Counts the job at a decode engine that generates from a prefilled prompt.
+    fn reserve_decode_engine(&self, prefilled: &Prefilled) -> Option<InFlight> {
+        let request = self.placement_request(false);
+        let key = selection::decode_engine(&self.context.state(), &request, prefilled.key())?;
+        Some(InFlight::new(&self.context, &self.job, key, 0))
+    }
+
+    /// Runs the job on the reserved engines.
+    async fn run_on_engines(
         &mut self,
         reservation: Reservation,
         last_event_id: Option<u64>,
@@ -168,16 +191,36 @@
             let further_calls = &self.context.metrics.further_calls;
             further_calls.with_label_values(&["prefill"]).inc_by(further.into());
         }
-        let mut prefilled = result.map_err(|failure| {
+        let prefilled = result.map_err(|failure| {
             self.tried.push(prefill_engine);
             (prefill_engine, failure.into_prefill_failure())
         })?;
         self.job.prefilled_at.set(Some(clock::now()));
-        let no_room = || (prefill_engine, Failure::NotSent("no decode engine has room".to_owned()));
-        let decode_in_flight = reservation.decode_in_flight.ok_or_else(no_room)?;
+        let decode_in_flight =
+            reservation.decode_in_flight.or_else(|| self.reserve_decode_engine(&prefilled));
+        let Some(decode_in_flight) = decode_in_flight else {
+            self.prefilled = Some(prefilled);
+            let failure = Failure::NotSent("no decode engine has room".to_owned());
+            return Err((prefill_engine, failure));
+        };
+        self.run_prefilled(prefilled, decode_in_flight, last_event_id).await
+    }
+
+    /// Has an engine generate the answer from a prefilled prompt, which is kept for another engine
+    /// if this one cannot be reached.
+    async fn run_prefilled(
+        &mut self,
+        mut prefilled: Prefilled,
+        in_flight: InFlight,
+        last_event_id: Option<u64>,
+    ) -> Result<Attempt, (Key, Failure)> {
         let options = Options { last_event_id, prefilled: Some(&prefilled), head_timeout: None };
-        let attempt = self.send(decode_in_flight, options).await?;
-        prefilled.mark_fetched();
-        Ok(attempt)
+        let sent = self.send(in_flight, options).await;
+        match &sent {
+            Ok(_) => prefilled.mark_fetched(),
+            Err((_, Failure::NotSent(_))) => self.prefilled = Some(prefilled),
+            Err(_) => {}
+        }
+        sent
     }
 }
--- a/gateway/src/retry_budget.rs
+++ b/gateway/src/retry_budget.rs
@@ -55,19 +55,25 @@
         self.current_slice(now).requests += 1;
     }
 
-    /// Takes one retry if this host's share of the budget permits; `hosts` is the number of live
-    /// hosts.
-    pub fn try_take_retry(&mut self, hosts: usize, now: Moment) -> bool {
+    /// Takes this many retries, or none if this host's share of the budget does not permit all of
+    /// them; `hosts` is the number of live hosts.
+    pub fn try_take(&mut self, count: u32, hosts: usize, now: Moment) -> bool {
+        let permits = self.permits(count, hosts, now);
+        if permits {
+            self.current_slice(now).retries += count;
+        }
+        permits
+    }
+
+    /// Returns whether this host's share of the budget permits this many retries; `hosts` is the
+    /// number of live hosts.
+    pub fn permits(&mut self, count: u32, hosts: usize, now: Moment) -> bool {
         self.current_slice(now);
         let requests: u32 = self.slices.iter().map(|it| it.requests).sum();
         let retries: u32 = self.slices.iter().map(|it| it.retries).sum();
         let slack = self.config.slack / hosts.max(1) as f64;
         let bound = SAFETY_FACTOR * (self.config.ratio * f64::from(requests) + slack);
-        if bound < f64::from(retries + 1) {
-            return false;
-        }
-        self.current_slice(now).retries += 1;
-        true
+        count == 0 || f64::from(retries + count) <= bound
     }
 
     /// Drops the slices that left the window, and returns the current one.
--- a/gateway/src/selection.rs
+++ b/gateway/src/selection.rs
@@ -83,6 +83,15 @@
     Some((placement, should_start))
 }
 
+/// Returns the decode engine for a request whose prompt an engine has already prefilled, chosen by
+/// this host alone.
+pub fn decode_engine(state: &State, request: &Request, prefill_engine: Key) -> Option<Key> {
+    let fleet = fleet(state, &request.service);
+    let data_centre = fleet.engines.iter().find(|it| it.key == prefill_engine)?.data_centre;
+    let candidates = fleet.candidates(request, &state.prefix_cache);
+    engine::choose_decode_engine(&candidates, data_centre)
+}
+
 /// Returns the targets of a service that were not tried yet; paused ones only if there are no
 /// others.
 fn untried<'a>(state: &'a State, service: &id::Service, tried: &[Key]) -> Vec<(Key, &'a Target)> {
--- a/gateway/tests/calls.rs
+++ b/gateway/tests/calls.rs
@@ -21,6 +21,50 @@
     assert_eq!(calls.further_calls(), 1);
 }
 
+/// A retry after a broken run is paid with the prefill that it needs.
+#[test]
+fn retry_price() {
+    let mut calls = Ledger::default();
+    assert_eq!(calls.price(true), 0);
+    calls.record_prefill(true);
+    calls.record_run();
+    assert_eq!((calls.price(false), calls.price(true)), (1, 2));
+}
+
+/// Calls that were paid for and never reached a target are not paid for again.
+#[test]
+fn unreachable_free() {
+    let mut calls = Ledger::default();
+    calls.record_prefill(true);
+    assert_eq!(calls.price(false), 0);
+    calls.record_run();
+    calls.record_payment(calls.price(true));
+    calls.record_prefill(true);
+    assert_eq!(calls.price(false), 0);
+}
+
+/// Whatever engines reject or refuse, the further calls never exceed those paid for.
+#[test]
+fn all_paid() {
+    for outcomes in 0..1u32 << 16 {
+        let (mut calls, mut paid) = (Ledger::default(), 0);
+        for attempt in 0..4 {
+            let bit = |number: u32| outcomes >> (4 * attempt + number) & 1 == 1;
+            let (prefills, prefill_sent, accepted, run_sent) = (bit(0), bit(1), bit(2), bit(3));
+            let price = calls.price(prefills);
+            calls.record_payment(price);
+            paid += price;
+            if prefills && prefill_sent {
+                calls.record_prefill(accepted);
+            }
+            if run_sent && (!prefills || prefill_sent && accepted) {
+                calls.record_run();
+            }
+            assert!(calls.further_calls() <= paid, "{outcomes:016b}");
+        }
+    }
+}
+
 /// A rejected prefill counts, and leaves the free one for later.
 #[test]
 fn rejected_prefill() {
--- a/gateway/tests/retry_budget.rs
+++ b/gateway/tests/retry_budget.rs
@@ -24,7 +24,7 @@
         let budget = &mut budgets[step as usize % hosts];
         budget.count_request(now);
         requests.push(now);
-        if budget.try_take_retry(hosts, now) {
+        if budget.try_take(1, hosts, now) {
             retries.push(now);
         }
     }
@@ -43,14 +43,26 @@
 #[test]
 fn slack_alone() {
     let mut budget = Budget::new(CONFIG);
-    let count = (0..100).filter(|step| budget.try_take_retry(1, ms(1000 + step))).count();
+    let count = (0..100).filter(|step| budget.try_take(1, 1, ms(1000 + step))).count();
     assert!((1..=58).contains(&count), "{count}");
 }
 
 #[test]
 fn window_passes() {
     let mut budget = Budget::new(CONFIG);
-    while budget.try_take_retry(1, ms(1000)) {}
-    assert!(!budget.try_take_retry(1, ms(5000)));
-    assert!(budget.try_take_retry(1, ms(12_100)));
+    while budget.try_take(1, 1, ms(1000)) {}
+    assert!(!budget.try_take(1, 1, ms(5000)));
+    assert!(budget.try_take(1, 1, ms(12_100)));
+}
+
+/// A retry of two calls is not begun when the budget has only one left.
+#[test]
+fn taken_whole() {
+    let mut budget = Budget::new(Config { ratio: 0.0, slack: 10.0, ..CONFIG });
+    let taken = (0..9).filter(|_| budget.try_take(2, 1, ms(1000))).count();
+    assert_eq!(taken, 3);
+    assert!(budget.permits(1, 1, ms(1000)));
+    assert!(!budget.permits(2, 1, ms(1000)));
+    assert!(!budget.try_take(2, 1, ms(1000)));
+    assert!(budget.try_take(1, 1, ms(1000)));
 }
