fix(poison): block prompt parts that crash each target that answers them

Class: evidence kept under a key that is finer than the cause.

poison_part::Detector counts crashes by part: runs that break off before or within 0.5 s of their first event are evidence, an answer of 1 s or to its end clears all parts of its prompt. A part is blocked after crashes at four moments (three if five targets crashed), under different requests, with most of the crashes since its first, and if no later part of the prompts accounts for them, so that a common first part, a rack or a release blocks nothing. A request that broke off is not sent again after two moments. Hosts share crashes, answers and blocks by datagrams; blocks are repeated each second to three hosts and to each host that comes up. A block ends at a different time on each host and doubles.

--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -21,7 +21,7 @@
     logging::Log,
     membership::{Host, Membership},
     metrics::Metrics,
-    poison, prefix_cache,
+    poison, poison_part, prefix_cache,
     registry::{Event, Key, Registry},
     retry_budget::{self, Budget},
     slowness,
@@ -132,6 +132,8 @@
     pub latency_models: HashMap<id::Service, LatencyModel>,
     /// Detector of requests that crash targets.
     pub poison: poison::Detector,
+    /// Detector of prompt parts that crash targets.
+    pub poison_parts: poison_part::Detector,
     /// Initial deadlines of callers, by route.
     pub deadlines: Deadlines,
 }
@@ -196,6 +198,7 @@
             slowness: slowness::Tracker::default(),
             latency_models: HashMap::new(),
             poison: poison::Detector::default(),
+            poison_parts: poison_part::Detector::new(rand::random()),
             deadlines: Deadlines::default(),
         };
         let pool = Pool::new(metrics.connections_opened.clone());
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -17,7 +17,6 @@
     context::Context,
     event_stream::Splitter,
     job::{self, Job},
-    peers::{self, Packet},
     prefill::Prefilled,
     registry::Key,
     response::{self, Body},
@@ -125,6 +124,10 @@
     pub(crate) may_have_run: bool,
     /// Estimated queueing time for which the job was refused; zero unless it was.
     pub(crate) queue_time: Duration,
+    /// Time of the first event of the current run.
+    pub(crate) first_event_at: Option<Moment>,
+    /// Whether a run has shown that the job crashes no target.
+    pub(crate) is_sound: bool,
 }
 
 impl Forwarder {
@@ -137,6 +140,8 @@
             failed_connects: 0,
             may_have_run: false,
             queue_time: Duration::ZERO,
+            first_event_at: None,
+            is_sound: false,
         }
     }
 
@@ -201,6 +206,9 @@
             if self.job.time_left().is_zero() {
                 return Err(self.expired_reason());
             }
+            if let Some(reason) = self.poison_reason() {
+                return Err(reason);
+            }
             let sent = if self.is_engine_service() {
                 self.send_to_engines(last_event_id).await?
             } else {
@@ -319,19 +327,6 @@
         Ok(())
     }
 
-    /// Tells all hosts that the request broke off at a target, which it may have crashed.
-    fn announce_broken(&self, key: Key) {
-        let target = self.context.state().registry.get(key).map(|it| it.id.clone());
-        let Some(target) = target else { return };
-        let request = self.job.fingerprint();
-        self.context.state_mut().poison.record_interrupted_run(
-            request,
-            target.clone(),
-            clock::now(),
-        );
-        peers::send_to_all(&self.context, &Packet::AttemptBroken(request, target));
-    }
-
     /// Returns the reason for making no further attempt, if any.
     fn stop_reason(&mut self, failure: &Failure) -> Option<Reason> {
         match failure {
@@ -361,11 +356,14 @@
     }
 
     /// Reads and forwards a response that is not a stream.
-    async fn forward_whole(&self, attempt: Attempt) -> Result<Response<Body>, Failure> {
+    async fn forward_whole(&mut self, attempt: Attempt) -> Result<Response<Body>, Failure> {
         let (key, target) = (attempt.response.key, attempt.response.target.id.clone());
         let (status, headers, bytes) =
             attempt.response.read_whole(&self.context, &self.job).await?;
         self.context.state_mut().health.record_success(key);
+        if status.is_success() {
+            self.record_answer();
+        }
         let mut response = Response::new(Body::whole(bytes));
         *response.status_mut() = status;
         *response.headers_mut() = headers;
@@ -398,6 +396,8 @@
             failed_connects: self.failed_connects,
             may_have_run: true,
             queue_time: Duration::ZERO,
+            first_event_at: None,
+            is_sound: false,
         };
         let relay = Relay::new(forwarder, sender);
         tokio::task::spawn_local(relay.run(attempt, splitter, first));
--- a/gateway/src/job.rs
+++ b/gateway/src/job.rs
@@ -24,6 +24,7 @@
     context::{Context, OpenRequest},
     engine,
     headers::{HeaderNames, end_to_end, head_bytes},
+    poison_part::MAX_PROMPT_PARTS,
     prompt::Prompt,
     target::Target,
 };
@@ -58,6 +59,8 @@
     pub configuration_version: id::Version,
     /// Prompt description from the headers.
     pub prompt: Prompt,
+    /// Fingerprints of the prompt's shared parts, in order.
+    pub parts: Vec<id::Fingerprint>,
     /// Arrival time of the request head.
     pub arrived: Moment,
     /// Time for which the caller waits, counted from `arrived`.
@@ -107,6 +110,7 @@
         let prior_time = context.state_mut().deadlines.elapsed(&route.name, caller_timeout);
         let expires_at = arrived + caller_timeout.min(route.timeout);
         let prompt = Prompt::read(&parts.headers, names);
+        let part_fingerprints = fingerprints(&service, &prompt);
         let time_left = expires_at.saturating_sub(clock::now());
         let body = read_body(body, configuration.limits.max_body_bytes, time_left).await?;
         let mut headers = end_to_end(&parts.headers);
@@ -120,6 +124,7 @@
             service,
             configuration_version: configuration.version,
             prompt,
+            parts: part_fingerprints,
             arrived,
             caller_timeout,
             prior_time,
@@ -178,6 +183,12 @@
         calls.further_calls() - before.further_calls()
     }
 
+    /// Returns the identifier of a shared part of the prompt, given its fingerprint.
+    pub fn part_name(&self, part: id::Fingerprint) -> Option<&str> {
+        let index = self.parts.iter().position(|it| *it == part)?;
+        Some(self.prompt.shared_parts().get(index)?.id.as_str())
+    }
+
     /// Returns whether the route allows no further attempt.
     pub fn attempts_exhausted(&self) -> bool {
         self.route.max_attempts <= self.attempts_sent.get()
@@ -220,6 +231,17 @@
     header_text(headers, &names.request_id).map(SmolStr::new).unwrap_or_default()
 }
 
+/// Returns hashes of the first shared parts of a prompt to a service.
+fn fingerprints(service: &id::Service, prompt: &Prompt) -> Vec<id::Fingerprint> {
+    let parts = prompt.shared_parts().iter().take(MAX_PROMPT_PARTS);
+    let fingerprint = |id: &SmolStr| {
+        let mut hasher = std::hash::DefaultHasher::new();
+        (service, id).hash(&mut hasher);
+        hasher.finish()
+    };
+    parts.map(|it| fingerprint(&it.id)).collect()
+}
+
 fn find_route(
     configuration: &Configuration,
     parts: &hyper::http::request::Parts,
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -1,11 +1,12 @@
 //! Request path of an entry host in front of the services in the operators' configuration.
 //!
-//! Everything runs on one thread. The modules that decide (`balancer`, `calls`, `configuration`, `deadline`,
-//! `dispatch`, `election`, `engine`, `event_stream`, `health`, `load`, `membership`, `poison`,
-//! `prefix_cache`, `registry`, `retry_after`, `retry_budget`, `shortlist`, `slowness`, `watch`) do no
-//! I/O and read no clock; `dispatcher`, `forward`, `http_server`, `peers`, `reservation`, `store_sync`,
-//! `stream_relay` and `upstream` call them. A deployment's platform supplies its names and formats
-//! through [`store::Store`], [`headers::HeaderNames`] and [`directory::Directory`].
+//! Everything runs on one thread. The modules that decide (`balancer`, `calls`, `configuration`,
+//! `deadline`, `dispatch`, `election`, `engine`, `event_stream`, `health`, `load`, `membership`,
+//! `poison`, `poison_part`, `prefix_cache`, `registry`, `retry_after`, `retry_budget`, `shortlist`,
+//! `slowness`, `watch`) do no I/O and read no clock; `dispatcher`, `forward`, `http_server`, `peers`,
+//! `poison_reports`, `reservation`, `store_sync`, `stream_relay` and `upstream` call them. A
+//! deployment's platform supplies its names and formats through [`store::Store`],
+//! [`headers::HeaderNames`] and [`directory::Directory`].
 
 pub mod attempt;
 pub mod balancer;
@@ -30,6 +31,8 @@
 pub mod metrics;
 pub mod peers;
 pub mod poison;
+pub mod poison_part;
+mod poison_reports;
 pub mod prefill;
 pub mod prefix_cache;
 pub mod prompt;
@@ -108,6 +111,7 @@
     tasks.spawn_local(store_sync::register_host(Rc::clone(&context), store.clone()));
     tasks.spawn_local(store_sync::log_statistics(Rc::clone(&context)));
     tasks.spawn_local(store_sync::expire_state(Rc::clone(&context)));
+    tasks.spawn_local(poison_reports::repeat_reports(Rc::clone(&context)));
     tasks.spawn_local(run_peers(Rc::clone(&context)));
     tasks.spawn_local(peers::report_work(Rc::clone(&context)));
     tasks.spawn_local(dispatcher::run(Rc::clone(&context)));
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -11,7 +11,8 @@
     dispatcher,
     load::Work,
     membership::{Change, Heartbeat, ROUND_INTERVAL},
-    registry, slowness, store_sync,
+    poison_part::Block,
+    poison_reports, registry, slowness, store_sync,
     watch::Update,
 };
 use fuchsiaknot_core::{
@@ -51,6 +52,13 @@
     DispatchRequest(id::Host, Request),
     /// The dispatcher's reply to such a request.
     DispatchReply(id::Host, RequestNumber, Reply),
+    /// A target broke off a request before it had answered it, and may have crashed under one of the
+    /// prompt's parts.
+    CrashSuspected(id::Fingerprint, Vec<id::Fingerprint>, id::Target),
+    /// Parts that the sender has seen answered.
+    PartsCleared(Vec<id::Fingerprint>),
+    /// Parts that the sender blocks.
+    PartsBlocked(id::Host, Vec<Block>),
 }
 
 /// Returns the current heartbeat of this host.
@@ -81,7 +89,7 @@
 }
 
 /// Sends a datagram to each address; returns whether all were sent.
-fn send_to(context: &Context, addresses: &[SocketAddr], packet: &Packet) -> bool {
+pub(crate) fn send_to(context: &Context, addresses: &[SocketAddr], packet: &Packet) -> bool {
     let Some(socket) = context.peer_socket() else { return false };
     let bytes = match postcard::to_stdvec(packet) {
         Ok(bytes) => bytes,
@@ -244,7 +252,9 @@
         }
         Packet::TargetUpdate(update) => store_sync::handle_target_update(context, update),
         Packet::AttemptBroken(request, target) => {
-            context.state_mut().poison.record_interrupted_run(request, target, clock::now());
+            let (mut state, now) = (context.state_mut(), clock::now());
+            state.poison_parts.record_break(request, &target, now);
+            state.poison.record_interrupted_run(request, target, now);
         }
         Packet::DispatchRequest(host, request) => {
             dispatcher::handle_request(context, host, request)
@@ -252,6 +262,13 @@
         Packet::DispatchReply(host, number, reply) => {
             dispatcher::handle_reply(context, host, number, reply)
         }
+        Packet::CrashSuspected(request, parts, target) => {
+            poison_reports::handle_crash(context, request, &parts, &target)
+        }
+        Packet::PartsCleared(parts) => poison_reports::handle_clearing(context, &parts),
+        Packet::PartsBlocked(host, blocks) => {
+            poison_reports::handle_report(context, &host, &blocks)
+        }
     }
 }
 
@@ -261,6 +278,7 @@
     let change = context.state_mut().membership.handle_heartbeat(received, clock::now());
     if let Some(Change::Up(host)) = &change {
         send(context, host, &Packet::Heartbeat(heartbeat(context)));
+        poison_reports::report_to(context, host);
     }
     record_changes(context, change);
 }
--- a/gateway/src/reservation.rs
+++ b/gateway/src/reservation.rs
@@ -144,6 +144,10 @@
             return Ok(self.run_prefilled(prefilled, in_flight, last_event_id).await);
         }
         let reservation = self.reserve_engines(last_event_id.is_some()).await?;
+        // The part may have been blocked while the job waited.
+        if let Some(reason) = self.poison_reason() {
+            return Err(reason);
+        }
         self.pay_for_attempt(reservation.stage == Stage::Prefill)?;
         Ok(self.run_on_engines(reservation, last_event_id).await)
     }
--- a/gateway/src/stream_relay.rs
+++ b/gateway/src/stream_relay.rs
@@ -72,6 +72,7 @@
             match next {
                 Ok(Some(event)) => {
                     self.record_pause(attempt.response.key);
+                    self.forwarder.record_event();
                     self.last_event_id = event.id.or(self.last_event_id);
                     if self.sender.send(Ok(event.bytes)).await.is_err() {
                         self.record_disconnect();
@@ -185,7 +186,8 @@
     }
 
     /// Records and logs a complete stream.
-    fn finish(&self, attempt: Attempt) {
+    fn finish(&mut self, attempt: Attempt) {
+        self.forwarder.record_answer();
         let context = &self.forwarder.context;
         let Attempt { response, in_flight } = attempt;
         drop(in_flight);
