--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -7,8 +7,8 @@
 use tokio::time::timeout;
 
 use crate::{
-    context::Context, dispatcher, job::Job, load::Work, prefill::Prefilled, registry::Key,
-    target_response::TargetResponse, upstream::RequestError,
+    calls::Call, context::Context, dispatcher, job::Job, load::Work, prefill::Prefilled,
+    registry::Key, target_response::TargetResponse, upstream::RequestError,
 };
 
 /// Why an attempt yielded no response to forward.
@@ -121,6 +121,8 @@
 /// How a job is sent to a target.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Options<'a> {
+    /// What the target is asked for.
+    pub call: Call,
     /// Identifier of the last event sent to the caller; the stream resumes after it.
     pub last_event_id: Option<u64>,
     /// Prompt that another engine has prefilled.
@@ -178,12 +180,19 @@
     let mut connection = connected.map_err(|err| Failure::NotSent(err.to_string()))?;
     let mut request = job.target_request(&context.header_names, &target, options);
     request.headers_mut().extend(headers);
+    if job.record_call(options.call) {
+        let further_calls = &context.metrics.further_calls;
+        further_calls.with_label_values(&[options.call.as_str()]).inc();
+    }
     let time_left = job.time_left();
     let head_timeout = options.head_timeout.unwrap_or(Duration::MAX).min(time_left);
     match timeout(head_timeout, connection.send(request)).await {
         Err(_) if head_timeout < time_left => Err(Failure::Silent),
         Err(_) => Err(Failure::Expired),
-        Ok(Err(RequestError::NotSent)) => Err(Failure::NotSent(RequestError::NotSent.to_string())),
+        Ok(Err(RequestError::NotSent)) => {
+            job.withdraw_call(options.call);
+            Err(Failure::NotSent(RequestError::NotSent.to_string()))
+        }
         Ok(Err(err)) => Err(Failure::Broken(err.to_string())),
         Ok(Ok(response)) => {
             TargetResponse::receive(context, job, (key, target), connection, response).await
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -16,7 +16,8 @@
     context::Context,
     event_stream::Splitter,
     job::{self, Job, MAX_SILENCE_TIMEOUT},
-    peers::{self, Packet},
+    poison_reports,
+    prefill::Prefilled,
     registry::Key,
     response::{self, Body},
     retry_after, selection,
@@ -129,12 +130,18 @@
     pub(crate) job: Rc<Job>,
     /// Targets that were tried.
     pub(crate) tried: Vec<Key>,
+    /// Prompt prefilled for an engine that then could not be reached.
+    pub(crate) prefilled: Option<Prefilled>,
     /// Number of attempts whose request could not be sent.
     failed_connects: u32,
     /// Whether a target may have started the job.
     pub(crate) may_have_run: bool,
     /// Estimated queueing time for which the job was refused; zero unless it was.
     pub(crate) queue_time: Duration,
+    /// Time of the first event of the current run.
+    pub(crate) first_event_at: Option<Moment>,
+    /// Whether a run has shown that the job crashes no target.
+    pub(crate) is_sound: bool,
 }
 
 impl Forwarder {
@@ -143,9 +150,12 @@
             context: Rc::clone(context),
             job: Rc::clone(job),
             tried: Vec::new(),
+            prefilled: None,
             failed_connects: 0,
             may_have_run: false,
             queue_time: Duration::ZERO,
+            first_event_at: None,
+            is_sound: false,
         }
     }
 
@@ -166,7 +176,7 @@
                 false => self.forward_whole(attempt).await,
             };
             match outcome {
-                Ok(response) if is_server_error && self.take_retry_after_error() => {
+                Ok(response) if is_server_error && self.retry_after_error() => {
                     self.context.state_mut().health.record_error(key);
                     error_response = Some(response);
                 }
@@ -180,15 +190,15 @@
         }
     }
 
-    /// Takes a retry from the budget after a response with a server error, if the request may be
-    /// retried.
+    /// Counts a retry after a response with a server error, if the request may be retried and the
+    /// retry budget is not spent.
     ///
     /// Returns whether the request is to be retried.
-    fn take_retry_after_error(&self) -> bool {
+    fn retry_after_error(&self) -> bool {
         let retry = RetryReason::TargetFailed.code();
         let retries = self.job.route.kind == RequestKind::Idempotent
             && !self.job.attempts_exhausted()
-            && self.context.take_retry(&self.job.service);
+            && self.can_pay_next();
         if retries {
             self.context.metrics.retried.with_label_values(&[retry]).inc();
         }
@@ -208,12 +218,15 @@
             if self.job.time_left().is_zero() {
                 return Err(self.expired_reason());
             }
+            if let Some(reason) = self.poison_reason() {
+                return Err(reason);
+            }
             let sent = if self.job.on_engines {
-                let reservation = self.reserve_engines(last_event_id.is_some()).await?;
-                self.run_on_engines(reservation, last_event_id).await.map_err(SendError::from)
+                self.send_to_engines(last_event_id).await?.map_err(SendError::from)
             } else {
                 let key = selection::service_target(&self.context, &self.job, &self.tried);
                 let key = key.ok_or_else(|| self.no_target_reason())?;
+                self.pay_for_attempt(false)?;
                 let in_flight = InFlight::new(&self.context, &self.job, key, 0);
                 let options = Options { last_event_id, ..Options::default() };
                 match self.job.head_timeout() {
@@ -232,7 +245,7 @@
         }
     }
 
-    /// Sends the job to a target and counts the attempt unless the request was not sent.
+    /// Sends the job to a target.
     pub(crate) async fn send(
         &mut self,
         in_flight: InFlight,
@@ -240,7 +253,7 @@
     ) -> Result<Attempt, (Key, Failure)> {
         let key = in_flight.key;
         self.tried.push(key);
-        send_counted(&self.context, &self.job, in_flight, options).await.map_err(|it| (key, it))
+        attempt::send(&self.context, &self.job, in_flight, options).await.map_err(|it| (key, it))
     }
 
     /// Sends the job to a target and, when it does not answer within `head_timeout`, also to another
@@ -257,7 +270,7 @@
         let key = in_flight.key;
         let (context, job) = (Rc::clone(&self.context), Rc::clone(&self.job));
         self.tried.push(key);
-        let mut first = pin!(send_counted(&context, &job, in_flight, options));
+        let mut first = pin!(attempt::send(&context, &job, in_flight, options));
         if let Ok(sent) = timeout(head_timeout, first.as_mut()).await {
             return sent.map_err(|failure| SendError::Failed(key, failure));
         }
@@ -266,7 +279,10 @@
             sent = first.as_mut() => match sent {
                 Ok(attempt) => Ok(attempt),
                 Err(failure) => {
-                    record_target_failure(&context, &job, key, &failure);
+                    attempt::record_health(&context, key, &failure);
+                    if matches!(failure, Failure::Broken(_)) {
+                        poison_reports::announce_break(&context, &job, key);
+                    }
                     second.await.map_err(SendError::GivenUp)
                 }
             },
@@ -298,19 +314,50 @@
         Box::pin(self.send_until_answered(last_event_id)).await
     }
 
-    /// Records a failed attempt and takes a retry from the budget.
+    /// Returns whether the retry budget permits the cheapest further attempt.
+    fn can_pay_next(&self) -> bool {
+        let price = self.job.calls.get().price(false);
+        self.context.permits_calls(&self.job.service, price)
+    }
+
+    /// Takes the calls of the next attempt beyond the request's first from the retry budget.
+    ///
+    /// # Errors
+    /// Returns the reason for giving the job up when the budget cannot pay for all of them.
+    pub(crate) fn pay_for_attempt(&self, prefills: bool) -> Result<(), Reason> {
+        let price = self.job.calls.get().price(prefills);
+        if !self.context.take_calls(&self.job.service, price) {
+            tracing::info!(code = 8041,
+                id = %self.job.id,
+                service = %self.job.service,
+                calls = price,
+                sent = self.job.attempts_sent.get(),
+                "retry budget does not permit the next attempt"
+            );
+            return Err(self.spent_reason());
+        }
+        self.job.update_calls(|it| it.record_payment(price));
+        Ok(())
+    }
+
+    /// Returns the reason for giving up when the retry budget is spent.
+    fn spent_reason(&self) -> Reason {
+        if self.may_have_run { Reason::TargetFailed } else { Reason::RetryBudget }
+    }
+
+    /// Records a failed attempt, and whether the retry budget permits another one.
     ///
     /// # Errors
     /// Returns the reason for making no further attempt.
     pub(crate) fn record_failure(&mut self, key: Key, failure: Failure) -> Result<(), Reason> {
         let context = Rc::clone(&self.context);
-        record_target_failure(&context, &self.job, key, &failure);
+        self.record_target_failure(key, &failure);
         let retry_reason = failure.retry_reason();
         context.metrics.attempts.with_label_values(&[retry_reason.code()]).inc();
         self.may_have_run |= failure.may_have_run();
-        let was_sent = !matches!(failure, Failure::NotSent(_));
         let stop = self.stop_reason(&failure);
-        let over_budget = stop.is_none() && was_sent && !context.take_retry(&self.job.service);
+        let over_budget = stop.is_none() && !self.can_pay_next();
+        let logged_stop = if over_budget { Some(Reason::RetryBudget) } else { stop };
         tracing::info!(code = 8013,
             id = %self.job.id,
             service = %self.job.service,
@@ -319,20 +366,30 @@
             sent = self.job.attempts_sent.get(),
             failure = ?failure,
             left_ms = self.job.time_left().as_millis() as u64,
-            stop = stop.map(Reason::code),
-            over_budget,
+            first_ms = self.job.time_to_first_event.get().map(|it| it.as_millis() as u64),
+            shared_parts = ?self.job.prompt.shared_part_ids(),
+            stop = logged_stop.map(Reason::code),
             "attempt failed"
         );
         if let Some(reason) = stop {
             return Err(reason);
         }
         if over_budget {
-            return Err(if self.may_have_run { Reason::TargetFailed } else { Reason::RetryBudget });
+            return Err(self.spent_reason());
         }
         context.metrics.retried.with_label_values(&[retry_reason.code()]).inc();
         Ok(())
     }
 
+    /// Records a failed attempt in the health of its target. If it broke off, informs all hosts, since
+    /// the request may have crashed the target.
+    pub(crate) fn record_target_failure(&mut self, key: Key, failure: &Failure) {
+        attempt::record_health(&self.context, key, failure);
+        if matches!(failure, Failure::Broken(_)) {
+            self.announce_broken(key);
+        }
+    }
+
     /// Returns the reason for making no further attempt, if any.
     fn stop_reason(&mut self, failure: &Failure) -> Option<Reason> {
         match failure {
@@ -362,11 +419,14 @@
     }
 
     /// Reads and forwards a response that is not a stream.
-    async fn forward_whole(&self, attempt: Attempt) -> Result<Response<Body>, Failure> {
+    async fn forward_whole(&mut self, attempt: Attempt) -> Result<Response<Body>, Failure> {
         let (key, target) = (attempt.response.key, attempt.response.target.id.clone());
         let (status, headers, bytes) =
             attempt.response.read_whole(&self.context, &self.job).await?;
         self.context.state_mut().health.record_success(key);
+        if status.is_success() {
+            self.record_answer();
+        }
         let mut response = Response::new(Body::whole(bytes));
         *response.status_mut() = status;
         *response.headers_mut() = headers;
@@ -395,9 +455,12 @@
             context: Rc::clone(&self.context),
             job: Rc::clone(&self.job),
             tried: std::mem::take(&mut self.tried),
+            prefilled: None,
             failed_connects: self.failed_connects,
             may_have_run: true,
             queue_time: Duration::ZERO,
+            first_event_at: None,
+            is_sound: false,
         };
         let relay = Relay::new(forwarder, sender);
         tokio::task::spawn_local(relay.run(attempt, splitter, first));
@@ -459,37 +522,6 @@
     }
 }
 
-/// Sends a job to a target and counts the attempt unless the request was not sent.
-///
-/// It is counted before the response, so that an attempt that is dropped meanwhile counts too.
-async fn send_counted(
-    context: &Context,
-    job: &Job,
-    in_flight: InFlight,
-    options: Options<'_>,
-) -> Result<Attempt, Failure> {
-    job.attempts_sent.set(job.attempts_sent.get() + 1);
-    let sent = attempt::send(context, job, in_flight, options).await;
-    if matches!(sent, Err(Failure::NotSent(_))) {
-        job.attempts_sent.set(job.attempts_sent.get() - 1);
-    }
-    sent
-}
-
-/// Records a failed attempt in the health of its target. If it broke off, tells all hosts, since the
-/// request may have crashed the target.
-pub(crate) fn record_target_failure(context: &Context, job: &Job, key: Key, failure: &Failure) {
-    attempt::record_health(context, key, failure);
-    if !matches!(failure, Failure::Broken(_)) {
-        return;
-    }
-    let target = context.state().registry.get(key).map(|it| it.id.clone());
-    let Some(target) = target else { return };
-    let request = job.fingerprint();
-    context.state_mut().poison.record_interrupted_run(request, target.clone(), clock::now());
-    peers::send_to_all(context, &Packet::AttemptBroken(request, target));
-}
-
 /// Logs a response that was forwarded to its end and records its latency.
 pub(crate) fn log_response(
     context: &Context,
