--- a/gateway/src/reservation.rs
+++ b/gateway/src/reservation.rs
@@ -216,7 +216,7 @@
         in_flight: InFlight,
         last_event_id: Option<u64>,
     ) -> Result<Attempt, (Key, Failure)> {
-        let options = Options { last_event_id, prefilled: Some(&prefilled), head_timeout: None };
+        let options = Options { last_event_id, prefilled: Some(&prefilled), ..Options::default() };
         let sent = self.send(in_flight, options).await;
         match &sent {
             Ok(_) => prefilled.mark_fetched(),
