feat(availability): decide which targets want no new requests

Cause: a target that is leaving, or that asked for a pause, is known to the host, but no module holds it; the pauses of health.rs are short and their targets are a fallback, which these must never be. Change: gateway/src/availability.rs, without clock or I/O: departures by run (also after the entry was lost, for a minute; bounded), backoffs by target (positive seconds, at most ten minutes, the longest counts), and spaced requests for half a second after a backoff. Not called yet.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -1,13 +1,15 @@
 //! Request path of an entry host in front of the services in the operators' configuration.
 //!
-//! Everything runs on one thread. The modules that decide (`balancer`, `configuration`, `deadline`,
-//! `dispatch`, `election`, `engine`, `event_stream`, `health`, `load`, `membership`, `poison`,
-//! `prefix_cache`, `registry`, `retry_after`, `retry_budget`, `shortlist`, `slowness`, `watch`) do no
-//! I/O and read no clock; `dispatcher`, `forward`, `http_server`, `peers`, `reservation`, `store_sync`,
-//! `stream_relay` and `upstream` call them. A deployment's platform supplies its names and formats
-//! through [`store::Store`], [`headers::HeaderNames`] and [`directory::Directory`].
+//! Everything runs on one thread. The modules that decide (`availability`, `balancer`,
+//! `configuration`, `deadline`, `dispatch`, `election`, `engine`, `event_stream`, `health`, `load`,
+//! `membership`, `poison`, `prefix_cache`, `registry`, `retry_after`, `retry_budget`, `shortlist`,
+//! `slowness`, `watch`) do no I/O and read no clock; `dispatcher`, `forward`, `http_server`,
+//! `peers`, `reservation`, `store_sync`, `stream_relay` and `upstream` call them. A deployment's
+//! platform supplies its names and formats through [`store::Store`], [`headers::HeaderNames`] and
+//! [`directory::Directory`].
 
 pub mod attempt;
+pub mod availability;
 pub mod balancer;
 pub mod configuration;
 pub mod context;
