feat(notice): send nothing new to a target that says it is leaving

Change: notice.rs reads the head of every response (runs, prefills, releases); attempt::send_request and the release check availability before connecting and again before the request is written; selection, the placement request and the dispatcher's fleet leave such targets out, also as a fallback; a grant of one is returned and asked for once more; no decode engine left means refused at once. Existing test changed: catalogue.rs gives the new metric a value.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -7,7 +7,7 @@
 use tokio::time::timeout;
 
 use crate::{
-    context::Context, dispatcher, job::Job, load::Work, prefill::Prefilled, registry::Key,
+    context::Context, dispatcher, job::Job, load::Work, notice, prefill::Prefilled, registry::Key,
     target_response::TargetResponse, upstream::RequestError,
 };
 
@@ -16,6 +16,8 @@
 pub enum Failure {
     /// The request never reached the target.
     NotSent(String),
+    /// Nothing was sent, since the target is leaving or asked this host to back off.
+    Unavailable,
     /// The target answered that it did not run the request.
     NotRun(StatusCode),
     /// The connection broke or the response is unusable; the target may have run part of the
@@ -36,6 +38,11 @@
         }
     }
 
+    /// Returns whether the request was sent to the target.
+    pub fn was_sent(&self) -> bool {
+        !matches!(self, Failure::NotSent(_) | Failure::Unavailable)
+    }
+
     /// Returns whether the target may have started the request.
     pub fn may_have_run(&self) -> bool {
         matches!(self, Failure::Broken(_) | Failure::Silent | Failure::Expired)
@@ -45,7 +52,7 @@
     pub fn retry_reason(&self) -> RetryReason {
         match self {
             Failure::NotSent(_) => RetryReason::ConnectRefused,
-            Failure::NotRun(_) => RetryReason::TargetRefused,
+            Failure::NotRun(_) | Failure::Unavailable => RetryReason::TargetRefused,
             Failure::Broken(_) => RetryReason::TargetFailed,
             Failure::Silent | Failure::Expired => RetryReason::Silent,
         }
@@ -68,6 +75,7 @@
         let kv_tokens = job.prompt.tokens + job.prompt.max_output_tokens;
         let work = Work { requests: 1, prompt_tokens: prefill_tokens, kv_tokens };
         let tokens_ahead = context.state().total_work(key).prompt_tokens;
+        notice::record_request(context, key);
         context.state_mut().load.add(key, work);
         context.work_changed.notify_one();
         InFlight {
@@ -174,8 +182,15 @@
     let target = target.filter(|it| !it.draining);
     let target =
         target.ok_or_else(|| Failure::NotSent("the target is draining or gone".to_owned()))?;
+    let may_send = || context.state().availability.may_send(key, clock::now());
+    if !may_send() {
+        return Err(Failure::Unavailable);
+    }
     let connected = context.pool.connect(key, target.address).await;
     let mut connection = connected.map_err(|err| Failure::NotSent(err.to_string()))?;
+    if !may_send() {
+        return Err(Failure::Unavailable);
+    }
     let mut request = job.target_request(&context.header_names, &target, options);
     request.headers_mut().extend(headers);
     let head_timeout = options.head_timeout.unwrap_or(Duration::MAX).min(job.time_left());
@@ -185,6 +200,7 @@
         Ok(Err(RequestError::NotSent)) => Err(Failure::NotSent(RequestError::NotSent.to_string())),
         Ok(Err(err)) => Err(Failure::Broken(err.to_string())),
         Ok(Ok(response)) => {
+            notice::record(context, key, response.headers());
             TargetResponse::receive(context, job, (key, target), connection, response).await
         }
     }
@@ -198,5 +214,6 @@
             state.health.record_failure(key, clock::now());
         }
         Failure::NotRun(_) | Failure::Expired => state.health.record_error(key),
+        Failure::Unavailable => {}
     }
 }
--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -11,6 +11,7 @@
 use tokio::{net::UdpSocket, sync::Notify};
 
 use crate::{
+    availability,
     configuration::Configuration,
     deadline::Deadlines,
     dispatcher::Dispatcher,
@@ -21,7 +22,7 @@
     logging::Log,
     membership::{Host, Membership},
     metrics::Metrics,
-    poison, prefix_cache,
+    notice, poison, prefix_cache,
     registry::{Event, Key, Registry},
     retry_budget::{self, Budget},
     slowness,
@@ -120,6 +121,8 @@
     pub load: load::Tracker,
     /// Failure rates of targets.
     pub health: Health,
+    /// Targets that are leaving or asked this host to back off.
+    pub availability: availability::Tracker,
     /// Prompt prefixes in the engines' caches.
     pub prefix_cache: prefix_cache::Index,
     /// The other hosts.
@@ -190,6 +193,7 @@
             targets_watch: Watch::default(),
             load: load::Tracker::new(PEER_WORK_TTL),
             health: Health::default(),
+            availability: availability::Tracker::default(),
             prefix_cache: prefix_cache::Index::default(),
             membership: Membership::new(settings.host.clone()),
             retry_budgets: HashMap::new(),
@@ -334,9 +338,13 @@
     pub fn record_target_events(&self, events: Vec<Event>) {
         for event in events {
             match event {
-                Event::Added(_, id) => tracing::info!(code = 8001, target = %id, "target added"),
+                Event::Added(key, id) => {
+                    tracing::info!(code = 8001, target = %id, "target added");
+                    notice::restore_departure(self, key);
+                }
                 Event::Draining(key, id) => {
                     self.pool.close_idle(key);
+                    notice::restore_departure(self, key);
                     tracing::info!(code = 8002, target = %id, "target draining; nothing new is sent to it");
                 }
                 Event::Removed(key, id) => {
@@ -345,6 +353,7 @@
                     state.load.forget_target(key);
                     state.prefix_cache.forget(key);
                     state.slowness.forget(key);
+                    state.availability.forget(key, &id, clock::now());
                     tracing::info!(code = 8003, target = %id, "target gone");
                 }
             }
--- a/gateway/src/dispatcher.rs
+++ b/gateway/src/dispatcher.rs
@@ -16,7 +16,6 @@
     dispatch::{DecidedRequest, Decision, Fleet, Placement, Queue, Reply, Request, RequestNumber},
     engine::{Choice, Estimate},
     peers::{self, Packet},
-    registry::Registry,
     selection,
     target::Stage,
 };
@@ -67,7 +66,9 @@
     },
     /// The request is refused, with the time that the work queued before it takes.
     Refused(Duration),
-    /// No usable reply arrived; the host has to place the request itself.
+    /// The engines of the grant accept no new requests as far as this host knows.
+    Unusable,
+    /// No reply arrived; the host has to place the request itself.
     Unanswered,
 }
 
@@ -113,11 +114,10 @@
                 queued_tokens,
                 missing_tokens,
             } => {
-                let state = context.state();
-                let Some(placement) =
-                    placement(&state.registry, &prefill_engine, decode_engine, estimate)
-                else {
-                    return Outcome::Unanswered;
+                let usable = placement(&context.state(), &prefill_engine, decode_engine, estimate);
+                let Some(placement) = usable else {
+                    context.record_grant(&message.dispatcher, grant);
+                    return Outcome::Unusable;
                 };
                 let grant = (message.dispatcher, grant);
                 return Outcome::Granted { grant, placement, queued_tokens, missing_tokens };
@@ -127,17 +127,23 @@
 }
 
 /// Returns the placement on engines with these ids; `None` when one of them accepts no new requests
-/// as far as this host knows, since the dispatcher may be cut off from the store.
+/// as far as this host knows: the dispatcher may be cut off from the store, and an engine may have
+/// told only this host that it is leaving or busy.
 fn placement(
-    registry: &Registry,
+    state: &State,
     prefill_engine: &id::Target,
     decode_engine: Option<id::Target>,
     estimate: Estimate,
 ) -> Option<Placement> {
-    let key = registry.usable_key(prefill_engine)?;
-    let stage = registry.get(key)?.stage.unwrap_or(Stage::Decode);
+    let now = clock::now();
+    let usable_key = |id: &id::Target| {
+        let key = state.registry.usable_key(id)?;
+        state.availability.may_send(key, now).then_some(key)
+    };
+    let key = usable_key(prefill_engine)?;
+    let stage = state.registry.get(key)?.stage.unwrap_or(Stage::Decode);
     let decode_engine = match decode_engine {
-        Some(it) => Some(registry.usable_key(&it)?),
+        Some(it) => Some(usable_key(&it)?),
         None => None,
     };
     Some(Placement { prefill_engine: Choice { key, stage, estimate }, decode_engine })
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -236,7 +236,7 @@
         let key = in_flight.key;
         self.tried.push(key);
         let sent = attempt::send(&self.context, &self.job, in_flight, options).await;
-        if !matches!(sent, Err(Failure::NotSent(_))) {
+        if sent.as_ref().err().is_none_or(Failure::was_sent) {
             self.job.attempts_sent.set(self.job.attempts_sent.get() + 1);
         }
         sent.map_err(|failure| (key, failure))
@@ -267,7 +267,7 @@
             stop = stop.map(Reason::code),
             "attempt failed"
         );
-        let was_sent = !matches!(failure, Failure::NotSent(_));
+        let was_sent = failure.was_sent();
         if let Some(reason) = stop {
             return Err(reason);
         }
@@ -404,9 +404,11 @@
         let status = StatusCode::from_u16(reason.status()).unwrap_or(StatusCode::BAD_GATEWAY);
         let not_run = reason.verdict() == Verdict::NotRun && !self.may_have_run;
         let (status, retry_after) = if not_run {
+            let wait = selection::time_until_available(&context.state(), &self.job.service);
+            let wait = wait.max(self.queue_time);
             (
                 StatusCode::SERVICE_UNAVAILABLE,
-                Some(retry_after::delay(self.queue_time, self.job.caller_timeout, rand::random())),
+                Some(retry_after::delay(wait, self.job.caller_timeout, rand::random())),
             )
         } else if status == StatusCode::SERVICE_UNAVAILABLE {
             (StatusCode::BAD_GATEWAY, None)
--- a/gateway/src/headers.rs
+++ b/gateway/src/headers.rs
@@ -20,6 +20,8 @@
     pub expected_target: HeaderName,
     /// Present in a response when the target did not run the request.
     pub not_run: HeaderName,
+    /// Set to `1` in a response of a target that is leaving.
+    pub target_leaving: HeaderName,
     /// Identifier of the last event sent to the caller before a stream was resumed.
     pub last_event_id: HeaderName,
     /// Number of prompt tokens, and the maximum number of tokens to generate.
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -4,9 +4,9 @@
 //! `configuration`, `deadline`, `dispatch`, `election`, `engine`, `event_stream`, `health`, `load`,
 //! `membership`, `poison`, `prefix_cache`, `registry`, `retry_after`, `retry_budget`, `shortlist`,
 //! `slowness`, `watch`) do no I/O and read no clock; `dispatcher`, `forward`, `http_server`,
-//! `peers`, `reservation`, `store_sync`, `stream_relay` and `upstream` call them. A deployment's
-//! platform supplies its names and formats through [`store::Store`], [`headers::HeaderNames`] and
-//! [`directory::Directory`].
+//! `notice`, `peers`, `reservation`, `store_sync`, `stream_relay` and `upstream` call them. A
+//! deployment's platform supplies its names and formats through [`store::Store`],
+//! [`headers::HeaderNames`] and [`directory::Directory`].
 
 pub mod attempt;
 pub mod availability;
@@ -29,6 +29,7 @@
 pub mod logging;
 pub mod membership;
 pub mod metrics;
+pub mod notice;
 pub mod peers;
 pub mod poison;
 pub mod prefill;
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -23,6 +23,8 @@
     pub attempts: IntCounterVec,
     /// Retries, by reason.
     pub retried: IntCounterVec,
+    /// Notices of targets that want no new requests, by kind.
+    pub target_notices: IntCounterVec,
     /// Requests whose caller disconnected.
     pub callers_gone: IntCounter,
     /// Connections opened to targets.
@@ -83,6 +85,11 @@
             refused: counters("refused_total", "Requests refused, by reason.", "reason")?,
             attempts: counters("attempts_total", "Requests sent, by outcome.", "outcome")?,
             retried: counters("retried_total", "Further attempts, by reason.", "reason")?,
+            target_notices: counters(
+                "target_notices_total",
+                "Targets that said that they are leaving or asked for a pause.",
+                "notice",
+            )?,
             callers_gone: counter("callers_gone_total", "Requests whose caller went away.")?,
             connections_opened: counter("connections_total", "Connections opened to targets.")?,
             store_calls: counters(
--- /dev/null
+++ b/gateway/src/notice.rs
@@ -0,0 +1,79 @@
+//! Notices of targets in their responses: that they are leaving.
+
+use fuchsiaknot_core::clock;
+use hyper::HeaderMap;
+
+use crate::{
+    availability::Departure,
+    context::Context,
+    peers::{self, Packet},
+    registry::Key,
+};
+
+/// Records the notices in the head of a target's response.
+///
+/// Must be called for every response, whatever its status, before anything else is sent.
+pub fn record(context: &Context, key: Key, headers: &HeaderMap) {
+    let leaving = headers.get(&context.header_names.target_leaving);
+    if leaving.is_some_and(|it| it.as_bytes() == b"1") {
+        record_departure(context, key);
+    }
+}
+
+/// Records that a target said that it is leaving, and tells the dispatcher at once; the other hosts
+/// learn of it from heartbeats.
+fn record_departure(context: &Context, key: Key) {
+    let departure = context.state().registry.get(key).map(Departure::from);
+    let Some(departure) = departure else { return };
+    if apply_departure(context, key, &departure, "target") {
+        let dispatcher = context.state().membership.dispatcher().clone();
+        peers::send(context, &dispatcher, &Packet::TargetLeaving(departure));
+    }
+}
+
+/// Handles a report of another host that a target is leaving.
+pub fn handle_departure(context: &Context, departure: Departure) {
+    let key = context.state().registry.key(&departure.target);
+    let key = key.filter(|key| {
+        context.state().registry.get(*key).is_some_and(|it| Departure::from(it) == departure)
+    });
+    match key {
+        Some(key) => {
+            apply_departure(context, key, &departure, "host");
+        }
+        None => context.state_mut().availability.remember(departure, clock::now()),
+    }
+}
+
+/// Applies a remembered departure to a target that was added to the registry again.
+pub fn restore_departure(context: &Context, key: Key) {
+    let departure = context.state().registry.get(key).map(Departure::from);
+    let departure = departure.filter(|it| context.state().availability.has_departed(it));
+    if let Some(departure) = departure {
+        apply_departure(context, key, &departure, "memory");
+    }
+}
+
+/// Applies a departure; returns whether it was not known.
+fn apply_departure(
+    context: &Context,
+    key: Key,
+    departure: &Departure,
+    source: &'static str,
+) -> bool {
+    let now = clock::now();
+    let is_new = context.state_mut().availability.record_departure(key, departure.clone(), now);
+    if is_new {
+        context.metrics.target_notices.with_label_values(&["leaving"]).inc();
+        context.pool.close_idle(key);
+        tracing::info!(code = 8049, target = %departure.target, source, "target says that it is leaving; nothing new is sent to it");
+    }
+    is_new
+}
+
+/// Records that a request is about to be sent to a target.
+pub fn record_request(context: &Context, key: Key) {
+    let mut state = context.state_mut();
+    let slots = state.registry.get(key).map_or(1, |it| it.slots);
+    state.availability.record_request(key, slots, clock::now());
+}
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -6,12 +6,13 @@
 use tokio::{net::UdpSocket, time::sleep};
 
 use crate::{
+    availability::Departure,
     context::Context,
     dispatch::{Reply, Request, RequestNumber},
     dispatcher,
     load::Work,
     membership::{Change, Heartbeat, ROUND_INTERVAL},
-    registry, slowness, store_sync,
+    notice, registry, slowness, store_sync,
     watch::Update,
 };
 use fuchsiaknot_core::{
@@ -30,8 +31,8 @@
 /// Contents of one datagram.
 #[derive(Debug, Serialize, Deserialize)]
 pub enum Packet {
-    /// The state of the sender.
-    Heartbeat(Heartbeat),
+    /// The state of the sender, and the targets that it lately learned are leaving.
+    Heartbeat(Heartbeat, Vec<Departure>),
     /// The state of the sender, which asks for a heartbeat in return.
     Probe(Heartbeat),
     /// The sender has detected that a host is down.
@@ -47,12 +48,20 @@
     TargetUpdate(Update<Vec<(id::Version, registry::Change)>>),
     /// An attempt at a request broke off at a target.
     AttemptBroken(id::Fingerprint, id::Target),
+    /// A target told the sender that it is leaving.
+    TargetLeaving(Departure),
     /// A host asks the dispatcher to place a request.
     DispatchRequest(id::Host, Request),
     /// The dispatcher's reply to such a request.
     DispatchReply(id::Host, RequestNumber, Reply),
 }
 
+/// Returns the packet with the current heartbeat of this host.
+fn heartbeat_packet(context: &Context) -> Packet {
+    let departures = context.state().availability.recent_departures(clock::now());
+    Packet::Heartbeat(heartbeat(context), departures)
+}
+
 /// Returns the current heartbeat of this host.
 fn heartbeat(context: &Context) -> Heartbeat {
     let (state, now) = (context.state(), clock::now());
@@ -180,7 +189,7 @@
         });
         let tick = context.state_mut().membership.tick(clock::now());
         let round = context.state_mut().membership.next_round(state != last_state);
-        send_to(&context, &round, &Packet::Heartbeat(heartbeat.clone()));
+        send_to(&context, &round, &heartbeat_packet(&context));
         last_state = state;
         send_to(&context, &tick.probe, &Packet::Probe(heartbeat));
         for host in tick.report {
@@ -211,9 +220,14 @@
 
 fn handle_packet(context: &Rc<Context>, packet: Packet) {
     match packet {
-        Packet::Heartbeat(heartbeat) => handle_heartbeat(context, heartbeat),
+        Packet::Heartbeat(heartbeat, departures) => {
+            handle_heartbeat(context, heartbeat);
+            for departure in departures {
+                notice::handle_departure(context, departure);
+            }
+        }
         Packet::Probe(prober) => {
-            send_to(context, &[prober.host.peer_address], &Packet::Heartbeat(heartbeat(context)));
+            send_to(context, &[prober.host.peer_address], &heartbeat_packet(context));
             handle_heartbeat(context, prober);
         }
         Packet::HostDown(host) => {
@@ -246,6 +260,7 @@
         Packet::AttemptBroken(request, target) => {
             context.state_mut().poison.record_interrupted_run(request, target, clock::now());
         }
+        Packet::TargetLeaving(departure) => notice::handle_departure(context, departure),
         Packet::DispatchRequest(host, request) => {
             dispatcher::handle_request(context, host, request)
         }
@@ -260,7 +275,7 @@
 fn handle_heartbeat(context: &Context, received: Heartbeat) {
     let change = context.state_mut().membership.handle_heartbeat(received, clock::now());
     if let Some(Change::Up(host)) = &change {
-        send(context, host, &Packet::Heartbeat(heartbeat(context)));
+        send(context, host, &heartbeat_packet(context));
     }
     record_changes(context, change);
 }
--- a/gateway/src/prefill.rs
+++ b/gateway/src/prefill.rs
@@ -12,6 +12,7 @@
     attempt::{self, Failure, InFlight, Options},
     context::Context,
     job::Job,
+    notice,
     registry::Key,
     target::Target,
 };
@@ -76,9 +77,19 @@
     if let Ok(address) = address {
         request.headers_mut().insert(hyper::header::HOST, address);
     }
+    let may_send = || context.state().availability.may_send(key, clock::now());
+    if !may_send() {
+        return;
+    }
     let Ok(mut connection) = context.pool.connect(key, target.address).await else { return };
-    if let Err(err) = connection.send(request).await {
-        tracing::debug!(target = %target.id, %err, "could not release an unused KV cache");
+    if !may_send() {
+        return;
+    }
+    match connection.send(request).await {
+        Ok(response) => notice::record(context, key, response.headers()),
+        Err(err) => {
+            tracing::debug!(target = %target.id, %err, "could not release an unused KV cache");
+        }
     }
 }
 
--- a/gateway/src/reservation.rs
+++ b/gateway/src/reservation.rs
@@ -37,13 +37,12 @@
     /// # Errors
     /// Returns the reason when the job is refused.
     pub(crate) async fn reserve_engines(&mut self, resumes: bool) -> Result<Reservation, Reason> {
-        let request = self.placement_request(resumes);
-        let engine_count = self.context.state().registry.usable(&request.service).count();
-        if engine_count <= request.avoid.len() {
-            return Err(self.no_target_reason());
-        }
         let requested_at = clock::now();
-        let outcome = dispatcher::request_placement(&self.context, request).await;
+        let mut outcome = self.request_placement(resumes).await?;
+        if matches!(outcome, dispatcher::Outcome::Unusable) {
+            // The engine's notice reached this host while the request was queued.
+            outcome = self.request_placement(resumes).await?;
+        }
         let waited = clock::now().saturating_sub(requested_at);
         let latency = self.context.metrics.latency.with_label_values(&["waiting"]);
         latency.observe(waited.as_secs_f64());
@@ -52,7 +51,9 @@
                 (placement, Some(grant), Some((queued_tokens, missing_tokens)))
             }
             dispatcher::Outcome::Refused(queue_time) => return Err(self.refuse(queue_time)),
-            dispatcher::Outcome::Unanswered => (self.place_locally(resumes)?, None, None),
+            dispatcher::Outcome::Unusable | dispatcher::Outcome::Unanswered => {
+                (self.place_locally(resumes)?, None, None)
+            }
         };
         let reservation = self.reserve(placement, token_counts);
         if let Some((dispatcher, number)) = grant {
@@ -62,13 +63,34 @@
         Ok(reservation)
     }
 
+    /// Asks the dispatcher for engines, unless none is left.
+    async fn request_placement(&self, resumes: bool) -> Result<dispatcher::Outcome, Reason> {
+        let request = self.placement_request(resumes);
+        let engine_count = self.context.state().registry.usable(&request.service).count();
+        if engine_count <= request.avoid.len() || !self.has_decode_engine() {
+            return Err(self.no_target_reason());
+        }
+        Ok(dispatcher::request_placement(&self.context, request).await)
+    }
+
+    /// Returns whether an engine that generates may get the job, now or after a short pause.
+    fn has_decode_engine(&self) -> bool {
+        let (state, now) = (self.context.state(), clock::now());
+        state.registry.usable(&self.job.service).any(|(key, target)| {
+            target.stage != Some(Stage::Prefill)
+                && !self.tried.contains(&key)
+                && state.availability.may_send(key, now)
+        })
+    }
+
     fn placement_request(&self, resumes: bool) -> Request {
         let (job, now) = (&self.job, clock::now());
         let state = self.context.state();
-        let avoided = state
-            .registry
-            .usable(&job.service)
-            .filter(|(key, _)| self.tried.contains(key) || state.health.is_paused(*key, now));
+        let avoided = state.registry.usable(&job.service).filter(|(key, _)| {
+            self.tried.contains(key)
+                || state.health.is_paused(*key, now)
+                || !state.availability.is_available(*key, now)
+        });
         let max_wait = match resumes {
             true => engine::MAX_RESUME_WAIT,
             false => engine::max_wait(job.route.latency_objective, job.caller_timeout),
--- a/gateway/src/selection.rs
+++ b/gateway/src/selection.rs
@@ -1,5 +1,7 @@
 //! Selects targets and engines, based on this host's view of their load and health.
 
+use std::time::Duration;
+
 use fuchsiaknot_core::{clock, id};
 
 use crate::{
@@ -15,7 +17,9 @@
 /// Returns the target of a plain service for a job's next attempt.
 pub fn service_target(context: &Context, job: &Job, tried: &[Key]) -> Option<Key> {
     let state = context.state();
-    let candidates: Vec<balancer::Candidate> = untried(&state, &job.service, tried)
+    let now = clock::now();
+    let is_excluded = |key| tried.contains(&key) || !state.availability.is_available(key, now);
+    let candidates: Vec<balancer::Candidate> = preferred(&state, &job.service, is_excluded)
         .into_iter()
         .map(|(key, target)| balancer::Candidate {
             key,
@@ -32,7 +36,8 @@
 pub fn fleet(state: &State, service: &id::Service) -> Fleet {
     let kv_capacity_tokens = state.kv_capacity_tokens(service);
     let now = clock::now();
-    let targets = untried(state, service, &[]);
+    // A backoff binds only the host that was asked; a request names the engines that it avoids.
+    let targets = preferred(state, service, |key| state.availability.is_leaving(key));
     let stage = |target: &Target| target.stage.unwrap_or(Stage::Decode);
     let median = |wanted: Stage| {
         let of_stage = targets.iter().filter(|(_, it)| stage(it) == wanted).map(|(key, _)| *key);
@@ -83,12 +88,25 @@
     Some((placement, should_start))
 }
 
-/// Returns the targets of a service that were not tried yet; paused ones only if there are no
-/// others.
-fn untried<'a>(state: &'a State, service: &id::Service, tried: &[Key]) -> Vec<(Key, &'a Target)> {
+/// Returns the time until a target of a service that can answer a request is available to this host;
+/// zero if one is, or if all are leaving.
+pub fn time_until_available(state: &State, service: &id::Service) -> Duration {
+    let now = clock::now();
+    let targets = state.registry.usable(service);
+    let targets = targets.filter(|(_, it)| it.stage != Some(Stage::Prefill));
+    let times = targets.filter_map(|(key, _)| state.availability.time_until_available(key, now));
+    times.min().unwrap_or_default()
+}
+
+/// Returns the targets of a service that are not excluded; paused ones only if there are no others.
+fn preferred<'a>(
+    state: &'a State,
+    service: &id::Service,
+    is_excluded: impl Fn(Key) -> bool,
+) -> Vec<(Key, &'a Target)> {
     let now = clock::now();
-    let untried = state.registry.usable(service).filter(|(key, _)| !tried.contains(key));
+    let eligible = state.registry.usable(service).filter(|(key, _)| !is_excluded(*key));
     let (healthy, paused): (Vec<_>, Vec<_>) =
-        untried.partition(|(key, _)| !state.health.is_paused(*key, now));
+        eligible.partition(|(key, _)| !state.health.is_paused(*key, now));
     if healthy.is_empty() { paused } else { healthy }
 }
--- a/gateway/src/store_sync.rs
+++ b/gateway/src/store_sync.rs
@@ -404,6 +404,7 @@
         let mut state = context.state_mut();
         state.load.expire(now);
         state.poison.expire(now);
+        state.availability.expire(now);
     }
 }
 
--- a/gateway/src/target_response.rs
+++ b/gateway/src/target_response.rs
@@ -137,7 +137,8 @@
         let connection_header = head.headers.get(header::CONNECTION);
         let closes =
             connection_header.is_some_and(|it| it.as_bytes().eq_ignore_ascii_case(b"close"));
-        if is_framed && !closes {
+        let is_leaving = context.state().availability.is_leaving(key);
+        if is_framed && !closes && !is_leaving {
             context.pool.put_back(key, connection, keep_alive(&head.headers));
         }
     }
--- a/gateway/tests/catalogue.rs
+++ b/gateway/tests/catalogue.rs
@@ -55,6 +55,7 @@
     metrics.answered.with_label_values(&["200"]);
     metrics.attempts.with_label_values(&["answered"]);
     metrics.retried.with_label_values(&["silent"]);
+    metrics.target_notices.with_label_values(&["leaving"]);
     metrics.store_calls.with_label_values(&["answered"]);
     metrics.store_call_time.with_label_values(&["targets"]);
     metrics.latency.with_label_values(&["first"]);
