--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -200,7 +200,7 @@
         Ok(Err(RequestError::NotSent)) => Err(Failure::NotSent(RequestError::NotSent.to_string())),
         Ok(Err(err)) => Err(Failure::Broken(err.to_string())),
         Ok(Ok(response)) => {
-            notice::record(context, key, response.headers());
+            notice::record(context, key, response.status(), response.headers());
             TargetResponse::receive(context, job, (key, target), connection, response).await
         }
     }
--- a/gateway/src/notice.rs
+++ b/gateway/src/notice.rs
@@ -1,10 +1,10 @@
-//! Notices of targets in their responses: that they are leaving.
+//! Notices of targets in their responses: that they are leaving, or that a host is to back off.
 
 use fuchsiaknot_core::clock;
-use hyper::HeaderMap;
+use hyper::{HeaderMap, StatusCode, header};
 
 use crate::{
-    availability::Departure,
+    availability::{Backoff, Departure},
     context::Context,
     peers::{self, Packet},
     registry::Key,
@@ -13,11 +13,15 @@
 /// Records the notices in the head of a target's response.
 ///
 /// Must be called for every response, whatever its status, before anything else is sent.
-pub fn record(context: &Context, key: Key, headers: &HeaderMap) {
+pub fn record(context: &Context, key: Key, status: StatusCode, headers: &HeaderMap) {
     let leaving = headers.get(&context.header_names.target_leaving);
     if leaving.is_some_and(|it| it.as_bytes() == b"1") {
         record_departure(context, key);
     }
+    let retry_after = headers.get(header::RETRY_AFTER);
+    if let Some(value) = retry_after.filter(|_| status == StatusCode::SERVICE_UNAVAILABLE) {
+        record_backoff(context, key, &String::from_utf8_lossy(value.as_bytes()));
+    }
 }
 
 /// Records that a target said that it is leaving, and tells the dispatcher at once; the other hosts
@@ -31,6 +35,21 @@
     }
 }
 
+fn record_backoff(context: &Context, key: Key, value: &str) {
+    let Some(target) = context.state().registry.get(key).map(|it| it.id.clone()) else { return };
+    match Backoff::try_from(value) {
+        Ok(backoff) => {
+            context.metrics.target_notices.with_label_values(&["backoff"]).inc();
+            context.state_mut().availability.record_backoff(key, backoff, clock::now());
+            let backoff_ms = std::time::Duration::from(backoff).as_millis() as u64;
+            tracing::info!(code = 8050, %target, backoff_ms, "target asks for a pause; nothing is sent to it until its end");
+        }
+        Err(err) => {
+            tracing::warn!(code = 8051, %target, value, %err, "target sent no usable Retry-After; ignoring it");
+        }
+    }
+}
+
 /// Handles a report of another host that a target is leaving.
 pub fn handle_departure(context: &Context, departure: Departure) {
     let key = context.state().registry.key(&departure.target);
--- a/gateway/src/prefill.rs
+++ b/gateway/src/prefill.rs
@@ -86,7 +86,7 @@
         return;
     }
     match connection.send(request).await {
-        Ok(response) => notice::record(context, key, response.headers()),
+        Ok(response) => notice::record(context, key, response.status(), response.headers()),
         Err(err) => {
             tracing::debug!(target = %target.id, %err, "could not release an unused KV cache");
         }
