fix(dispatcher): refuse queued requests at once when all engines are leaving

Cause: a request that waited at the dispatcher stayed there until its longest wait was over although the only engine had said that it was leaving: its host checks this only before it asks. Change: dispatcher::decide refuses the queued requests of services whose engines that generate are all leaving (selection::are_all_leaving); a service without any known engine is queued for as before.

--- a/gateway/src/dispatch.rs
+++ b/gateway/src/dispatch.rs
@@ -177,6 +177,18 @@
         self.requests.values().map(|it| it.request.service.clone()).collect()
     }
 
+    /// Removes and refuses the requests of a service that has no engine left for them.
+    pub fn refuse_service(&mut self, service: &id::Service) -> Vec<DecidedRequest> {
+        let of_service = self.requests.iter().filter(|(_, it)| it.request.service == *service);
+        let keys: Vec<_> = of_service.map(|(key, _)| key.clone()).collect();
+        let refused = keys.into_iter().filter_map(|key| {
+            let QueuedRequest { request, .. } = self.requests.remove(&key)?;
+            let decision = Decision::Refuse(Duration::ZERO);
+            Some(DecidedRequest { host: key.0, request, decision })
+        });
+        refused.collect()
+    }
+
     /// Removes and returns the requests that start now or are refused.
     ///
     /// Adds the work of the placed and of the queued requests to the engines in `fleets`.
--- a/gateway/src/dispatcher.rs
+++ b/gateway/src/dispatcher.rs
@@ -221,9 +221,13 @@
         let state = context.state();
         let mut queue = context.dispatcher.queue.borrow_mut();
         let services = queue.services().into_iter();
+        let (unserved, served): (Vec<id::Service>, Vec<id::Service>) =
+            services.partition(|it| selection::are_all_leaving(&state, it));
         let mut fleets: HashMap<id::Service, Fleet> =
-            services.map(|it| (it.clone(), selection::fleet(&state, &it))).collect();
-        queue.decide(&mut fleets, &state.prefix_cache, now)
+            served.into_iter().map(|it| (it.clone(), selection::fleet(&state, &it))).collect();
+        let mut decided = queue.decide(&mut fleets, &state.prefix_cache, now);
+        decided.extend(unserved.iter().flat_map(|it| queue.refuse_service(it)));
+        decided
     };
     for DecidedRequest { host, request, decision } in decided {
         let reply = match decision {
--- a/gateway/src/reservation.rs
+++ b/gateway/src/reservation.rs
@@ -76,11 +76,8 @@
     /// Returns whether an engine that generates may get the job, now or after a short pause.
     fn has_decode_engine(&self) -> bool {
         let (state, now) = (self.context.state(), clock::now());
-        state.registry.usable(&self.job.service).any(|(key, target)| {
-            target.stage != Some(Stage::Prefill)
-                && !self.tried.contains(&key)
-                && state.availability.may_send(key, now)
-        })
+        selection::answering(&state, &self.job.service)
+            .any(|key| !self.tried.contains(&key) && state.availability.may_send(key, now))
     }
 
     fn placement_request(&self, resumes: bool) -> Request {
--- a/gateway/src/selection.rs
+++ b/gateway/src/selection.rs
@@ -88,13 +88,25 @@
     Some((placement, should_start))
 }
 
+/// Returns whether all engines of a service that generate, of which there is at least one, are
+/// leaving.
+pub fn are_all_leaving(state: &State, service: &id::Service) -> bool {
+    let mut engines = answering(state, service).peekable();
+    engines.peek().is_some() && engines.all(|key| state.availability.is_leaving(key))
+}
+
+/// Returns the targets of a service that answer requests: all but the engines that only prefill.
+pub fn answering(state: &State, service: &id::Service) -> impl Iterator<Item = Key> {
+    let targets = state.registry.usable(service);
+    targets.filter(|(_, it)| it.stage != Some(Stage::Prefill)).map(|(key, _)| key)
+}
+
 /// Returns the time until a target of a service that can answer a request is available to this host;
 /// zero if one is, or if all are leaving.
 pub fn time_until_available(state: &State, service: &id::Service) -> Duration {
     let now = clock::now();
-    let targets = state.registry.usable(service);
-    let targets = targets.filter(|(_, it)| it.stage != Some(Stage::Prefill));
-    let times = targets.filter_map(|(key, _)| state.availability.time_until_available(key, now));
+    let times = answering(state, service)
+        .filter_map(|key| state.availability.time_until_available(key, now));
     times.min().unwrap_or_default()
 }
 
