feat(timeline): show notices of targets beside refused requests

Cause: a request that is refused without an attempt names no target, so `fuchsiaknot explain` left out the lines that tell why: its targets were leaving or had asked for a pause.

--- a/gateway/src/notice.rs
+++ b/gateway/src/notice.rs
@@ -42,7 +42,7 @@
             context.metrics.target_notices.with_label_values(&["backoff"]).inc();
             context.state_mut().availability.record_backoff(key, backoff, clock::now());
             let backoff_ms = std::time::Duration::from(backoff).as_millis() as u64;
-            tracing::info!(code = 8050, %target, backoff_ms, "target asks for a pause; nothing is sent to it until its end");
+            tracing::info!(code = 8050, notice = "backoff", %target, backoff_ms, "target asks for a pause; nothing is sent to it until its end");
         }
         Err(err) => {
             tracing::warn!(code = 8051, %target, value, %err, "target sent no usable Retry-After; ignoring it");
@@ -85,7 +85,7 @@
     if is_new {
         context.metrics.target_notices.with_label_values(&["leaving"]).inc();
         context.pool.close_idle(key);
-        tracing::info!(code = 8049, target = %departure.target, source, "target says that it is leaving; nothing new is sent to it");
+        tracing::info!(code = 8049, notice = "leaving", target = %departure.target, source, "target says that it is leaving; nothing new is sent to it");
     }
     is_new
 }
--- a/gateway/src/timeline.rs
+++ b/gateway/src/timeline.rs
@@ -13,7 +13,7 @@
 /// Time after a request's last line within which changes of a host's state are included.
 const CONTEXT_AFTER: Duration = Duration::from_secs(1);
 /// Fields that mark a line as a change of state that affects every request of its host.
-const STATE_FIELDS: [&str; 3] = ["matter", "before", "away_ms"];
+const STATE_FIELDS: [&str; 4] = ["matter", "before", "away_ms", "notice"];
 
 /// One log line.
 #[derive(Debug, Clone, PartialEq)]
