--- a/gateway/src/job.rs
+++ b/gateway/src/job.rs
@@ -42,7 +42,10 @@
 const MIN_SILENCE_TIMEOUT: Duration = Duration::from_millis(900);
 /// Maximum silence of a target after which its stream is resumed at another; callers disconnect
 /// after two seconds of silence.
-const MAX_SILENCE_TIMEOUT: Duration = Duration::from_millis(1200);
+pub(crate) const MAX_SILENCE_TIMEOUT: Duration = Duration::from_millis(1200);
+
+/// Time within which the body of a refused request is read and dropped.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// A caller's request while it is forwarded, with the state of its attempts.
 #[derive(Debug)]
@@ -53,6 +56,8 @@
     pub route: Rc<Route>,
     /// Service that runs the request, chosen by the route's traffic split.
     pub service: id::Service,
+    /// Whether the service's targets are engines.
+    pub on_engines: bool,
     /// Version of the configuration from which route and service were chosen.
     pub configuration_version: id::Version,
     /// Prompt description from the headers.
@@ -89,13 +94,17 @@
     /// Returns the reason for refusing the request; nothing was sent to a target.
     pub async fn read(context: &Context, request: Request<Incoming>) -> Result<Job, Reason> {
         let (arrived, open) = (clock::now(), context.open_request());
-        let configuration = context.state().configuration.clone().ok_or(Reason::NotReady)?;
+        let configuration = context.state().configuration.clone();
         let (parts, body) = request.into_parts();
-        if configuration.limits.max_header_bytes < head_bytes(&parts) {
-            return Err(Reason::HeaderTooLarge);
-        }
-        let route = find_route(&configuration, &parts).ok_or(Reason::NotFound)?;
-        let service = route.choose_service(rand::random()).cloned().ok_or(Reason::NotFound)?;
+        let (configuration, route, service) = match choose_route(configuration.as_ref(), &parts) {
+            Ok(chosen) => chosen,
+            Err(reason) => {
+                let limits = configuration.map(|it| it.limits).unwrap_or_default();
+                tokio::task::spawn_local(discard_body(body, limits.max_body_bytes));
+                return Err(reason);
+            }
+        };
+        let on_engines = configuration.services.get(&service).is_some_and(|it| it.engine.is_some());
         let names = &context.header_names;
         let id = request_id(&parts.headers, names);
         let caller_timeout =
@@ -115,6 +124,7 @@
             id,
             route,
             service,
+            on_engines,
             configuration_version: configuration.version,
             prompt,
             arrived,
@@ -207,6 +217,20 @@
     header_text(headers, &names.request_id).map(SmolStr::new).unwrap_or_default()
 }
 
+/// Returns the configuration in force, and the request's route and service.
+fn choose_route(
+    configuration: Option<&Rc<Configuration>>,
+    parts: &hyper::http::request::Parts,
+) -> Result<(Rc<Configuration>, Rc<Route>, id::Service), Reason> {
+    let configuration = configuration.ok_or(Reason::NotReady)?;
+    if configuration.limits.max_header_bytes < head_bytes(parts) {
+        return Err(Reason::HeaderTooLarge);
+    }
+    let route = find_route(configuration, parts).ok_or(Reason::NotFound)?;
+    let service = route.choose_service(rand::random()).cloned().ok_or(Reason::NotFound)?;
+    Ok((Rc::clone(configuration), route, service))
+}
+
 fn find_route(
     configuration: &Configuration,
     parts: &hyper::http::request::Parts,
@@ -235,3 +259,12 @@
         }
     })
 }
+
+/// Reads and drops the body of a refused request, since a connection that closes with unread bytes is
+/// reset and its caller may not see the response.
+async fn discard_body(body: Incoming, max_bytes: usize) {
+    let read = Limited::new(body, max_bytes).collect();
+    if timeout(DISCARD_TIMEOUT, read).await.is_err() {
+        tracing::debug!("the body of a refused request did not arrive in time");
+    }
+}
