refactor(peers): let departures follow heartbeats instead of changing them

Cause: the departures were a part of the heartbeat's packet, so that hosts of the build before could not read it, nor this one theirs, and every host passed on what it had heard. Change: they follow the encoded heartbeat, where a build without them ignores the rest (by reading postcard's from_bytes, not by a run of both builds); the new packet stands last; only hosts that learned of a departure from the target itself report it (Source, which is also the log's field).

--- a/gateway/src/availability.rs
+++ b/gateway/src/availability.rs
@@ -78,6 +78,28 @@
     }
 }
 
+/// How this host learned of a departure.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// From a response of the target.
+    Target,
+    /// From another host.
+    Host,
+    /// From its memory, when the entry of a departed target came back.
+    Memory,
+}
+
+impl Source {
+    /// Returns the name used in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Source::Target => "target",
+            Source::Host => "host",
+            Source::Memory => "memory",
+        }
+    }
+}
+
 /// What one target wants.
 #[derive(Debug, Clone, Copy, Default)]
 struct State {
@@ -100,6 +122,8 @@
 #[derive(Debug)]
 struct Known {
     departure: Departure,
+    /// How this host learned of it first.
+    source: Source,
     /// Time at which this host learned of it.
     learned_at: Moment,
     /// Time at which it is forgotten; `None` while its target is in the registry.
@@ -108,9 +132,15 @@
 
 impl Tracker {
     /// Records that a target in the registry is leaving; returns whether this is new.
-    pub fn record_departure(&mut self, key: Key, departure: Departure, now: Moment) -> bool {
+    pub fn record_departure(
+        &mut self,
+        key: Key,
+        departure: Departure,
+        source: Source,
+        now: Moment,
+    ) -> bool {
         let target = departure.target.clone();
-        self.remember(departure, now);
+        self.remember(departure, source, now);
         if let Some(known) = self.departures.get_mut(&target) {
             known.expires_at = None;
         }
@@ -119,7 +149,7 @@
     }
 
     /// Remembers the departure of a target that this host may not know yet.
-    pub fn remember(&mut self, departure: Departure, now: Moment) {
+    pub fn remember(&mut self, departure: Departure, source: Source, now: Moment) {
         let known = self.departures.get(&departure.target).map(|it| &it.departure);
         if known.is_some_and(|it| departure.incarnation < it.incarnation || departure == *it) {
             return;
@@ -132,7 +162,7 @@
         }
         let target = departure.target.clone();
         let expires_at = Some(now + DEPARTURE_TTL);
-        self.departures.insert(target, Known { departure, learned_at: now, expires_at });
+        self.departures.insert(target, Known { departure, source, learned_at: now, expires_at });
     }
 
     /// Returns whether this run of a target is known to be leaving.
@@ -140,9 +170,13 @@
         self.departures.get(&run.target).is_some_and(|it| it.departure == *run)
     }
 
-    /// Returns the latest departures, to be reported to the other hosts.
+    /// Returns the latest departures that this host learned of from the targets themselves, to be
+    /// reported to the other hosts.
     pub fn recent_departures(&self, now: Moment) -> Vec<Departure> {
-        let recent = self.departures.values().filter(|it| now < it.learned_at + REPORT_TIME);
+        let recent = self
+            .departures
+            .values()
+            .filter(|it| it.source == Source::Target && now < it.learned_at + REPORT_TIME);
         let mut recent: Vec<&Known> = recent.collect();
         recent.sort_unstable_by_key(|it| std::cmp::Reverse(it.learned_at));
         recent.into_iter().take(MAX_REPORTED).map(|it| it.departure.clone()).collect()
--- a/gateway/src/notice.rs
+++ b/gateway/src/notice.rs
@@ -4,7 +4,7 @@
 use hyper::{HeaderMap, StatusCode, header};
 
 use crate::{
-    availability::{Backoff, Departure},
+    availability::{Backoff, Departure, Source},
     context::Context,
     peers::{self, Packet},
     registry::Key,
@@ -29,7 +29,7 @@
 fn record_departure(context: &Context, key: Key) {
     let departure = context.state().registry.get(key).map(Departure::from);
     let Some(departure) = departure else { return };
-    if apply_departure(context, key, &departure, "target") {
+    if apply_departure(context, key, &departure, Source::Target) {
         let dispatcher = context.state().membership.dispatcher().clone();
         peers::send(context, &dispatcher, &Packet::TargetLeaving(departure));
     }
@@ -58,9 +58,9 @@
     });
     match key {
         Some(key) => {
-            apply_departure(context, key, &departure, "host");
+            apply_departure(context, key, &departure, Source::Host);
         }
-        None => context.state_mut().availability.remember(departure, clock::now()),
+        None => context.state_mut().availability.remember(departure, Source::Host, clock::now()),
     }
 }
 
@@ -69,23 +69,19 @@
     let departure = context.state().registry.get(key).map(Departure::from);
     let departure = departure.filter(|it| context.state().availability.has_departed(it));
     if let Some(departure) = departure {
-        apply_departure(context, key, &departure, "memory");
+        apply_departure(context, key, &departure, Source::Memory);
     }
 }
 
 /// Applies a departure; returns whether it was not known.
-fn apply_departure(
-    context: &Context,
-    key: Key,
-    departure: &Departure,
-    source: &'static str,
-) -> bool {
+fn apply_departure(context: &Context, key: Key, departure: &Departure, source: Source) -> bool {
     let now = clock::now();
-    let is_new = context.state_mut().availability.record_departure(key, departure.clone(), now);
+    let is_new =
+        context.state_mut().availability.record_departure(key, departure.clone(), source, now);
     if is_new {
         context.metrics.target_notices.with_label_values(&["leaving"]).inc();
         context.pool.close_idle(key);
-        tracing::info!(code = 8049, notice = "leaving", target = %departure.target, source, "target says that it is leaving; nothing new is sent to it");
+        tracing::info!(code = 8049, notice = "leaving", target = %departure.target, source = source.as_str(), "target says that it is leaving; nothing new is sent to it");
     }
     is_new
 }
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -31,8 +31,8 @@
 /// Contents of one datagram.
 #[derive(Debug, Serialize, Deserialize)]
 pub enum Packet {
-    /// The state of the sender, and the targets that it lately learned are leaving.
-    Heartbeat(Heartbeat, Vec<Departure>),
+    /// The state of the sender.
+    Heartbeat(Heartbeat),
     /// The state of the sender, which asks for a heartbeat in return.
     Probe(Heartbeat),
     /// The sender has detected that a host is down.
@@ -48,18 +48,12 @@
     TargetUpdate(Update<Vec<(id::Version, registry::Change)>>),
     /// An attempt at a request broke off at a target.
     AttemptBroken(id::Fingerprint, id::Target),
-    /// A target told the sender that it is leaving.
-    TargetLeaving(Departure),
     /// A host asks the dispatcher to place a request.
     DispatchRequest(id::Host, Request),
     /// The dispatcher's reply to such a request.
     DispatchReply(id::Host, RequestNumber, Reply),
-}
-
-/// Returns the packet with the current heartbeat of this host.
-fn heartbeat_packet(context: &Context) -> Packet {
-    let departures = context.state().availability.recent_departures(clock::now());
-    Packet::Heartbeat(heartbeat(context), departures)
+    /// A target told the sender that it is leaving.
+    TargetLeaving(Departure),
 }
 
 /// Returns the current heartbeat of this host.
@@ -92,7 +86,7 @@
 /// Sends a datagram to each address; returns whether all were sent.
 fn send_to(context: &Context, addresses: &[SocketAddr], packet: &Packet) -> bool {
     let Some(socket) = context.peer_socket() else { return false };
-    let bytes = match postcard::to_stdvec(packet) {
+    let bytes = match encode(context, packet) {
         Ok(bytes) => bytes,
         Err(err) => {
             tracing::error!(code = 8023, %err, "cannot encode a datagram");
@@ -109,6 +103,26 @@
     sent
 }
 
+/// Encodes a packet. The departures that this host learned of lately follow a heartbeat; hosts of an
+/// earlier version ignore them.
+fn encode(context: &Context, packet: &Packet) -> postcard::Result<Vec<u8>> {
+    let mut bytes = postcard::to_stdvec(packet)?;
+    if matches!(packet, Packet::Heartbeat(_)) {
+        let departures = context.state().availability.recent_departures(clock::now());
+        if !departures.is_empty() {
+            bytes.extend(postcard::to_stdvec(&departures)?);
+        }
+    }
+    Ok(bytes)
+}
+
+/// Decodes a packet and the departures that follow it.
+fn decode(bytes: &[u8]) -> postcard::Result<(Packet, Vec<Departure>)> {
+    let (packet, rest) = postcard::take_from_bytes(bytes)?;
+    let departures = if rest.is_empty() { Vec::new() } else { postcard::from_bytes(rest)? };
+    Ok((packet, departures))
+}
+
 /// Reports this host's work to the dispatcher, forever.
 pub async fn report_work(context: Rc<Context>) {
     let mut last_report =
@@ -189,7 +203,7 @@
         });
         let tick = context.state_mut().membership.tick(clock::now());
         let round = context.state_mut().membership.next_round(state != last_state);
-        send_to(&context, &round, &heartbeat_packet(&context));
+        send_to(&context, &round, &Packet::Heartbeat(heartbeat.clone()));
         last_state = state;
         send_to(&context, &tick.probe, &Packet::Probe(heartbeat));
         for host in tick.report {
@@ -211,8 +225,13 @@
             Err(err) if err.kind() == io::ErrorKind::ConnectionRefused => continue,
             Err(err) => return Err(err),
         };
-        match postcard::from_bytes::<Packet>(&buffer[..length]) {
-            Ok(packet) => handle_packet(context, packet),
+        match decode(&buffer[..length]) {
+            Ok((packet, departures)) => {
+                handle_packet(context, packet);
+                for departure in departures {
+                    notice::handle_departure(context, departure);
+                }
+            }
             Err(err) => tracing::debug!(%sender, %err, "cannot decode a datagram"),
         }
     }
@@ -220,14 +239,9 @@
 
 fn handle_packet(context: &Rc<Context>, packet: Packet) {
     match packet {
-        Packet::Heartbeat(heartbeat, departures) => {
-            handle_heartbeat(context, heartbeat);
-            for departure in departures {
-                notice::handle_departure(context, departure);
-            }
-        }
+        Packet::Heartbeat(heartbeat) => handle_heartbeat(context, heartbeat),
         Packet::Probe(prober) => {
-            send_to(context, &[prober.host.peer_address], &heartbeat_packet(context));
+            send_to(context, &[prober.host.peer_address], &Packet::Heartbeat(heartbeat(context)));
             handle_heartbeat(context, prober);
         }
         Packet::HostDown(host) => {
@@ -275,7 +289,7 @@
 fn handle_heartbeat(context: &Context, received: Heartbeat) {
     let change = context.state_mut().membership.handle_heartbeat(received, clock::now());
     if let Some(Change::Up(host)) = &change {
-        send(context, host, &heartbeat_packet(context));
+        send(context, host, &Packet::Heartbeat(heartbeat(context)));
     }
     record_changes(context, change);
 }
--- a/gateway/tests/availability.rs
+++ b/gateway/tests/availability.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use fuchsiaknot_gateway::{
-    availability::{Backoff, Departure, InvalidBackoff, Tracker},
+    availability::{Backoff, Departure, InvalidBackoff, Source, Tracker},
     registry::Key,
 };
 use rstest::rstest;
@@ -97,8 +97,8 @@
 #[test]
 fn departure_stays() {
     let (mut tracker, key) = (Tracker::default(), key());
-    assert!(tracker.record_departure(key, departure("one", 1), ms(0)));
-    assert!(!tracker.record_departure(key, departure("one", 1), ms(10)));
+    assert!(tracker.record_departure(key, departure("one", 1), Source::Target, ms(0)));
+    assert!(!tracker.record_departure(key, departure("one", 1), Source::Target, ms(10)));
     tracker.record_backoff(key, backoff("1"), ms(20));
     tracker.expire(ms(10_000_000));
     assert!(tracker.is_leaving(key) && !tracker.may_send(key, ms(10_000_000)));
@@ -110,8 +110,8 @@
 #[test]
 fn departure_remembered() {
     let mut tracker = Tracker::default();
-    tracker.remember(departure("one", 2), ms(0));
-    tracker.remember(departure("one", 1), ms(10));
+    tracker.remember(departure("one", 2), Source::Target, ms(0));
+    tracker.remember(departure("one", 1), Source::Target, ms(10));
     assert!(tracker.has_departed(&departure("one", 2)));
     assert!(!tracker.has_departed(&departure("one", 1)));
     assert!(!tracker.has_departed(&departure("one", 3)));
@@ -127,7 +127,7 @@
 #[test]
 fn departure_of_known_target() {
     let (mut tracker, key) = (Tracker::default(), key());
-    tracker.record_departure(key, departure("one", 1), ms(0));
+    tracker.record_departure(key, departure("one", 1), Source::Target, ms(0));
     tracker.expire(ms(500_000));
     tracker.forget(key, &"one".into(), ms(500_000));
     assert!(!tracker.is_leaving(key));
@@ -142,14 +142,17 @@
 fn departures_bounded() {
     let mut tracker = Tracker::default();
     for number in 0..2000 {
-        tracker.remember(departure(&format!("t{number}"), 1), ms(number));
+        tracker.remember(departure(&format!("t{number}"), 1), Source::Target, ms(number));
     }
     let known = (0..2000).filter(|it| tracker.has_departed(&departure(&format!("t{it}"), 1)));
     assert_eq!(known.count(), 1024);
     let reported = tracker.recent_departures(ms(2000));
     let expected: Vec<String> = (0..16).map(|it| format!("t{}", 1999 - it)).collect();
     assert_eq!(reported.iter().map(|it| it.target.as_str()).collect::<Vec<_>>(), expected);
+    // What another host reported isn't reported again.
+    tracker.remember(departure("heard", 1), Source::Host, ms(2000));
+    assert_eq!(tracker.recent_departures(ms(2000))[0].target, "t1999");
     // A report that comes back doesn't extend the time for which it is reported.
-    tracker.remember(departure("t1999", 1), ms(6000));
+    tracker.remember(departure("t1999", 1), Source::Target, ms(6000));
     assert!(tracker.recent_departures(ms(6999)).is_empty());
 }
