style(notice): plain words in three comments and a test

Cause: told and heard are on the project's list of words that names and comments avoid. Change: comments in dispatcher.rs, notice.rs and peers.rs, the name of a target in a test.

--- a/gateway/src/dispatcher.rs
+++ b/gateway/src/dispatcher.rs
@@ -128,7 +128,7 @@
 
 /// Returns the placement on engines with these ids; `None` when one of them accepts no new requests
 /// as far as this host knows: the dispatcher may be cut off from the store, and an engine may have
-/// told only this host that it is leaving or busy.
+/// sent a notice only to this host.
 fn placement(
     state: &State,
     prefill_engine: &id::Target,
--- a/gateway/src/notice.rs
+++ b/gateway/src/notice.rs
@@ -24,8 +24,8 @@
     }
 }
 
-/// Records that a target said that it is leaving, and tells the dispatcher at once; the other hosts
-/// learn of it from heartbeats.
+/// Records that a target said that it is leaving, and reports it to the dispatcher at once; the other
+/// hosts learn of it from heartbeats.
 fn record_departure(context: &Context, key: Key) {
     let departure = context.state().registry.get(key).map(Departure::from);
     let Some(departure) = departure else { return };
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -52,7 +52,7 @@
     DispatchRequest(id::Host, Request),
     /// The dispatcher's reply to such a request.
     DispatchReply(id::Host, RequestNumber, Reply),
-    /// A target told the sender that it is leaving.
+    /// The sender learned from a response that a target is leaving.
     TargetLeaving(Departure),
 }
 
--- a/gateway/tests/availability.rs
+++ b/gateway/tests/availability.rs
@@ -150,7 +150,7 @@
     let expected: Vec<String> = (0..16).map(|it| format!("t{}", 1999 - it)).collect();
     assert_eq!(reported.iter().map(|it| it.target.as_str()).collect::<Vec<_>>(), expected);
     // What another host reported isn't reported again.
-    tracker.remember(departure("heard", 1), Source::Host, ms(2000));
+    tracker.remember(departure("reported", 1), Source::Host, ms(2000));
     assert_eq!(tracker.recent_departures(ms(2000))[0].target, "t1999");
     // A report that comes back doesn't extend the time for which it is reported.
     tracker.remember(departure("t1999", 1), Source::Target, ms(6000));
