--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -22,7 +22,7 @@
     logging::Log,
     membership::{Host, Membership},
     metrics::Metrics,
-    notice, poison, prefix_cache,
+    notice, poison, poison_part, prefix_cache,
     registry::{Event, Key, Registry},
     retry_budget::{self, Budget},
     slowness,
@@ -135,6 +135,8 @@
     pub latency_models: HashMap<id::Service, LatencyModel>,
     /// Detector of requests that crash targets.
     pub poison: poison::Detector,
+    /// Detector of prompt parts that crash targets.
+    pub poison_parts: poison_part::Detector,
     /// Initial deadlines of callers, by route.
     pub deadlines: Deadlines,
 }
@@ -200,6 +202,7 @@
             slowness: slowness::Tracker::default(),
             latency_models: HashMap::new(),
             poison: poison::Detector::default(),
+            poison_parts: poison_part::Detector::new(rand::random()),
             deadlines: Deadlines::default(),
         };
         let pool = Pool::new(metrics.connections_opened.clone());
@@ -312,10 +315,17 @@
         state.membership.elect_dispatcher(targets_age, now)
     }
 
-    /// Takes one retry from the budget of a service; returns whether there was one left.
-    pub fn take_retry(&self, service: &id::Service) -> bool {
+    /// Takes calls beyond the first of their request from the budget of a service; returns whether
+    /// there were enough left.
+    pub fn take_calls(&self, service: &id::Service, count: u32) -> bool {
         let hosts = self.state().membership.live_count();
-        self.with_budget(service, |budget| budget.try_take_retry(hosts, clock::now()))
+        self.with_budget(service, |budget| budget.try_take(count, hosts, clock::now()))
+    }
+
+    /// Returns whether the budget of a service has this many calls left.
+    pub fn permits_calls(&self, service: &id::Service, count: u32) -> bool {
+        let hosts = self.state().membership.live_count();
+        self.with_budget(service, |budget| budget.permits(count, hosts, clock::now()))
     }
 
     /// Counts a caller's request in the retry budget of its service.
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -23,6 +23,8 @@
     pub attempts: IntCounterVec,
     /// Retries, by reason.
     pub retried: IntCounterVec,
+    /// Calls that reached a target beyond the first of their request, by kind.
+    pub further_calls: IntCounterVec,
     /// Notices of targets that want no new requests, by kind.
     pub target_notices: IntCounterVec,
     /// Requests whose caller disconnected.
@@ -85,6 +87,11 @@
             refused: counters("refused_total", "Requests refused, by reason.", "reason")?,
             attempts: counters("attempts_total", "Requests sent, by outcome.", "outcome")?,
             retried: counters("retried_total", "Further attempts, by reason.", "reason")?,
+            further_calls: counters(
+                "further_calls_total",
+                "Calls to targets beyond the first of their request, by kind.",
+                "kind",
+            )?,
             target_notices: counters(
                 "target_notices_total",
                 "Targets that said that they are leaving or asked for a pause.",
--- a/gateway/src/selection.rs
+++ b/gateway/src/selection.rs
@@ -88,6 +88,15 @@
     Some((placement, should_start))
 }
 
+/// Returns the decode engine for a request whose prompt an engine has already prefilled, chosen by
+/// this host alone.
+pub fn decode_engine(state: &State, request: &Request, prefill_engine: Key) -> Option<Key> {
+    let fleet = fleet(state, &request.service);
+    let data_centre = fleet.engines.iter().find(|it| it.key == prefill_engine)?.data_centre;
+    let candidates = fleet.candidates(request, &state.prefix_cache);
+    engine::choose_decode_engine(&candidates, data_centre)
+}
+
 /// Returns whether all engines of a service that generate, of which there is at least one, are
 /// leaving.
 pub fn are_all_leaving(state: &State, service: &id::Service) -> bool {
