--- a/src/link/http_server/mod.rs
+++ b/src/link/http_server/mod.rs
@@ -37,7 +37,7 @@
 pub use self::response::{BodySender, CallerPresence, Disconnected, Head, Responder, Response};
 use crate::{
     gateway::{
-        headers,
+        headers, http_server,
         watchdog::{Phase, Watchdog, WatchedBody, WatchedStream},
     },
     link::runtime,
@@ -242,8 +242,12 @@
 
     async fn serve(self: Arc<Self>, stream: TcpStream, caller_address: SocketAddr) {
         let phase = Phase::Header(Instant::now());
-        let watchdog =
-            Arc::new(Watchdog::new(phase, self.limits.header_timeout, self.limits.idle_timeout));
+        let watchdog = Arc::new(Watchdog::new(phase));
+        let limits = || http_server::Limits {
+            max_header_bytes: self.limits.max_header_bytes,
+            header_timeout: self.limits.header_timeout,
+            idle_timeout: self.limits.idle_timeout,
+        };
         let io = TokioIo::new(WatchedStream::new(stream, Arc::clone(&watchdog)));
         let service = {
             let shared = Arc::clone(&self);
@@ -267,7 +271,7 @@
         let reason = loop {
             tokio::select! {
                 _ = &mut conn => return,
-                reason = watchdog.expired() => break reason,
+                reason = watchdog.expired(limits) => break reason,
                 _ = stopped.wait_for(|it| *it), if !stopping => {
                     stopping = true;
                     Pin::new(&mut conn).graceful_shutdown();
