--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -509,9 +509,11 @@
         let status = StatusCode::from_u16(reason.status()).unwrap_or(StatusCode::BAD_GATEWAY);
         let not_run = reason.verdict() == Verdict::NotRun && !self.may_have_run;
         let (status, retry_after) = if not_run {
+            let wait = selection::time_until_available(&context.state(), &self.job.service);
+            let wait = wait.max(self.queue_time);
             (
                 StatusCode::SERVICE_UNAVAILABLE,
-                Some(retry_after::delay(self.queue_time, self.job.caller_timeout, rand::random())),
+                Some(retry_after::delay(wait, self.job.caller_timeout, rand::random())),
             )
         } else if status == StatusCode::SERVICE_UNAVAILABLE {
             (StatusCode::BAD_GATEWAY, None)
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -25,6 +25,8 @@
     pub retried: IntCounterVec,
     /// Calls that reached a target beyond the first of their request, by kind.
     pub further_calls: IntCounterVec,
+    /// Notices of targets that want no new requests, by kind.
+    pub target_notices: IntCounterVec,
     /// Requests whose caller disconnected.
     pub callers_gone: IntCounter,
     /// Connections opened to targets.
@@ -90,6 +92,11 @@
                 "Calls to targets beyond the first of their request, by kind.",
                 "kind",
             )?,
+            target_notices: counters(
+                "target_notices_total",
+                "Targets that said that they are leaving or asked for a pause.",
+                "notice",
+            )?,
             callers_gone: counter("callers_gone_total", "Requests whose caller went away.")?,
             connections_opened: counter("connections_total", "Connections opened to targets.")?,
             store_calls: counters(
--- /dev/null
+++ b/gateway/src/notice.rs
@@ -0,0 +1,94 @@
+//! Notices of targets in their responses: that they are leaving, or that a host is to back off.
+
+use fuchsiaknot_core::clock;
+use hyper::{HeaderMap, StatusCode, header};
+
+use crate::{
+    availability::{Backoff, Departure, Source},
+    context::Context,
+    peers::{self, Packet},
+    registry::Key,
+};
+
+/// Records the notices in the head of a target's response.
+///
+/// Must be called for every response, whatever its status, before anything else is sent.
+pub fn record(context: &Context, key: Key, status: StatusCode, headers: &HeaderMap) {
+    let leaving = headers.get(&context.header_names.target_leaving);
+    if leaving.is_some_and(|it| it.as_bytes() == b"1") {
+        record_departure(context, key);
+    }
+    let retry_after = headers.get(header::RETRY_AFTER);
+    if let Some(value) = retry_after.filter(|_| status == StatusCode::SERVICE_UNAVAILABLE) {
+        record_backoff(context, key, &String::from_utf8_lossy(value.as_bytes()));
+    }
+}
+
+/// Records that a target said that it is leaving, and reports it to the dispatcher at once; the other
+/// hosts learn of it from heartbeats.
+fn record_departure(context: &Context, key: Key) {
+    let departure = context.state().registry.get(key).map(Departure::from);
+    let Some(departure) = departure else { return };
+    if apply_departure(context, key, &departure, Source::Target) {
+        let dispatcher = context.state().membership.dispatcher().clone();
+        peers::send(context, &dispatcher, &Packet::TargetLeaving(departure));
+    }
+}
+
+fn record_backoff(context: &Context, key: Key, value: &str) {
+    let Some(target) = context.state().registry.get(key).map(|it| it.id.clone()) else { return };
+    match Backoff::try_from(value) {
+        Ok(backoff) => {
+            context.metrics.target_notices.with_label_values(&["backoff"]).inc();
+            context.state_mut().availability.record_backoff(key, backoff, clock::now());
+            let backoff_ms = std::time::Duration::from(backoff).as_millis() as u64;
+            tracing::info!(code = 8050, notice = "backoff", %target, backoff_ms, "target asks for a pause; nothing is sent to it until its end");
+        }
+        Err(err) => {
+            tracing::warn!(code = 8051, %target, value, %err, "target sent no usable Retry-After; ignoring it");
+        }
+    }
+}
+
+/// Handles a report of another host that a target is leaving.
+pub fn handle_departure(context: &Context, departure: Departure) {
+    let key = context.state().registry.key(&departure.target);
+    let key = key.filter(|key| {
+        context.state().registry.get(*key).is_some_and(|it| Departure::from(it) == departure)
+    });
+    match key {
+        Some(key) => {
+            apply_departure(context, key, &departure, Source::Host);
+        }
+        None => context.state_mut().availability.remember(departure, Source::Host, clock::now()),
+    }
+}
+
+/// Applies a remembered departure to a target that was added to the registry again.
+pub fn restore_departure(context: &Context, key: Key) {
+    let departure = context.state().registry.get(key).map(Departure::from);
+    let departure = departure.filter(|it| context.state().availability.has_departed(it));
+    if let Some(departure) = departure {
+        apply_departure(context, key, &departure, Source::Memory);
+    }
+}
+
+/// Applies a departure; returns whether it was not known.
+fn apply_departure(context: &Context, key: Key, departure: &Departure, source: Source) -> bool {
+    let now = clock::now();
+    let is_new =
+        context.state_mut().availability.record_departure(key, departure.clone(), source, now);
+    if is_new {
+        context.metrics.target_notices.with_label_values(&["leaving"]).inc();
+        context.pool.close_idle(key);
+        tracing::info!(code = 8049, notice = "leaving", target = %departure.target, source = source.as_str(), "target says that it is leaving; nothing new is sent to it");
+    }
+    is_new
+}
+
+/// Records that a request is about to be sent to a target.
+pub fn record_request(context: &Context, key: Key) {
+    let mut state = context.state_mut();
+    let slots = state.registry.get(key).map_or(1, |it| it.slots);
+    state.availability.record_request(key, slots, clock::now());
+}
--- a/gateway/src/store_sync.rs
+++ b/gateway/src/store_sync.rs
@@ -405,6 +405,7 @@
         state.load.expire(now);
         state.poison.expire(now);
         state.poison_parts.expire(now);
+        state.availability.expire(now);
     }
 }
 
--- a/gateway/tests/catalogue.rs
+++ b/gateway/tests/catalogue.rs
@@ -56,6 +56,7 @@
     metrics.attempts.with_label_values(&["answered"]);
     metrics.retried.with_label_values(&["silent"]);
     metrics.further_calls.with_label_values(&["run"]);
+    metrics.target_notices.with_label_values(&["leaving"]);
     metrics.store_calls.with_label_values(&["answered"]);
     metrics.store_call_time.with_label_values(&["targets"]);
     metrics.latency.with_label_values(&["first"]);
--- a/gateway/tests/prompt.rs
+++ b/gateway/tests/prompt.rs
@@ -13,6 +13,7 @@
         deadline: name("deadline"),
         expected_target: name("expected-target"),
         not_run: name("not-run"),
+        target_leaving: name("target-leaving"),
         last_event_id: name("last-event-id"),
         token_counts: name("token-counts"),
         prompt_parts: name("prompt-parts"),
