fix(registry): a target that left is not used because a copy lists it

A copy of the store may list a target as ready that has left since; after the full read of the new era the target got requests again. A draining target that the copy lacks was forgotten, so that an announcement from before it drained made it usable. The registry remembers the last announcement of removed targets for a minute. New tests in gateway/tests/registry.rs (departed_in_copy, returned_after_copy, draining_missing, departure_forgotten; not run on the code before).

--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -347,6 +347,9 @@
                     self.pool.close_idle(key);
                     tracing::info!(code = 8002, target = %id, "target draining; nothing new is sent to it");
                 }
+                Event::Withheld(_, id) => {
+                    tracing::info!(code = 8048, target = %id, "target that left is listed again by a copy of the store; waiting for its own announcement");
+                }
                 Event::Removed(key, id) => {
                     self.pool.close_idle(key);
                     let mut state = self.state_mut();
--- a/gateway/src/registry.rs
+++ b/gateway/src/registry.rs
@@ -1,6 +1,6 @@
 //! Known targets, according to the last read of the store.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, time::Duration};
 
 use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
@@ -8,6 +8,10 @@
 use crate::target::Target;
 use fuchsiaknot_core::{clock::Moment, id};
 
+/// Time for which a removed target is remembered; a copy from which the store comes back is some
+/// seconds old.
+const DEPARTURE_TTL: Duration = Duration::from_secs(60);
+
 slotmap::new_key_type! {
     /// Key of a target in the registry; a new incarnation of a target gets a new key.
     pub struct Key;
@@ -31,6 +35,8 @@
     Draining(Key, id::Target),
     /// A target was removed.
     Removed(Key, id::Target),
+    /// A target that was removed is listed with an announcement from before, and not used yet.
+    Withheld(Key, id::Target),
 }
 
 /// Known targets, by key, ID and service.
@@ -39,6 +45,15 @@
     entries: SlotMap<Key, Entry>,
     by_id: HashMap<id::Target, Key>,
     by_service: HashMap<id::Service, Vec<Key>>,
+    departures: HashMap<id::Target, Departure>,
+}
+
+/// The last announcement of a target that was removed.
+#[derive(Debug)]
+struct Departure {
+    incarnation: Option<id::Incarnation>,
+    sequence: u64,
+    removed_at: Moment,
 }
 
 #[derive(Debug)]
@@ -46,6 +61,9 @@
     target: Target,
     /// Time at which a target that is missing from the store is removed; `None` while it is listed.
     missing_until: Option<Moment>,
+    /// Time until which the target is not used, because its announcement may be that of a copy from
+    /// before it was removed; `None` once it is used.
+    withheld_until: Option<Moment>,
 }
 
 impl Registry {
@@ -57,7 +75,9 @@
     /// Replaces all targets by those in the store.
     ///
     /// A target that is missing is kept until `reannounce_deadline`: its entry may have expired
-    /// during an outage of the store, and the target may announce itself again.
+    /// during an outage of the store, or be lost with it, and the target may announce itself again.
+    /// One that was removed, and comes back with an announcement from before, is not used until then:
+    /// the store may have come back from a copy, and the removal may be written again.
     pub fn replace(
         &mut self,
         targets: Vec<Target>,
@@ -66,7 +86,8 @@
     ) -> Vec<Event> {
         let listed: HashMap<id::Target, ()> =
             targets.iter().map(|it| (it.id.clone(), ())).collect();
-        let mut events: Vec<Event> = targets.into_iter().filter_map(|it| self.upsert(it)).collect();
+        let upsert = |it| self.upsert(it, reannounce_deadline, now);
+        let mut events: Vec<Event> = targets.into_iter().filter_map(upsert).collect();
         let missing: Vec<Key> = self
             .entries
             .iter()
@@ -86,7 +107,7 @@
         now: Moment,
     ) -> Option<Event> {
         match change {
-            Change::Announced(target) => self.upsert(target),
+            Change::Announced(target) => self.upsert(target, reannounce_deadline, now),
             Change::Removed(id) => {
                 let key = *self.by_id.get(&id)?;
                 self.mark_missing(key, reannounce_deadline, now)
@@ -95,12 +116,25 @@
     }
 
     /// Removes targets whose entries expired in an outage and that did not announce themselves in
-    /// time.
+    /// time, and adds those that are still listed although they were removed before.
     pub fn expire(&mut self, now: Moment) -> Vec<Event> {
-        let expired = |entry: &Entry| entry.missing_until.is_some_and(|until| until <= now);
-        let gone: Vec<Key> =
-            self.entries.iter().filter(|(_, it)| expired(it)).map(|(key, _)| key).collect();
-        gone.into_iter().filter_map(|key| self.remove(key)).collect()
+        self.departures.retain(|_, it| now < it.removed_at + DEPARTURE_TTL);
+        let is_due = |until: Option<Moment>| until.is_some_and(|it| it <= now);
+        let gone: Vec<Key> = self
+            .entries
+            .iter()
+            .filter_map(|(key, it)| is_due(it.missing_until).then_some(key))
+            .collect();
+        let mut events: Vec<Event> =
+            gone.into_iter().filter_map(|key| self.depart(key, now)).collect();
+        for (key, entry) in &mut self.entries {
+            if is_due(entry.withheld_until) {
+                entry.withheld_until = None;
+                self.departures.remove(&entry.target.id);
+                events.push(Event::Added(key, entry.target.id.clone()));
+            }
+        }
+        events
     }
 
     /// Returns a target.
@@ -117,14 +151,14 @@
     /// which may be newer than that of the host that named the target.
     pub fn usable_key(&self, id: &id::Target) -> Option<Key> {
         let key = self.key(id)?;
-        self.get(key).filter(|it| !it.draining).map(|_| key)
+        self.entries.get(key).filter(|it| it.is_usable()).map(|_| key)
     }
 
     /// Returns the targets of a service that accept new requests.
     pub fn usable<'a>(&'a self, service: &str) -> impl Iterator<Item = (Key, &'a Target)> {
         let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
-        let targets = keys.iter().filter_map(|key| Some((*key, self.get(*key)?)));
-        targets.filter(|(_, it)| !it.draining)
+        let entries = keys.iter().filter_map(|key| Some((*key, self.entries.get(*key)?)));
+        entries.filter(|(_, it)| it.is_usable()).map(|(key, it)| (key, &it.target))
     }
 
     /// Returns the number of known targets.
@@ -137,7 +171,17 @@
         self.entries.is_empty()
     }
 
-    fn upsert(&mut self, target: Target) -> Option<Event> {
+    fn upsert(
+        &mut self,
+        target: Target,
+        reannounce_deadline: Moment,
+        now: Moment,
+    ) -> Option<Event> {
+        let departure = self.departures.get(&target.id);
+        let is_withheld = now < reannounce_deadline
+            && !target.draining
+            && departure.is_some_and(|it| !it.is_older_than(&target));
+        let withheld_until = is_withheld.then_some(reannounce_deadline);
         if let Some(key) = self.by_id.get(&target.id).copied() {
             let entry = self.entries.get_mut(key)?;
             if is_older(&target, &entry.target) {
@@ -149,17 +193,30 @@
             if same_run {
                 entry.missing_until = None;
                 let newly_draining = target.draining && !entry.target.draining;
+                let newly_used = entry.withheld_until.is_some() && !is_withheld;
+                let id = target.id.clone();
                 entry.target = target;
-                return newly_draining
-                    .then(|| Event::Draining(key, self.entries[key].target.id.clone()));
+                if newly_used {
+                    entry.withheld_until = None;
+                    self.departures.remove(&id);
+                }
+                return match (newly_draining, newly_used) {
+                    (true, _) => Some(Event::Draining(key, id)),
+                    (false, true) => Some(Event::Added(key, id)),
+                    (false, false) => None,
+                };
             }
             self.remove(key);
         }
         let (id, service) = (target.id.clone(), target.service.clone());
         let draining = target.draining;
-        let key = self.entries.insert(Entry { target, missing_until: None });
+        let key = self.entries.insert(Entry { target, missing_until: None, withheld_until });
         self.by_id.insert(id.clone(), key);
         self.by_service.entry(service).or_default().push(key);
+        if is_withheld {
+            return Some(Event::Withheld(key, id));
+        }
+        self.departures.remove(&id);
         Some(if draining { Event::Draining(key, id) } else { Event::Added(key, id) })
     }
 
@@ -170,13 +227,28 @@
         now: Moment,
     ) -> Option<Event> {
         let entry = self.entries.get_mut(key)?;
-        if reannounce_deadline <= now || entry.target.draining {
-            return self.remove(key);
+        if reannounce_deadline <= now {
+            return self.depart(key, now);
         }
         entry.missing_until = Some(reannounce_deadline);
         None
     }
 
+    /// Removes a target that is gone, and remembers its last announcement.
+    fn depart(&mut self, key: Key, now: Moment) -> Option<Event> {
+        let Entry { target, withheld_until, .. } = self.entries.get(key)?;
+        // That of a withheld target is no newer than the one already remembered.
+        if withheld_until.is_none() {
+            let departure = Departure {
+                incarnation: target.incarnation,
+                sequence: target.sequence,
+                removed_at: now,
+            };
+            self.departures.insert(target.id.clone(), departure);
+        }
+        self.remove(key)
+    }
+
     fn remove(&mut self, key: Key) -> Option<Event> {
         let entry = self.entries.remove(key)?;
         let target = entry.target;
@@ -190,6 +262,20 @@
     }
 }
 
+impl Entry {
+    /// Returns whether the target accepts new requests.
+    fn is_usable(&self) -> bool {
+        !self.target.draining && self.withheld_until.is_none()
+    }
+}
+
+impl Departure {
+    /// Returns whether an announcement was made after this one.
+    fn is_older_than(&self, target: &Target) -> bool {
+        (self.incarnation, self.sequence) < (target.incarnation, target.sequence)
+    }
+}
+
 /// Returns whether an announcement is older than the known one.
 fn is_older(target: &Target, known: &Target) -> bool {
     let same_run = target.incarnation == known.incarnation;
--- a/gateway/src/store_sync.rs
+++ b/gateway/src/store_sync.rs
@@ -404,7 +404,7 @@
             let state = context.state();
             let targets = events.iter().filter_map(|event| match event {
                 Event::Added(key, _) | Event::Draining(key, _) => state.registry.get(*key),
-                Event::Removed(..) => None,
+                Event::Removed(..) | Event::Withheld(..) => None,
             });
             targets.map(|it| (coverage.up_to, Change::Announced(it.clone()))).collect()
         };
--- a/gateway/tests/registry.rs
+++ b/gateway/tests/registry.rs
@@ -96,3 +96,69 @@
     assert_eq!(registry.usable_key(&"two".into()), registry.key(&"two".into()));
     assert_eq!(registry.usable_key(&"three".into()), None);
 }
+
+/// Returns a registry from which a target was removed at 100 ms, and whose store came back at 500 ms
+/// from a copy that still has an earlier announcement of the target.
+fn registry_with_departure() -> Registry {
+    let mut registry = Registry::new();
+    registry.replace(vec![target("one", 3), target("two", 1)], ms(0), ms(10));
+    registry.apply(Change::Removed("one".into()), ms(0), ms(100));
+    let events = registry.replace(vec![target("one", 2), target("two", 1)], ms(2500), ms(500));
+    assert!(matches!(&events[..], [Event::Withheld(_, id)] if id == "one"));
+    registry
+}
+
+/// A target that left is not used again because a copy of the store lists it, also when its
+/// announcements from before are written again in their order.
+#[test]
+fn departed_in_copy() {
+    let mut registry = registry_with_departure();
+    for sequence in [2, 3] {
+        let change = Change::Announced(target("one", sequence));
+        assert_eq!(registry.apply(change, ms(2500), ms(600)), None);
+        assert_eq!(usable(&registry), ["two"]);
+        assert_eq!(registry.usable_key(&"one".into()), None);
+    }
+    registry.apply(Change::Removed("one".into()), ms(2500), ms(700));
+    assert!(matches!(&registry.expire(ms(2500))[..], [Event::Removed(_, id)] if id == "one"));
+    assert_eq!(usable(&registry), ["two"]);
+}
+
+/// A target that seemed to have left but announces itself anew, or stays listed, is used.
+#[test]
+fn returned_after_copy() {
+    let mut registry = registry_with_departure();
+    let event = registry.apply(Change::Announced(target("one", 4)), ms(2500), ms(600));
+    assert!(matches!(event, Some(Event::Added(..))));
+    assert_eq!(usable(&registry), ["one", "two"]);
+    assert!(registry.expire(ms(2500)).is_empty());
+
+    let mut registry = registry_with_departure();
+    assert!(registry.expire(ms(2499)).is_empty());
+    assert!(matches!(&registry.expire(ms(2500))[..], [Event::Added(_, id)] if id == "one"));
+    assert_eq!(usable(&registry), ["one", "two"]);
+}
+
+/// A draining target that is missing in a copy is remembered, so that an announcement from before it
+/// drained does not make it usable.
+#[test]
+fn draining_missing() {
+    let mut registry = Registry::new();
+    let mut leaving = target("one", 2);
+    leaving.draining = true;
+    registry.replace(vec![leaving], ms(0), ms(10));
+    registry.replace(vec![], ms(2000), ms(100));
+    registry.apply(Change::Announced(target("one", 1)), ms(2000), ms(200));
+    assert!(usable(&registry).is_empty());
+}
+
+/// The memory of removed targets is bounded in time.
+#[test]
+fn departure_forgotten() {
+    let mut registry = Registry::new();
+    registry.replace(vec![target("one", 3)], ms(0), ms(10));
+    registry.apply(Change::Removed("one".into()), ms(0), ms(100));
+    registry.expire(ms(60_100));
+    let event = registry.apply(Change::Announced(target("one", 3)), ms(63_000), ms(61_000));
+    assert!(matches!(event, Some(Event::Added(..))));
+}
