fix(watch): changes of an answer that updates have overtaken are not applied

A host applied all changes of a poll's answer, also those that were older than updates of a watcher which it had applied while the answer was on its way: a target that had left was added again until the next poll. record_answer returns the version known before, and changes up to it are skipped.

--- a/gateway/src/store_sync.rs
+++ b/gateway/src/store_sync.rs
@@ -122,8 +122,14 @@
     /// what they must know before they read the table themselves.
     fn apply_contents(context: &Context, contents: Self::Contents, coverage: Coverage);
 
-    /// Applies changes to the state of this host and, on a watcher, sends them to the other hosts.
-    fn apply_changes(context: &Context, changes: Self::Changes, coverage: Coverage);
+    /// Applies changes after version `known` to the state of this host and, on a watcher, sends them
+    /// to the other hosts.
+    fn apply_changes(
+        context: &Context,
+        changes: Self::Changes,
+        known: id::Version,
+        coverage: Coverage,
+    );
 }
 
 /// Range of versions that an answer of the store covers, and its age.
@@ -202,13 +208,14 @@
                 match check_answer::<T, _>(&context, result, false, call_era) {
                     Ok(Snapshot { version, contents, .. }) => {
                         observe_call(&context, T::NAME, started);
-                        record_answer::<T>(&context, &mut backoff, version);
+                        let known = record_answer::<T>(&context, &mut backoff, version);
                         let took = clock::now().saturating_sub(started);
                         let age =
                             if took < wait + MAX_CALL_TIME { Duration::ZERO } else { took - wait };
                         T::apply_changes(
                             &context,
                             contents,
+                            known,
                             Coverage { era: call_era, after, up_to: version, age, is_watcher },
                         );
                         continue;
@@ -282,10 +289,15 @@
     context.metrics.store_call_time.with_label_values(&[table]).observe(took.as_secs_f64());
 }
 
-fn record_answer<T: Table>(context: &Context, backoff: &mut Backoff, version: id::Version) {
+/// Records an answer and returns the version up to which its changes were already applied.
+fn record_answer<T: Table>(
+    context: &Context,
+    backoff: &mut Backoff,
+    version: id::Version,
+) -> id::Version {
     backoff.record_success(context);
     let reannounce_grace = context.settings.reannounce_grace;
-    T::watch(&mut context.state_mut()).record_answer(version, reannounce_grace, clock::now());
+    T::watch(&mut context.state_mut()).record_answer(version, reannounce_grace, clock::now())
 }
 
 /// Table that holds the operators' configuration.
@@ -323,7 +335,12 @@
         }
     }
 
-    fn apply_changes(context: &Context, changes: Self::Changes, coverage: Coverage) {
+    fn apply_changes(
+        context: &Context,
+        changes: Self::Changes,
+        _known: id::Version,
+        coverage: Coverage,
+    ) {
         Self::apply_contents(context, changes, coverage);
     }
 }
@@ -412,9 +429,14 @@
         context.record_target_events(events);
     }
 
-    fn apply_changes(context: &Context, changes: Self::Changes, coverage: Coverage) {
+    fn apply_changes(
+        context: &Context,
+        changes: Self::Changes,
+        known: id::Version,
+        coverage: Coverage,
+    ) {
         send_target_update(context, changes.clone(), coverage);
-        apply_target_changes(context, changes);
+        apply_target_changes(context, changes, known);
     }
 }
 
@@ -440,15 +462,19 @@
     match effect {
         Effect::Stale => {}
         Effect::Behind => context.update_missed.notify_waiters(),
-        Effect::Unread => apply_target_changes(context, update.contents),
+        Effect::Unread => apply_target_changes(context, update.contents, 0),
         Effect::NewAfter(known) => {
-            let new = update.contents.into_iter().filter(|(version, _)| known < *version);
-            apply_target_changes(context, new.collect());
+            apply_target_changes(context, update.contents, known);
         }
     }
 }
 
-fn apply_target_changes(context: &Context, changes: Vec<(id::Version, Change)>) {
+/// Applies the target changes after version `known`.
+fn apply_target_changes(
+    context: &Context,
+    changes: Vec<(id::Version, Change)>,
+    known: id::Version,
+) {
     let events = {
         let mut state = context.state_mut();
         let reannounce_deadline = state.targets_watch.reannounce_deadline();
@@ -456,6 +482,7 @@
         let registry = &mut state.registry;
         changes
             .into_iter()
+            .filter(|(version, _)| known < *version)
             .filter_map(|(_, it)| registry.apply(it, reannounce_deadline, now))
             .collect()
     };
--- a/gateway/src/watch.rs
+++ b/gateway/src/watch.rs
@@ -165,12 +165,21 @@
         }
     }
 
-    /// Records an answer of the store that is complete up to version `up_to`.
-    pub fn record_answer(&mut self, up_to: id::Version, reannounce_grace: Duration, now: Moment) {
-        self.known_version = self.known_version.max(Some(up_to));
+    /// Records an answer of the store that is complete up to version `up_to`. Returns the version
+    /// known before: updates from other hosts may have overtaken the answer, and its changes up to
+    /// that version are not to be applied again.
+    pub fn record_answer(
+        &mut self,
+        up_to: id::Version,
+        reannounce_grace: Duration,
+        now: Moment,
+    ) -> id::Version {
+        let known = self.known_version.unwrap_or_default();
+        self.known_version = Some(known.max(up_to));
         self.behind = false;
         self.failed_at = None;
         self.confirm(Duration::ZERO, reannounce_grace, now);
+        known
     }
 
     /// Records a failed call; when the store no longer has the changes, the table is read in full.
--- a/gateway/tests/watch.rs
+++ b/gateway/tests/watch.rs
@@ -111,3 +111,13 @@
     watch.record_answer(12, REANNOUNCE_GRACE, ms(4000));
     assert_eq!(watch.reannounce_deadline(), ms(6000));
 }
+
+/// An update from another host that overtakes an answer is newer: the answer's changes up to its
+/// version, such as the announcement of a target that has left since, are not applied again.
+#[test]
+fn overtaken_answer() {
+    let mut watch = synced_watch();
+    watch.apply_update(&update(10, 14), REANNOUNCE_GRACE, ms(1100));
+    assert_eq!(watch.record_answer(12, REANNOUNCE_GRACE, ms(1200)), 14);
+    assert_eq!(watch.next(true, ms(1200)), Step::Poll { after: 14, long_poll: true });
+}
