fix(registry): what a copy lists settles once the host's view is current again

Whether a target that left is listed by a copy only, was decided by time and by the number of its announcement. A simulation of stores, hosts and delays showed hosts that used such targets again: after a second restoration, after an answer that had been on its way for long, and when the last announcement before the removal had never been read. A draining target that the copy lacked was forgotten by time alone. From the start of an era a target that was removed is not used in the same run until the entries were current at the end of the two seconds in which the writers write again (MAX_CALL_TIME before the last confirmation counts as current); draining targets stay until then.

--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -348,7 +348,7 @@
                     tracing::info!(code = 8002, target = %id, "target draining; nothing new is sent to it");
                 }
                 Event::Withheld(_, id) => {
-                    tracing::info!(code = 8048, target = %id, "target that left is listed again by a copy of the store; waiting for its own announcement");
+                    tracing::info!(code = 8048, target = %id, "target that left is listed again; not used until its removal can have been written again");
                 }
                 Event::Removed(key, id) => {
                     self.pool.close_idle(key);
--- a/gateway/src/registry.rs
+++ b/gateway/src/registry.rs
@@ -8,7 +8,7 @@
 use crate::target::Target;
 use fuchsiaknot_core::{clock::Moment, id};
 
-/// Time for which a removed target is remembered; a copy from which the store comes back is some
+/// Time for which the run of a removed target is remembered; a copy from which the store comes back is some
 /// seconds old.
 const DEPARTURE_TTL: Duration = Duration::from_secs(60);
 
@@ -35,7 +35,7 @@
     Draining(Key, id::Target),
     /// A target was removed.
     Removed(Key, id::Target),
-    /// A target that was removed is listed with an announcement from before, and not used yet.
+    /// A target that was removed is listed again in the same run, and not used yet.
     Withheld(Key, id::Target),
 }
 
@@ -46,13 +46,15 @@
     by_id: HashMap<id::Target, Key>,
     by_service: HashMap<id::Service, Vec<Key>>,
     departures: HashMap<id::Target, Departure>,
+    /// Time until which what the store lost, when it came back from a copy, may be written again;
+    /// `None` once the entries were current at that time.
+    unsettled_until: Option<Moment>,
 }
 
-/// The last announcement of a target that was removed.
+/// Run of a target that was removed. Its last announcement may be newer than the last known one.
 #[derive(Debug)]
 struct Departure {
     incarnation: Option<id::Incarnation>,
-    sequence: u64,
     removed_at: Moment,
 }
 
@@ -61,9 +63,8 @@
     target: Target,
     /// Time at which a target that is missing from the store is removed; `None` while it is listed.
     missing_until: Option<Moment>,
-    /// Time until which the target is not used, because its announcement may be that of a copy from
-    /// before it was removed; `None` once it is used.
-    withheld_until: Option<Moment>,
+    /// Whether the target is not used because its announcement may be from before it was removed.
+    withheld: bool,
 }
 
 impl Registry {
@@ -76,18 +77,17 @@
     ///
     /// A target that is missing is kept until `reannounce_deadline`: its entry may have expired
     /// during an outage of the store, or be lost with it, and the target may announce itself again.
-    /// One that was removed, and comes back with an announcement from before, is not used until then:
-    /// the store may have come back from a copy, and the removal may be written again.
     pub fn replace(
         &mut self,
         targets: Vec<Target>,
         reannounce_deadline: Moment,
         now: Moment,
     ) -> Vec<Event> {
+        // A later outage gives the writers more time.
+        self.unsettled_until = self.unsettled_until.map(|it| it.max(reannounce_deadline));
         let listed: HashMap<id::Target, ()> =
             targets.iter().map(|it| (it.id.clone(), ())).collect();
-        let upsert = |it| self.upsert(it, reannounce_deadline, now);
-        let mut events: Vec<Event> = targets.into_iter().filter_map(upsert).collect();
+        let mut events: Vec<Event> = targets.into_iter().filter_map(|it| self.upsert(it)).collect();
         let missing: Vec<Key> = self
             .entries
             .iter()
@@ -107,7 +107,7 @@
         now: Moment,
     ) -> Option<Event> {
         match change {
-            Change::Announced(target) => self.upsert(target, reannounce_deadline, now),
+            Change::Announced(target) => self.upsert(target),
             Change::Removed(id) => {
                 let key = *self.by_id.get(&id)?;
                 self.mark_missing(key, reannounce_deadline, now)
@@ -115,21 +115,39 @@
         }
     }
 
+    /// Records that the store came back from a copy; what it lost may be written again until
+    /// `reannounce_deadline`.
+    ///
+    /// A target that was removed, and is listed again in the same run, is not used until
+    /// [`Registry::settle`]: its removal may be among what was lost.
+    pub fn unsettle(&mut self, reannounce_deadline: Moment) {
+        self.unsettled_until = self.unsettled_until.max(Some(reannounce_deadline));
+        for entry in self.entries.values_mut() {
+            entry.missing_until = entry.missing_until.map(|it| it.max(reannounce_deadline));
+        }
+    }
+
     /// Removes targets whose entries expired in an outage and that did not announce themselves in
-    /// time, and adds those that are still listed although they were removed before.
+    /// time. Draining ones stay until [`Registry::settle`].
     pub fn expire(&mut self, now: Moment) -> Vec<Event> {
         self.departures.retain(|_, it| now < it.removed_at + DEPARTURE_TTL);
-        let is_due = |until: Option<Moment>| until.is_some_and(|it| it <= now);
-        let gone: Vec<Key> = self
-            .entries
-            .iter()
-            .filter_map(|(key, it)| is_due(it.missing_until).then_some(key))
-            .collect();
-        let mut events: Vec<Event> =
-            gone.into_iter().filter_map(|key| self.depart(key, now)).collect();
+        self.remove_missing(now, now, |it| !it.draining)
+    }
+
+    /// Adds targets that were removed before but are still listed when the removal would have been
+    /// written again, and removes draining targets that are still missing.
+    ///
+    /// `current_at` is a time at which the entries were current. Time alone does not suffice: a
+    /// removal may be on its way, or an announcement from before a target drained.
+    pub fn settle(&mut self, current_at: Moment, now: Moment) -> Vec<Event> {
+        let mut events = self.remove_missing(current_at, now, |it| it.draining);
+        if self.unsettled_until.is_none_or(|it| current_at < it) {
+            return events;
+        }
+        self.unsettled_until = None;
         for (key, entry) in &mut self.entries {
-            if is_due(entry.withheld_until) {
-                entry.withheld_until = None;
+            if entry.withheld && entry.missing_until.is_none() {
+                entry.withheld = false;
                 self.departures.remove(&entry.target.id);
                 events.push(Event::Added(key, entry.target.id.clone()));
             }
@@ -171,17 +189,11 @@
         self.entries.is_empty()
     }
 
-    fn upsert(
-        &mut self,
-        target: Target,
-        reannounce_deadline: Moment,
-        now: Moment,
-    ) -> Option<Event> {
+    fn upsert(&mut self, target: Target) -> Option<Event> {
         let departure = self.departures.get(&target.id);
-        let is_withheld = now < reannounce_deadline
+        let withheld = self.unsettled_until.is_some()
             && !target.draining
-            && departure.is_some_and(|it| !it.is_older_than(&target));
-        let withheld_until = is_withheld.then_some(reannounce_deadline);
+            && departure.is_some_and(|it| target.incarnation <= it.incarnation);
         if let Some(key) = self.by_id.get(&target.id).copied() {
             let entry = self.entries.get_mut(key)?;
             if is_older(&target, &entry.target) {
@@ -193,11 +205,11 @@
             if same_run {
                 entry.missing_until = None;
                 let newly_draining = target.draining && !entry.target.draining;
-                let newly_used = entry.withheld_until.is_some() && !is_withheld;
+                let newly_used = entry.withheld && !withheld;
                 let id = target.id.clone();
                 entry.target = target;
                 if newly_used {
-                    entry.withheld_until = None;
+                    entry.withheld = false;
                     self.departures.remove(&id);
                 }
                 return match (newly_draining, newly_used) {
@@ -210,10 +222,10 @@
         }
         let (id, service) = (target.id.clone(), target.service.clone());
         let draining = target.draining;
-        let key = self.entries.insert(Entry { target, missing_until: None, withheld_until });
+        let key = self.entries.insert(Entry { target, missing_until: None, withheld });
         self.by_id.insert(id.clone(), key);
         self.by_service.entry(service).or_default().push(key);
-        if is_withheld {
+        if withheld {
             return Some(Event::Withheld(key, id));
         }
         self.departures.remove(&id);
@@ -234,16 +246,25 @@
         None
     }
 
+    /// Removes the selected targets that have been missing for too long at `at`.
+    fn remove_missing(
+        &mut self,
+        at: Moment,
+        now: Moment,
+        select: impl Fn(&Target) -> bool,
+    ) -> Vec<Event> {
+        let is_due = |it: &Entry| it.missing_until.is_some_and(|until| until <= at);
+        let entries = self.entries.iter().filter(|(_, it)| is_due(it) && select(&it.target));
+        let gone: Vec<Key> = entries.map(|(key, _)| key).collect();
+        gone.into_iter().filter_map(|key| self.depart(key, now)).collect()
+    }
+
     /// Removes a target that is gone, and remembers its last announcement.
     fn depart(&mut self, key: Key, now: Moment) -> Option<Event> {
-        let Entry { target, withheld_until, .. } = self.entries.get(key)?;
-        // That of a withheld target is no newer than the one already remembered.
-        if withheld_until.is_none() {
-            let departure = Departure {
-                incarnation: target.incarnation,
-                sequence: target.sequence,
-                removed_at: now,
-            };
+        let Entry { target, withheld, .. } = self.entries.get(key)?;
+        // The run of a withheld target is already remembered.
+        if !withheld {
+            let departure = Departure { incarnation: target.incarnation, removed_at: now };
             self.departures.insert(target.id.clone(), departure);
         }
         self.remove(key)
@@ -265,14 +286,7 @@
 impl Entry {
     /// Returns whether the target accepts new requests.
     fn is_usable(&self) -> bool {
-        !self.target.draining && self.withheld_until.is_none()
-    }
-}
-
-impl Departure {
-    /// Returns whether an announcement was made after this one.
-    fn is_older_than(&self, target: &Target) -> bool {
-        (self.incarnation, self.sequence) < (target.incarnation, target.sequence)
+        !self.target.draining && !self.withheld
     }
 }
 
--- a/gateway/src/store_sync.rs
+++ b/gateway/src/store_sync.rs
@@ -271,6 +271,7 @@
         watch.start_era(era, delay, reannounce_grace, now)
     };
     let was_read = [&mut state.configuration_watch, &mut state.targets_watch].map(&mut start);
+    state.registry.unsettle(state.targets_watch.reannounce_deadline());
     context.metrics.store_era.set(i64::try_from(era).unwrap_or(i64::MAX));
     if was_read.contains(&true) {
         tracing::warn!(
@@ -462,7 +463,6 @@
     match effect {
         Effect::Stale => {}
         Effect::Behind => context.update_missed.notify_waiters(),
-        Effect::Unread => apply_target_changes(context, update.contents, 0),
         Effect::NewAfter(known) => {
             apply_target_changes(context, update.contents, known);
         }
@@ -513,7 +513,15 @@
 pub async fn expire_state(context: Rc<Context>) {
     loop {
         sleep(EXPIRY_INTERVAL).await;
-        let events = context.state_mut().registry.expire(clock::now());
+        let events = {
+            let state = &mut *context.state_mut();
+            let now = clock::now();
+            let mut events = state.registry.expire(now);
+            // The last answer may have been on its way for this long.
+            let current_at = state.targets_watch.confirmed_at().saturating_sub(MAX_CALL_TIME);
+            events.extend(state.registry.settle(current_at, now));
+            events
+        };
         if !events.is_empty() {
             context.record_target_events(events);
         }
--- a/gateway/src/watch.rs
+++ b/gateway/src/watch.rs
@@ -33,6 +33,9 @@
     era: id::Era,
     /// Version up to which all changes are known; `None` before the first full read in the era.
     known_version: Option<id::Version>,
+    /// Last version up to which changes were applied, possibly with gaps, before the first full read
+    /// in an era; `None` when no such read is due.
+    partial_version: Option<id::Version>,
     /// Time at which that state was last confirmed to be current.
     confirmed_at: Option<Moment>,
     /// Time of the last failed call; `None` after a successful one.
@@ -83,10 +86,8 @@
 pub enum Effect {
     /// The receiver knows a later version or era, or has never read the table.
     Stale,
-    /// The receiver has yet to read the table in this era. Until then it can apply the changes,
-    /// which are newer than what it knows of the entries.
-    Unread,
-    /// The changes after this version are new to the receiver.
+    /// The changes after this version are new to the receiver; there may be others if it has yet to
+    /// read the table again.
     NewAfter(id::Version),
     /// The receiver has missed changes before this update.
     Behind,
@@ -135,6 +136,7 @@
         if !self.is_known() {
             return false;
         }
+        self.partial_version = Some(0);
         self.read_due = now + read_delay;
         self.reannounce_deadline = self.reannounce_deadline.max(now + reannounce_grace);
         true
@@ -176,6 +178,7 @@
     ) -> id::Version {
         let known = self.known_version.unwrap_or_default();
         self.known_version = Some(known.max(up_to));
+        self.partial_version = None;
         self.behind = false;
         self.failed_at = None;
         self.confirm(Duration::ZERO, reannounce_grace, now);
@@ -203,7 +206,13 @@
         }
         let known = self.known_version.filter(|_| update.era == self.era);
         let Some(known) = known else {
-            return if self.is_known() { Effect::Unread } else { Effect::Stale };
+            return match self.partial_version {
+                Some(applied) if applied <= update.up_to => {
+                    self.partial_version = Some(update.up_to);
+                    Effect::NewAfter(applied)
+                }
+                _ => Effect::Stale,
+            };
         };
         if update.up_to < known {
             return Effect::Stale;
@@ -236,6 +245,11 @@
         now.saturating_sub(self.confirmed_at.unwrap_or_default())
     }
 
+    /// Returns the time at which the state was last current; zero if never.
+    pub fn confirmed_at(&self) -> Moment {
+        self.confirmed_at.unwrap_or_default()
+    }
+
     /// Returns whether the table was read.
     pub fn is_known(&self) -> bool {
         self.confirmed_at.is_some()
--- a/gateway/tests/registry.rs
+++ b/gateway/tests/registry.rs
@@ -103,17 +103,18 @@
     let mut registry = Registry::new();
     registry.replace(vec![target("one", 3), target("two", 1)], ms(0), ms(10));
     registry.apply(Change::Removed("one".into()), ms(0), ms(100));
+    registry.unsettle(ms(2500));
     let events = registry.replace(vec![target("one", 2), target("two", 1)], ms(2500), ms(500));
     assert!(matches!(&events[..], [Event::Withheld(_, id)] if id == "one"));
     registry
 }
 
 /// A target that left is not used again because a copy of the store lists it, also when its
-/// announcements from before are written again in their order.
+/// announcements from before are written again in their order, the last of which was never read.
 #[test]
 fn departed_in_copy() {
     let mut registry = registry_with_departure();
-    for sequence in [2, 3] {
+    for sequence in [2, 3, 4] {
         let change = Change::Announced(target("one", sequence));
         assert_eq!(registry.apply(change, ms(2500), ms(600)), None);
         assert_eq!(usable(&registry), ["two"]);
@@ -124,21 +125,39 @@
     assert_eq!(usable(&registry), ["two"]);
 }
 
-/// A target that seemed to have left but announces itself anew, or stays listed, is used.
+/// A target that left and starts again is used at once; one that stays listed, after the deadline.
 #[test]
 fn returned_after_copy() {
     let mut registry = registry_with_departure();
-    let event = registry.apply(Change::Announced(target("one", 4)), ms(2500), ms(600));
+    let mut again = target("one", 1);
+    again.incarnation = Some(2);
+    let event = registry.apply(Change::Announced(again), ms(2500), ms(600));
     assert!(matches!(event, Some(Event::Added(..))));
     assert_eq!(usable(&registry), ["one", "two"]);
-    assert!(registry.expire(ms(2500)).is_empty());
+    assert!(registry.settle(ms(2500), ms(2500)).is_empty());
 
     let mut registry = registry_with_departure();
-    assert!(registry.expire(ms(2499)).is_empty());
-    assert!(matches!(&registry.expire(ms(2500))[..], [Event::Added(_, id)] if id == "one"));
+    assert!(registry.settle(ms(2499), ms(2500)).is_empty());
+    assert!(registry.expire(ms(2500)).is_empty());
+    assert_eq!(usable(&registry), ["two"]);
+    assert!(
+        matches!(&registry.settle(ms(2500), ms(2500))[..], [Event::Added(_, id)] if id == "one")
+    );
     assert_eq!(usable(&registry), ["one", "two"]);
 }
 
+/// A removal that arrives late, before the entries are current, still counts.
+#[test]
+fn removed_before_settled() {
+    let mut registry = registry_with_departure();
+    assert!(registry.settle(ms(2400), ms(3300)).is_empty());
+    let removed = registry.apply(Change::Removed("one".into()), ms(2500), ms(3350));
+    assert!(matches!(removed, Some(Event::Removed(..))));
+    let change = Change::Announced(target("one", 3));
+    assert!(matches!(registry.apply(change, ms(2500), ms(3360)), Some(Event::Withheld(..))));
+    assert_eq!(usable(&registry), ["two"]);
+}
+
 /// A draining target that is missing in a copy is remembered, so that an announcement from before it
 /// drained does not make it usable.
 #[test]
@@ -148,8 +167,24 @@
     leaving.draining = true;
     registry.replace(vec![leaving], ms(0), ms(10));
     registry.replace(vec![], ms(2000), ms(100));
-    registry.apply(Change::Announced(target("one", 1)), ms(2000), ms(200));
-    assert!(usable(&registry).is_empty());
+    for now in [200, 2100] {
+        assert!(registry.expire(ms(now)).is_empty());
+        registry.apply(Change::Announced(target("one", 1)), ms(2000), ms(now));
+        assert!(usable(&registry).is_empty());
+    }
+}
+
+/// A draining target that is still missing once the entries are current is gone.
+#[test]
+fn draining_gone() {
+    let mut registry = Registry::new();
+    let mut leaving = target("one", 2);
+    leaving.draining = true;
+    registry.replace(vec![leaving], ms(0), ms(10));
+    registry.replace(vec![], ms(2000), ms(100));
+    assert!(registry.settle(ms(1999), ms(2500)).is_empty());
+    assert_eq!(registry.settle(ms(2000), ms(2500)).len(), 1);
+    assert!(registry.is_empty());
 }
 
 /// The memory of removed targets is bounded in time.
@@ -159,6 +194,7 @@
     registry.replace(vec![target("one", 3)], ms(0), ms(10));
     registry.apply(Change::Removed("one".into()), ms(0), ms(100));
     registry.expire(ms(60_100));
+    registry.unsettle(ms(63_000));
     let event = registry.apply(Change::Announced(target("one", 3)), ms(63_000), ms(61_000));
     assert!(matches!(event, Some(Event::Added(..))));
 }
