fix(watch): an update that later ones have overtaken confirms nothing

An update that arrived seconds late, and that followed the version of a host which had missed the later ones, counted as a confirmation that the host's state was current. A host without access to the store then used a target again that had left before the store came back.

--- a/gateway/src/watch.rs
+++ b/gateway/src/watch.rs
@@ -222,7 +222,10 @@
             return Effect::Behind;
         }
         self.known_version = Some(update.up_to);
-        self.confirm(update.age, reannounce_grace, now);
+        // The update arrived late if a later change is already known to exist.
+        if !self.behind {
+            self.confirm(update.age, reannounce_grace, now);
+        }
         Effect::NewAfter(known)
     }
 
--- a/gateway/tests/era.rs
+++ b/gateway/tests/era.rs
@@ -630,6 +630,8 @@
 #[case::draining_forgotten(342)]
 // Two slow answers in a row ended after the time in which a removal is written again.
 #[case::slow_answers(469)]
+// An update that arrived seconds late counted as a confirmation, though later ones had come.
+#[case::late_update(548)]
 fn failed_eras(#[case] seed: u64) {
     run_to_end(seed);
 }
--- a/gateway/tests/watch.rs
+++ b/gateway/tests/watch.rs
@@ -121,3 +121,13 @@
     assert_eq!(watch.record_answer(12, REANNOUNCE_GRACE, ms(1200)), 14);
     assert_eq!(watch.next(true, ms(1200)), Step::Poll { after: 14, long_poll: true });
 }
+
+/// An update that arrives after later ones does not confirm the state of a host that cannot reach the
+/// store and has missed a change.
+#[test]
+fn late_update() {
+    let mut watch = synced_watch();
+    assert_eq!(watch.apply_update(&update(12, 13), REANNOUNCE_GRACE, ms(1100)), Effect::Behind);
+    watch.apply_update(&update(10, 11), REANNOUNCE_GRACE, ms(3000));
+    assert_eq!(watch.age(ms(3000)), ms(2000));
+}
