fix(watch): a refused read from an earlier era shows that the store answers

A watcher whose connection broke while the store was away kept counting as unable to reach it after the store had answered in its new era, so that it waited for its turn to read the table instead of reading at once for the others. An answer that cannot be applied because its call was of an earlier era clears the failure (record_contact). era_after_failure, answers_by_era and first_era in gateway/tests/watch.rs are new (record_contact is new with them; the other two were not run on earlier code).

--- a/gateway/src/store_sync.rs
+++ b/gateway/src/store_sync.rs
@@ -227,6 +227,7 @@
         observe_call(&context, T::NAME, started);
         match err {
             Error::HistoryGone if T::watch(&mut context.state_mut()).era() != call_era => {
+                T::watch(&mut context.state_mut()).record_contact();
                 backoff.record_success(&context);
                 continue;
             }
--- a/gateway/src/watch.rs
+++ b/gateway/src/watch.rs
@@ -185,6 +185,11 @@
         known
     }
 
+    /// Records that the store answered, though the answer cannot be applied.
+    pub fn record_contact(&mut self) {
+        self.failed_at = None;
+    }
+
     /// Records a failed call; when the store no longer has the changes, the table is read in full.
     pub fn record_failure(&mut self, history_gone: bool, now: Moment) {
         self.failed_at = Some(now);
--- a/gateway/tests/era.rs
+++ b/gateway/tests/era.rs
@@ -447,7 +447,10 @@
                 self.apply(host, table, step, known, Answer { era, ..answer });
                 TICK
             }
-            Err(Error::HistoryGone) if watch.era() != call_era => 0,
+            Err(Error::HistoryGone) if watch.era() != call_era => {
+                watch.record_contact();
+                0
+            }
             Err(Error::EarlierEra) => 100,
             Err(err) => {
                 watch.record_failure(err == Error::HistoryGone, now);
--- a/gateway/tests/watch.rs
+++ b/gateway/tests/watch.rs
@@ -4,7 +4,10 @@
 
 use std::time::Duration;
 
-use fuchsiaknot_gateway::watch::{Effect, Step, Update, Watch};
+use fuchsiaknot_gateway::{
+    store::Error,
+    watch::{Effect, Step, Update, Watch},
+};
 
 use common::ms;
 
@@ -131,3 +134,40 @@
     watch.apply_update(&update(10, 11), REANNOUNCE_GRACE, ms(3000));
     assert_eq!(watch.age(ms(3000)), ms(2000));
 }
+
+/// A watcher whose connection broke when the store came back reads the table at once when it learns
+/// of the new era, and counts as able to reach the store again.
+#[test]
+fn era_after_failure() {
+    let mut watch = synced_watch();
+    watch.record_failure(false, ms(1100));
+    assert!(watch.start_era(1, ms(500), REANNOUNCE_GRACE, ms(2000)));
+    watch.record_contact();
+    assert!(!watch.has_failed());
+    assert_eq!(watch.next(true, ms(2000)), Step::Read);
+    assert_eq!(watch.next(false, ms(2100)), Step::Sleep(ms(400)));
+    assert_eq!(watch.next(false, ms(2500)), Step::Read);
+    assert_eq!(watch.reannounce_deadline(), ms(4000));
+}
+
+/// An answer counts only in the era of its call, unless it has the full contents of a later one.
+#[test]
+fn answers_by_era() {
+    let mut watch = synced_watch();
+    assert_eq!(watch.check_answer(false, 0, Some(0)), Ok(()));
+    watch.start_era(2, ms(0), REANNOUNCE_GRACE, ms(2000));
+    assert_eq!(watch.check_answer(true, 0, Some(1)), Err(Error::EarlierEra));
+    assert_eq!(watch.check_answer(true, 0, None), Err(Error::EarlierEra));
+    assert_eq!(watch.check_answer(false, 0, Some(2)), Err(Error::HistoryGone));
+    assert_eq!(watch.check_answer(true, 0, Some(2)), Ok(()));
+    assert_eq!(watch.check_answer(true, 2, None), Ok(()));
+}
+
+/// A host that has read nothing yet does not wait for its turn when it first learns of the era.
+#[test]
+fn first_era() {
+    let mut watch = Watch::default();
+    assert!(!watch.start_era(7, ms(500), REANNOUNCE_GRACE, ms(100)));
+    assert_eq!(watch.next(false, ms(100)), Step::Read);
+    assert_eq!(watch.reannounce_deadline(), ms(0));
+}
