--- a/gateway/tests/watch.rs
+++ b/gateway/tests/watch.rs
@@ -171,3 +171,22 @@
     assert_eq!(watch.next(false, ms(100)), Step::Read);
     assert_eq!(watch.reannounce_deadline(), ms(0));
 }
+
+/// While hosts of two builds run side by side, one without eras reads the updates of one with them,
+/// and its own updates are rejected rather than misread.
+#[test]
+fn update_without_era() {
+    #[derive(Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+    struct EarlierUpdate {
+        after: u64,
+        up_to: u64,
+        age: Duration,
+        contents: Vec<u64>,
+    }
+    let earlier = EarlierUpdate { after: 300, up_to: 301, age: ms(5), contents: vec![7, 8] };
+    let update = Update { after: 300, up_to: 301, age: ms(5), contents: vec![7u64, 8], era: 2 };
+    let sent = postcard::to_stdvec(&update).unwrap();
+    assert_eq!(postcard::from_bytes::<EarlierUpdate>(&sent).unwrap(), earlier);
+    let received = postcard::to_stdvec(&earlier).unwrap();
+    assert!(postcard::from_bytes::<Update<Vec<u64>>>(&received).is_err());
+}
