test(watch): names and order of the simulation of eras

Constants of the simulation lacked their unit, its events had a name of their own, and some comments were wider than the code. Renamed to Action and to names with _MS; the order of the random changes follows their numbers, so that the seeds stay the same. cargo test of core, gateway and platform: all passed.

--- a/gateway/src/registry.rs
+++ b/gateway/src/registry.rs
@@ -8,8 +8,8 @@
 use crate::target::Target;
 use fuchsiaknot_core::{clock::Moment, id};
 
-/// Time for which the run of a removed target is remembered; a copy from which the store comes back is some
-/// seconds old.
+/// Time for which the run of a removed target is remembered; a copy from which the store comes back
+/// is some seconds old.
 const DEPARTURE_TTL: Duration = Duration::from_secs(60);
 
 slotmap::new_key_type! {
@@ -259,7 +259,7 @@
         gone.into_iter().filter_map(|key| self.depart(key, now)).collect()
     }
 
-    /// Removes a target that is gone, and remembers its last announcement.
+    /// Removes a target that is gone, and remembers its run.
     fn depart(&mut self, key: Key, now: Moment) -> Option<Event> {
         let Entry { target, withheld, .. } = self.entries.get(key)?;
         // The run of a withheld target is already remembered.
--- a/gateway/src/store_sync.rs
+++ b/gateway/src/store_sync.rs
@@ -122,8 +122,8 @@
     /// what they must know before they read the table themselves.
     fn apply_contents(context: &Context, contents: Self::Contents, coverage: Coverage);
 
-    /// Applies changes after version `known` to the state of this host and, on a watcher, sends them
-    /// to the other hosts.
+    /// Applies changes after version `known` to the state of this host and, on a watcher, sends
+    /// them to the other hosts.
     fn apply_changes(
         context: &Context,
         changes: Self::Changes,
--- a/gateway/src/watch.rs
+++ b/gateway/src/watch.rs
@@ -6,9 +6,9 @@
 //! has confirmed its state for a while.
 //!
 //! The store may come back from an earlier copy, which starts a new era and gives out versions
-//! again. Versions are therefore only compared within one era. When a host learns of a later era, it
-//! keeps what it knows and reads the tables in full; the watchers do so at once, the others after a
-//! random delay ([`crate::era`]).
+//! again. Versions are therefore only compared within one era. When a host learns of a later era,
+//! it keeps what it knows and reads the tables in full; the watchers do so at once, the others after
+//! a random delay ([`crate::era`]).
 
 use std::time::Duration;
 
@@ -33,8 +33,8 @@
     era: id::Era,
     /// Version up to which all changes are known; `None` before the first full read in the era.
     known_version: Option<id::Version>,
-    /// Last version up to which changes were applied, possibly with gaps, before the first full read
-    /// in an era; `None` when no such read is due.
+    /// Last version up to which changes were applied, possibly with gaps, before the first full
+    /// read in an era; `None` when no such read is due.
     partial_version: Option<id::Version>,
     /// Time at which that state was last confirmed to be current.
     confirmed_at: Option<Moment>,
@@ -144,8 +144,8 @@
 
     /// Returns whether an answer of the store can be applied, or else why not.
     ///
-    /// `call_era` is the era at the time of the call, and `answer_era` that of the answer; an answer
-    /// without one is of the era of its call. Changes since a version of an earlier era are
+    /// `call_era` is the era at the time of the call, and `answer_era` that of the answer; an
+    /// answer without one is of the era of its call. Changes since a version of an earlier era are
     /// incomplete, while full contents are valid in the era of the answer.
     ///
     /// # Errors
--- a/gateway/tests/era.rs
+++ b/gateway/tests/era.rs
@@ -27,13 +27,13 @@
 /// Longest time for which an answer is on its way.
 const MAX_CALL_TIME: Duration = Duration::from_millis(900);
 /// Time for which the store and the targets change.
-const ACTIVE: u64 = 25_000;
+const ACTIVE_MS: u64 = 25_000;
 /// Time for which everything is calm at the end.
-const CALM: u64 = 8_000;
+const CALM_MS: u64 = 8_000;
 /// Interval of the changes.
-const TICK: u64 = 50;
+const TICK_MS: u64 = 50;
 /// Time after a restoration within which the operator and the targets write again what was lost.
-const REWRITE_TIME: u64 = 1500;
+const REWRITE_MS: u64 = 1500;
 /// Number of hosts that watch the store for the others.
 const WATCHERS: usize = 2;
 /// Targets that announce themselves before anything else and never leave.
@@ -92,7 +92,7 @@
         let mut lost = self.writes.split_off(copy.writes);
         lost.append(&mut self.lost);
         self.lost = lost;
-        self.rewrite_until = now + REWRITE_TIME;
+        self.rewrite_until = now + REWRITE_MS;
         self.contents = copy;
         self.era += 1;
     }
@@ -121,7 +121,7 @@
 }
 
 #[derive(Debug)]
-enum Happening {
+enum Action {
     Tick,
     Step { host: usize, table: Table },
     Call { host: usize, table: Table, step: Step, call_era: u64 },
@@ -177,7 +177,7 @@
     store: Store,
     hosts: Vec<Host>,
     queue: BinaryHeap<Reverse<(u64, usize)>>,
-    happenings: Vec<Option<Happening>>,
+    actions: Vec<Option<Action>>,
     /// Whether restorations, outages and losses occur.
     has_faults: bool,
     last_configuration: u64,
@@ -194,7 +194,7 @@
             store: Store::default(),
             hosts: (0..host_count).map(|_| Host::default()).collect(),
             queue: BinaryHeap::new(),
-            happenings: Vec::new(),
+            actions: Vec::new(),
             has_faults,
             last_configuration: 1,
             targets: BTreeMap::new(),
@@ -204,23 +204,23 @@
         for id in STEADY {
             simulation.announce(target(id, 1));
         }
-        simulation.schedule(0, Happening::Tick);
+        simulation.schedule(0, Action::Tick);
         for host in 0..host_count {
             // Some hosts start late, possibly while the store has just come back.
             let start = match has_faults && simulation.random.random_bool(0.2) {
-                true => simulation.random.random_range(0..ACTIVE),
+                true => simulation.random.random_range(0..ACTIVE_MS),
                 false => 0,
             };
             for table in [Table::Configuration, Table::Targets] {
-                simulation.schedule(start, Happening::Step { host, table });
+                simulation.schedule(start, Action::Step { host, table });
             }
         }
         simulation
     }
 
-    fn schedule(&mut self, delay: u64, happening: Happening) {
-        self.queue.push(Reverse((self.now + delay, self.happenings.len())));
-        self.happenings.push(Some(happening));
+    fn schedule(&mut self, delay: u64, action: Action) {
+        self.queue.push(Reverse((self.now + delay, self.actions.len())));
+        self.actions.push(Some(action));
     }
 
     fn announce(&mut self, target: Target) {
@@ -246,32 +246,32 @@
             }
             self.queue.pop();
             self.now = at;
-            let happening = self.happenings[index].take().unwrap();
-            self.handle(happening);
+            let action = self.actions[index].take().unwrap();
+            self.handle(action);
         }
     }
 
-    fn handle(&mut self, happening: Happening) {
-        match happening {
-            Happening::Tick => self.tick(),
-            Happening::Step { host, table } => self.step(host, table),
-            Happening::Call { host, table, step, call_era } => {
+    fn handle(&mut self, action: Action) {
+        match action {
+            Action::Tick => self.tick(),
+            Action::Step { host, table } => self.step(host, table),
+            Action::Call { host, table, step, call_era } => {
                 self.call(host, table, step, call_era);
             }
-            Happening::Answer { host, table, step, call_era, answer } => {
+            Action::Answer { host, table, step, call_era, answer } => {
                 self.handle_answer(host, table, step, call_era, answer);
             }
-            Happening::Packet { host, packet } => self.handle_packet(host, packet),
+            Action::Packet { host, packet } => self.handle_packet(host, packet),
         }
     }
 
     fn tick(&mut self) {
         let now = self.now;
-        if now < ACTIVE && self.has_faults {
+        if now < ACTIVE_MS && self.has_faults {
             self.change();
         }
         if self.store.down_until <= now && !self.store.lost.is_empty() {
-            let remaining = self.store.rewrite_until.saturating_sub(now) / TICK + 1;
+            let remaining = self.store.rewrite_until.saturating_sub(now) / TICK_MS + 1;
             let most = self.store.lost.len().div_ceil(usize::try_from(remaining).unwrap());
             let count = match remaining {
                 1 => most,
@@ -293,7 +293,7 @@
             host.record(&events);
         }
         self.check();
-        self.schedule(TICK, Happening::Tick);
+        self.schedule(TICK_MS, Action::Tick);
     }
 
     /// Changes the store at random: new announcements, targets that drain or leave, configurations,
@@ -313,12 +313,6 @@
                 self.created += 1;
                 self.announce(target(&format!("t{}", self.created), 1));
             }
-            20..50 => {
-                let index = self.random.random_range(0..self.targets.len());
-                let mut target = self.targets.values().nth(index).unwrap().clone();
-                target.sequence += 1;
-                self.announce(target);
-            }
             10..13 => {
                 if let Some(mut target) = victim.map(|it| self.targets[&it].clone()) {
                     target.sequence += 1;
@@ -354,6 +348,12 @@
                 let host = self.random.random_range(0..self.hosts.len());
                 self.hosts[host].unreachable_until = now + self.random.random_range(100..5000);
             }
+            20..50 => {
+                let index = self.random.random_range(0..self.targets.len());
+                let mut target = self.targets.values().nth(index).unwrap().clone();
+                target.sequence += 1;
+                self.announce(target);
+            }
             _ => {}
         }
     }
@@ -365,11 +365,11 @@
         if let Step::Sleep(time) = step {
             // A sleeping host is woken when it learns of a change.
             let time = u64::try_from(time.as_millis()).unwrap() + 1;
-            return self.schedule(time.min(20), Happening::Step { host, table });
+            return self.schedule(time.min(20), Action::Step { host, table });
         }
         self.hosts[host].calls.push(self.now);
         let delay = self.random.random_range(1..20);
-        self.schedule(delay, Happening::Call { host, table, step, call_era });
+        self.schedule(delay, Action::Call { host, table, step, call_era });
     }
 
     /// Lets the store answer a call; the answer may take long to arrive.
@@ -407,7 +407,7 @@
         let slow = self.has_faults && self.random.random_bool(SLOW_RATIO);
         let delay =
             if slow { MAX_CALL_TIME.as_millis() as u64 } else { self.random.random_range(1..30) };
-        self.schedule(delay, Happening::Answer { host, table, step, call_era, answer });
+        self.schedule(delay, Action::Answer { host, table, step, call_era, answer });
     }
 
     fn observe_era(&mut self, host: usize, era: u64) {
@@ -445,7 +445,7 @@
                 let known = watch.record_answer(answer.version, REANNOUNCE_GRACE, now);
                 let era = watch.era();
                 self.apply(host, table, step, known, Answer { era, ..answer });
-                TICK
+                TICK_MS
             }
             Err(Error::HistoryGone) if watch.era() != call_era => {
                 watch.record_contact();
@@ -458,7 +458,7 @@
             }
         };
         self.check();
-        self.schedule(delay, Happening::Step { host, table });
+        self.schedule(delay, Action::Step { host, table });
     }
 
     /// Applies an answer on a host and, on a watcher, sends the changes to the others.
@@ -517,7 +517,7 @@
             }
             let slow = self.has_faults && self.random.random_bool(SLOW_RATIO);
             let delay = if slow { 3000 } else { self.random.random_range(1..20) };
-            self.schedule(delay, Happening::Packet { host, packet: packet.clone() });
+            self.schedule(delay, Action::Packet { host, packet: packet.clone() });
         }
     }
 
@@ -603,7 +603,7 @@
     let host_count = 2 + usize::try_from(seed % 8).unwrap();
     println!("seed {seed}, {host_count} hosts");
     let mut simulation = Simulation::new(seed, host_count, true);
-    simulation.run(ACTIVE + CALM);
+    simulation.run(ACTIVE_MS + CALM_MS);
     simulation.check_converged();
     simulation.store.era
 }
--- a/gateway/tests/registry.rs
+++ b/gateway/tests/registry.rs
@@ -97,8 +97,8 @@
     assert_eq!(registry.usable_key(&"three".into()), None);
 }
 
-/// Returns a registry from which a target was removed at 100 ms, and whose store came back at 500 ms
-/// from a copy that still has an earlier announcement of the target.
+/// Returns a registry from which a target was removed at 100 ms, and whose store came back at
+/// 500 ms from a copy that still has an earlier announcement of the target.
 fn registry_with_departure() -> Registry {
     let mut registry = Registry::new();
     registry.replace(vec![target("one", 3), target("two", 1)], ms(0), ms(10));
@@ -158,8 +158,8 @@
     assert_eq!(usable(&registry), ["two"]);
 }
 
-/// A draining target that is missing in a copy is remembered, so that an announcement from before it
-/// drained does not make it usable.
+/// A draining target that is missing in a copy is remembered, so that an announcement from before
+/// it drained does not make it usable.
 #[test]
 fn draining_missing() {
     let mut registry = Registry::new();
--- a/gateway/tests/watch.rs
+++ b/gateway/tests/watch.rs
@@ -125,8 +125,8 @@
     assert_eq!(watch.next(true, ms(1200)), Step::Poll { after: 14, long_poll: true });
 }
 
-/// An update that arrives after later ones does not confirm the state of a host that cannot reach the
-/// store and has missed a change.
+/// An update that arrives after later ones does not confirm the state of a host that cannot reach
+/// the store and has missed a change.
 #[test]
 fn late_update() {
     let mut watch = synced_watch();
