--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -85,6 +85,8 @@
     pub work_changed: Notify,
     /// Notified when this host learns that it has missed a change in the store.
     pub update_missed: Notify,
+    /// Notified when this host learns that the store came back from an earlier copy.
+    pub store_era_changed: Notify,
     /// Notified when this host may have become a watcher of the store.
     pub watch_role_changed: Notify,
     bounds: Cell<Bounds>,
@@ -159,6 +161,11 @@
         self.configuration_watch.age(clock::now()).as_millis() as u64
     }
 
+    /// Returns the highest known era of the store.
+    pub fn store_era(&self) -> id::Era {
+        self.targets_watch.era()
+    }
+
     /// Returns whether the last call for either table failed.
     pub fn is_store_unreachable(&self) -> bool {
         self.configuration_watch.has_failed() || self.targets_watch.has_failed()
@@ -217,6 +224,7 @@
             dispatcher: Dispatcher::default(),
             work_changed: Notify::new(),
             update_missed: Notify::new(),
+            store_era_changed: Notify::new(),
             watch_role_changed: Notify::new(),
             last_grants: RefCell::default(),
             peer_socket: RefCell::default(),
@@ -357,6 +365,9 @@
                     notice::restore_departure(self, key);
                     tracing::info!(code = 8002, target = %id, "target draining; nothing new is sent to it");
                 }
+                Event::Withheld(_, id) => {
+                    tracing::info!(code = 8048, target = %id, "target that left is listed again; not used until its removal can have been written again");
+                }
                 Event::Removed(key, id) => {
                     self.pool.close_idle(key);
                     let mut state = self.state_mut();
--- a/gateway/src/registry.rs
+++ b/gateway/src/registry.rs
@@ -1,6 +1,6 @@
 //! Known targets, according to the last read of the store.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, time::Duration};
 
 use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
@@ -8,6 +8,10 @@
 use crate::target::Target;
 use fuchsiaknot_core::{clock::Moment, id};
 
+/// Time for which the run of a removed target is remembered; a copy from which the store comes back
+/// is some seconds old.
+const DEPARTURE_TTL: Duration = Duration::from_secs(60);
+
 slotmap::new_key_type! {
     /// Key of a target in the registry; a new incarnation of a target gets a new key.
     pub struct Key;
@@ -31,6 +35,8 @@
     Draining(Key, id::Target),
     /// A target was removed.
     Removed(Key, id::Target),
+    /// A target that was removed is listed again in the same run, and not used yet.
+    Withheld(Key, id::Target),
 }
 
 /// Known targets, by key, ID and service.
@@ -39,6 +45,17 @@
     entries: SlotMap<Key, Entry>,
     by_id: HashMap<id::Target, Key>,
     by_service: HashMap<id::Service, Vec<Key>>,
+    departures: HashMap<id::Target, Departure>,
+    /// Time until which what the store lost, when it came back from a copy, may be written again;
+    /// `None` once the entries were current at that time.
+    unsettled_until: Option<Moment>,
+}
+
+/// Run of a target that was removed. Its last announcement may be newer than the last known one.
+#[derive(Debug)]
+struct Departure {
+    incarnation: Option<id::Incarnation>,
+    removed_at: Moment,
 }
 
 #[derive(Debug)]
@@ -46,6 +63,8 @@
     target: Target,
     /// Time at which a target that is missing from the store is removed; `None` while it is listed.
     missing_until: Option<Moment>,
+    /// Whether the target is not used because its announcement may be from before it was removed.
+    withheld: bool,
 }
 
 impl Registry {
@@ -57,13 +76,15 @@
     /// Replaces all targets by those in the store.
     ///
     /// A target that is missing is kept until `reannounce_deadline`: its entry may have expired
-    /// during an outage of the store, and the target may announce itself again.
+    /// during an outage of the store, or be lost with it, and the target may announce itself again.
     pub fn replace(
         &mut self,
         targets: Vec<Target>,
         reannounce_deadline: Moment,
         now: Moment,
     ) -> Vec<Event> {
+        // A later outage gives the writers more time.
+        self.unsettled_until = self.unsettled_until.map(|it| it.max(reannounce_deadline));
         let listed: HashMap<id::Target, ()> =
             targets.iter().map(|it| (it.id.clone(), ())).collect();
         let mut events: Vec<Event> = targets.into_iter().filter_map(|it| self.upsert(it)).collect();
@@ -94,13 +115,44 @@
         }
     }
 
+    /// Records that the store came back from a copy; what it lost may be written again until
+    /// `reannounce_deadline`.
+    ///
+    /// A target that was removed, and is listed again in the same run, is not used until
+    /// [`Registry::settle`]: its removal may be among what was lost.
+    pub fn unsettle(&mut self, reannounce_deadline: Moment) {
+        self.unsettled_until = self.unsettled_until.max(Some(reannounce_deadline));
+        for entry in self.entries.values_mut() {
+            entry.missing_until = entry.missing_until.map(|it| it.max(reannounce_deadline));
+        }
+    }
+
     /// Removes targets whose entries expired in an outage and that did not announce themselves in
-    /// time.
+    /// time. Draining ones stay until [`Registry::settle`].
     pub fn expire(&mut self, now: Moment) -> Vec<Event> {
-        let expired = |entry: &Entry| entry.missing_until.is_some_and(|until| until <= now);
-        let gone: Vec<Key> =
-            self.entries.iter().filter(|(_, it)| expired(it)).map(|(key, _)| key).collect();
-        gone.into_iter().filter_map(|key| self.remove(key)).collect()
+        self.departures.retain(|_, it| now < it.removed_at + DEPARTURE_TTL);
+        self.remove_missing(now, now, |it| !it.draining)
+    }
+
+    /// Adds targets that were removed before but are still listed when the removal would have been
+    /// written again, and removes draining targets that are still missing.
+    ///
+    /// `current_at` is a time at which the entries were current. Time alone does not suffice: a
+    /// removal may be on its way, or an announcement from before a target drained.
+    pub fn settle(&mut self, current_at: Moment, now: Moment) -> Vec<Event> {
+        let mut events = self.remove_missing(current_at, now, |it| it.draining);
+        if self.unsettled_until.is_none_or(|it| current_at < it) {
+            return events;
+        }
+        self.unsettled_until = None;
+        for (key, entry) in &mut self.entries {
+            if entry.withheld && entry.missing_until.is_none() {
+                entry.withheld = false;
+                self.departures.remove(&entry.target.id);
+                events.push(Event::Added(key, entry.target.id.clone()));
+            }
+        }
+        events
     }
 
     /// Returns a target.
@@ -117,14 +169,14 @@
     /// which may be newer than that of the host that named the target.
     pub fn usable_key(&self, id: &id::Target) -> Option<Key> {
         let key = self.key(id)?;
-        self.get(key).filter(|it| !it.draining).map(|_| key)
+        self.entries.get(key).filter(|it| it.is_usable()).map(|_| key)
     }
 
     /// Returns the targets of a service that accept new requests.
     pub fn usable<'a>(&'a self, service: &str) -> impl Iterator<Item = (Key, &'a Target)> {
         let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
-        let targets = keys.iter().filter_map(|key| Some((*key, self.get(*key)?)));
-        targets.filter(|(_, it)| !it.draining)
+        let entries = keys.iter().filter_map(|key| Some((*key, self.entries.get(*key)?)));
+        entries.filter(|(_, it)| it.is_usable()).map(|(key, it)| (key, &it.target))
     }
 
     /// Returns the number of known targets.
@@ -138,6 +190,10 @@
     }
 
     fn upsert(&mut self, target: Target) -> Option<Event> {
+        let departure = self.departures.get(&target.id);
+        let withheld = self.unsettled_until.is_some()
+            && !target.draining
+            && departure.is_some_and(|it| target.incarnation <= it.incarnation);
         if let Some(key) = self.by_id.get(&target.id).copied() {
             let entry = self.entries.get_mut(key)?;
             if is_older(&target, &entry.target) {
@@ -149,17 +205,30 @@
             if same_run {
                 entry.missing_until = None;
                 let newly_draining = target.draining && !entry.target.draining;
+                let newly_used = entry.withheld && !withheld;
+                let id = target.id.clone();
                 entry.target = target;
-                return newly_draining
-                    .then(|| Event::Draining(key, self.entries[key].target.id.clone()));
+                if newly_used {
+                    entry.withheld = false;
+                    self.departures.remove(&id);
+                }
+                return match (newly_draining, newly_used) {
+                    (true, _) => Some(Event::Draining(key, id)),
+                    (false, true) => Some(Event::Added(key, id)),
+                    (false, false) => None,
+                };
             }
             self.remove(key);
         }
         let (id, service) = (target.id.clone(), target.service.clone());
         let draining = target.draining;
-        let key = self.entries.insert(Entry { target, missing_until: None });
+        let key = self.entries.insert(Entry { target, missing_until: None, withheld });
         self.by_id.insert(id.clone(), key);
         self.by_service.entry(service).or_default().push(key);
+        if withheld {
+            return Some(Event::Withheld(key, id));
+        }
+        self.departures.remove(&id);
         Some(if draining { Event::Draining(key, id) } else { Event::Added(key, id) })
     }
 
@@ -170,13 +239,37 @@
         now: Moment,
     ) -> Option<Event> {
         let entry = self.entries.get_mut(key)?;
-        if reannounce_deadline <= now || entry.target.draining {
-            return self.remove(key);
+        if reannounce_deadline <= now {
+            return self.depart(key, now);
         }
         entry.missing_until = Some(reannounce_deadline);
         None
     }
 
+    /// Removes the selected targets that have been missing for too long at `at`.
+    fn remove_missing(
+        &mut self,
+        at: Moment,
+        now: Moment,
+        select: impl Fn(&Target) -> bool,
+    ) -> Vec<Event> {
+        let is_due = |it: &Entry| it.missing_until.is_some_and(|until| until <= at);
+        let entries = self.entries.iter().filter(|(_, it)| is_due(it) && select(&it.target));
+        let gone: Vec<Key> = entries.map(|(key, _)| key).collect();
+        gone.into_iter().filter_map(|key| self.depart(key, now)).collect()
+    }
+
+    /// Removes a target that is gone, and remembers its run.
+    fn depart(&mut self, key: Key, now: Moment) -> Option<Event> {
+        let Entry { target, withheld, .. } = self.entries.get(key)?;
+        // The run of a withheld target is already remembered.
+        if !withheld {
+            let departure = Departure { incarnation: target.incarnation, removed_at: now };
+            self.departures.insert(target.id.clone(), departure);
+        }
+        self.remove(key)
+    }
+
     fn remove(&mut self, key: Key) -> Option<Event> {
         let entry = self.entries.remove(key)?;
         let target = entry.target;
@@ -190,6 +283,13 @@
     }
 }
 
+impl Entry {
+    /// Returns whether the target accepts new requests.
+    fn is_usable(&self) -> bool {
+        !self.target.draining && !self.withheld
+    }
+}
+
 /// Returns whether an announcement is older than the known one.
 fn is_older(target: &Target, known: &Target) -> bool {
     let same_run = target.incarnation == known.incarnation;
--- a/gateway/tests/watch.rs
+++ b/gateway/tests/watch.rs
@@ -4,14 +4,17 @@
 
 use std::time::Duration;
 
-use fuchsiaknot_gateway::watch::{Effect, Step, Update, Watch};
+use fuchsiaknot_gateway::{
+    store::Error,
+    watch::{Effect, Step, Update, Watch},
+};
 
 use common::ms;
 
 const REANNOUNCE_GRACE: Duration = Duration::from_millis(2000);
 
 fn update(after: u64, up_to: u64) -> Update<()> {
-    Update { after, up_to, age: Duration::ZERO, contents: () }
+    Update { after, up_to, age: Duration::ZERO, contents: (), era: 0 }
 }
 
 /// Returns a watch that read the table at version 10, at 1,000 ms.
@@ -111,3 +114,79 @@
     watch.record_answer(12, REANNOUNCE_GRACE, ms(4000));
     assert_eq!(watch.reannounce_deadline(), ms(6000));
 }
+
+/// An update from another host that overtakes an answer is newer: the answer's changes up to its
+/// version, such as the announcement of a target that has left since, are not applied again.
+#[test]
+fn overtaken_answer() {
+    let mut watch = synced_watch();
+    watch.apply_update(&update(10, 14), REANNOUNCE_GRACE, ms(1100));
+    assert_eq!(watch.record_answer(12, REANNOUNCE_GRACE, ms(1200)), 14);
+    assert_eq!(watch.next(true, ms(1200)), Step::Poll { after: 14, long_poll: true });
+}
+
+/// An update that arrives after later ones does not confirm the state of a host that cannot reach
+/// the store and has missed a change.
+#[test]
+fn late_update() {
+    let mut watch = synced_watch();
+    assert_eq!(watch.apply_update(&update(12, 13), REANNOUNCE_GRACE, ms(1100)), Effect::Behind);
+    watch.apply_update(&update(10, 11), REANNOUNCE_GRACE, ms(3000));
+    assert_eq!(watch.age(ms(3000)), ms(2000));
+}
+
+/// A watcher whose connection broke when the store came back reads the table at once when it learns
+/// of the new era, and counts as able to reach the store again.
+#[test]
+fn era_after_failure() {
+    let mut watch = synced_watch();
+    watch.record_failure(false, ms(1100));
+    assert!(watch.start_era(1, ms(500), REANNOUNCE_GRACE, ms(2000)));
+    watch.record_contact();
+    assert!(!watch.has_failed());
+    assert_eq!(watch.next(true, ms(2000)), Step::Read);
+    assert_eq!(watch.next(false, ms(2100)), Step::Sleep(ms(400)));
+    assert_eq!(watch.next(false, ms(2500)), Step::Read);
+    assert_eq!(watch.reannounce_deadline(), ms(4000));
+}
+
+/// An answer counts only in the era of its call, unless it has the full contents of a later one.
+#[test]
+fn answers_by_era() {
+    let mut watch = synced_watch();
+    assert_eq!(watch.check_answer(false, 0, Some(0)), Ok(()));
+    watch.start_era(2, ms(0), REANNOUNCE_GRACE, ms(2000));
+    assert_eq!(watch.check_answer(true, 0, Some(1)), Err(Error::EarlierEra));
+    assert_eq!(watch.check_answer(true, 0, None), Err(Error::EarlierEra));
+    assert_eq!(watch.check_answer(false, 0, Some(2)), Err(Error::HistoryGone));
+    assert_eq!(watch.check_answer(true, 0, Some(2)), Ok(()));
+    assert_eq!(watch.check_answer(true, 2, None), Ok(()));
+}
+
+/// A host that has read nothing yet does not wait for its turn when it first learns of the era.
+#[test]
+fn first_era() {
+    let mut watch = Watch::default();
+    assert!(!watch.start_era(7, ms(500), REANNOUNCE_GRACE, ms(100)));
+    assert_eq!(watch.next(false, ms(100)), Step::Read);
+    assert_eq!(watch.reannounce_deadline(), ms(0));
+}
+
+/// While hosts of two builds run side by side, one without eras reads the updates of one with them,
+/// and its own updates are rejected rather than misread.
+#[test]
+fn update_without_era() {
+    #[derive(Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+    struct EarlierUpdate {
+        after: u64,
+        up_to: u64,
+        age: Duration,
+        contents: Vec<u64>,
+    }
+    let earlier = EarlierUpdate { after: 300, up_to: 301, age: ms(5), contents: vec![7, 8] };
+    let update = Update { after: 300, up_to: 301, age: ms(5), contents: vec![7u64, 8], era: 2 };
+    let sent = postcard::to_stdvec(&update).unwrap();
+    assert_eq!(postcard::from_bytes::<EarlierUpdate>(&sent).unwrap(), earlier);
+    let received = postcard::to_stdvec(&earlier).unwrap();
+    assert!(postcard::from_bytes::<Update<Vec<u64>>>(&received).is_err());
+}
