--- a/gateway/src/job.rs
+++ b/gateway/src/job.rs
@@ -19,10 +19,12 @@
 
 use crate::{
     attempt::Options,
+    calls::{Call, Ledger},
     configuration::{Configuration, RequestKind, Route},
     context::{Context, OpenRequest},
     engine,
     headers::{HeaderNames, end_to_end, head_bytes},
+    poison_part::MAX_PROMPT_PARTS,
     prompt::Prompt,
     target::Target,
 };
@@ -56,10 +58,14 @@
     pub route: Rc<Route>,
     /// Service that runs the request, chosen by the route's traffic split.
     pub service: id::Service,
+    /// Whether the service's targets are engines.
+    pub on_engines: bool,
     /// Version of the configuration from which route and service were chosen.
     pub configuration_version: id::Version,
     /// Prompt description from the headers.
     pub prompt: Prompt,
+    /// Fingerprints of the prompt's shared parts, in order.
+    pub parts: Vec<id::Fingerprint>,
     /// Arrival time of the request head.
     pub arrived: Moment,
     /// Time for which the caller waits, counted from `arrived`.
@@ -70,6 +76,8 @@
     pub expires_at: Moment,
     /// Number of attempts whose request was sent to a target.
     pub attempts_sent: Cell<u32>,
+    /// Calls that reached a target.
+    pub calls: Cell<Ledger>,
     /// Engine chosen for the prefill, with its stage and latency estimate.
     pub prefill_choice: Cell<Option<engine::Choice>>,
     /// Time of the last attempt to run the request.
@@ -102,6 +110,7 @@
                 return Err(reason);
             }
         };
+        let on_engines = configuration.services.get(&service).is_some_and(|it| it.engine.is_some());
         let names = &context.header_names;
         let id = request_id(&parts.headers, names);
         let caller_timeout =
@@ -110,6 +119,7 @@
         let prior_time = context.state_mut().deadlines.elapsed(&route.name, caller_timeout);
         let expires_at = arrived + caller_timeout.min(route.timeout);
         let prompt = Prompt::read(&parts.headers, names);
+        let part_fingerprints = fingerprints(&service, &prompt);
         let time_left = expires_at.saturating_sub(clock::now());
         let body = read_body(body, configuration.limits.max_body_bytes, time_left).await?;
         let mut headers = end_to_end(&parts.headers);
@@ -121,13 +131,16 @@
             id,
             route,
             service,
+            on_engines,
             configuration_version: configuration.version,
             prompt,
+            parts: part_fingerprints,
             arrived,
             caller_timeout,
             prior_time,
             expires_at,
             attempts_sent: Cell::new(0),
+            calls: Cell::default(),
             prefill_choice: Cell::new(None),
             sent_at: Cell::new(None),
             prefilled_at: Cell::new(None),
@@ -171,6 +184,37 @@
         hasher.finish()
     }
 
+    /// Records that a call is written to a target; returns whether it is beyond the request's first.
+    pub fn record_call(&self, call: Call) -> bool {
+        if call == Call::Run {
+            self.attempts_sent.set(self.attempts_sent.get() + 1);
+        }
+        let before = self.calls.get().further_calls();
+        self.update_calls(Ledger::record_call);
+        before < self.calls.get().further_calls()
+    }
+
+    /// Takes back a call that did not reach its target.
+    pub fn withdraw_call(&self, call: Call) {
+        if call == Call::Run {
+            self.attempts_sent.set(self.attempts_sent.get() - 1);
+        }
+        self.update_calls(Ledger::withdraw_call);
+    }
+
+    /// Changes the record of the job's calls.
+    pub fn update_calls(&self, update: impl FnOnce(&mut Ledger)) {
+        let mut calls = self.calls.get();
+        update(&mut calls);
+        self.calls.set(calls);
+    }
+
+    /// Returns the identifier of a shared part of the prompt, given its fingerprint.
+    pub fn part_name(&self, part: id::Fingerprint) -> Option<&str> {
+        let index = self.parts.iter().position(|it| *it == part)?;
+        Some(self.prompt.shared_parts().get(index)?.id.as_str())
+    }
+
     /// Returns whether the route allows no further attempt.
     pub fn attempts_exhausted(&self) -> bool {
         self.route.max_attempts <= self.attempts_sent.get()
@@ -227,6 +271,17 @@
     Ok((Rc::clone(configuration), route, service))
 }
 
+/// Returns hashes of the first shared parts of a prompt to a service.
+fn fingerprints(service: &id::Service, prompt: &Prompt) -> Vec<id::Fingerprint> {
+    let parts = prompt.shared_parts().iter().take(MAX_PROMPT_PARTS);
+    let fingerprint = |id: &SmolStr| {
+        let mut hasher = std::hash::DefaultHasher::new();
+        (service, id).hash(&mut hasher);
+        hasher.finish()
+    };
+    parts.map(|it| fingerprint(&it.id)).collect()
+}
+
 fn find_route(
     configuration: &Configuration,
     parts: &hyper::http::request::Parts,
--- a/gateway/src/prefill.rs
+++ b/gateway/src/prefill.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     attempt::{self, Failure, InFlight, Options},
+    calls::{Call, Ledger},
     context::Context,
     job::Job,
     registry::Key,
@@ -46,6 +47,11 @@
         })
     }
 
+    /// Returns the key of the engine that keeps the KV cache.
+    pub fn key(&self) -> Key {
+        self.key
+    }
+
     /// Records that another engine fetched the KV cache, so that it isn't released on drop.
     pub fn mark_fetched(&mut self) {
         self.fetched = true;
@@ -108,13 +114,14 @@
     headers.insert(context.header_names.stage.clone(), context.header_names.prefill_stage.clone());
     let started = clock::now();
     let head_timeout = Some(estimate * TIMEOUT_FACTOR + TIMEOUT_MARGIN);
-    let options = Options { head_timeout, ..Options::default() };
+    let options = Options { call: Call::Prefill, head_timeout, ..Options::default() };
     let response = attempt::send_request(context, job, key, options, headers).await?;
     let target = response.target.clone();
     let (status, _, body) = response.read_whole(context, job).await?;
     let handle = (context.prefill_api.parse_handle)(&body).filter(|_| status.is_success());
     let handle =
         handle.ok_or_else(|| Failure::Broken(format!("engine returned no KV handle: {status}")))?;
+    job.update_calls(Ledger::record_accepted_prefill);
     let took = clock::now().saturating_sub(started);
     tracing::info!(code = 8030,
         id = %job.id,
--- a/gateway/src/stream_relay.rs
+++ b/gateway/src/stream_relay.rs
@@ -8,7 +8,7 @@
 use crate::{
     attempt::{Attempt, Failure},
     event_stream::{Event, Splitter},
-    forward::{self, Forwarder, log_response},
+    forward::{Forwarder, log_response},
     job::Job,
     registry::Key,
     response::Truncated,
@@ -47,6 +47,8 @@
     splitter: Splitter,
     /// First event from there; `None` if the stream had ended.
     first: Option<Event>,
+    /// How the silent target broke off meanwhile, if it did.
+    broken: Option<Failure>,
 }
 
 /// How a stream goes on after its target was silent.
@@ -91,6 +93,7 @@
             match next {
                 Ok(Some(event)) => {
                     self.record_pause(attempt.response.key);
+                    self.forwarder.record_event();
                     self.last_event_id = event.id.or(self.last_event_id);
                     if self.sender.send(Ok(event.bytes)).await.is_err() {
                         self.record_disconnect();
@@ -105,8 +108,18 @@
                     self.last_event_at = None;
                     if matches!(failure, Failure::Silent) {
                         match self.hedge(&mut attempt, &mut splitter).await {
-                            Continuation::Same(same) => next = same,
+                            Continuation::Same(same) => {
+                                if let Ok(Some(_)) = same {
+                                    self.record_recovery(attempt.response.key);
+                                }
+                                next = same;
+                            }
                             Continuation::Other(other) => {
+                                if let Some(failure) = other.broken {
+                                    let key = attempt.response.key;
+                                    self.forwarder.record_target_failure(key, &failure);
+                                }
+                                self.forwarder.first_event_at = None;
                                 self.log_resumed(&other.attempt);
                                 (attempt, splitter) = (other.attempt, other.splitter);
                                 next = Ok(other.first);
@@ -156,8 +169,7 @@
     /// other one, or no retry left in the budget.
     async fn hedge(&mut self, attempt: &mut Attempt, splitter: &mut Splitter) -> Continuation {
         let Relay { forwarder, sender, last_event_id, .. } = self;
-        let (context, job) = (Rc::clone(&forwarder.context), Rc::clone(&forwarder.job));
-        let key = attempt.response.key;
+        let (job, key) = (Rc::clone(&forwarder.job), attempt.response.key);
         let mut replacement = pin!(replace_silent(forwarder, key, *last_event_id));
         let failure = tokio::select! {
             next = next_event(attempt, splitter, &job, None) => match next {
@@ -181,8 +193,7 @@
         tokio::select! {
             other = replacement => match other {
                 Some(other) => {
-                    forward::record_target_failure(&context, &job, key, &failure);
-                    Continuation::Other(Box::new(other))
+                    Continuation::Other(Box::new(Replacement { broken: Some(failure), ..other }))
                 }
                 None => Continuation::Same(Err(failure)),
             },
@@ -215,6 +226,11 @@
         None
     }
 
+    /// Ends the pause of a target that was silent and goes on.
+    fn record_recovery(&self, key: Key) {
+        self.forwarder.context.state_mut().health.record_success(key);
+    }
+
     fn log_resumed(&self, attempt: &Attempt) {
         tracing::info!(code = 8031,
             id = %self.forwarder.job.id,
@@ -252,7 +268,8 @@
     }
 
     /// Records and logs a complete stream.
-    fn finish(&self, attempt: Attempt) {
+    fn finish(&mut self, attempt: Attempt) {
+        self.forwarder.record_answer();
         let context = &self.forwarder.context;
         let Attempt { response, in_flight } = attempt;
         drop(in_flight);
@@ -286,7 +303,7 @@
         }
         let mut splitter = Splitter::default();
         match next_event(&mut attempt, &mut splitter, &job, None).await {
-            Ok(first) => return Some(Replacement { attempt, splitter, first }),
+            Ok(first) => return Some(Replacement { attempt, splitter, first, broken: None }),
             Err(failure) => failed = (attempt.response.key, failure),
         }
     }
