--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -11,6 +11,7 @@
 use tokio::{net::UdpSocket, sync::Notify};
 
 use crate::{
+    availability,
     configuration::Configuration,
     deadline::Deadlines,
     dispatcher::Dispatcher,
@@ -21,7 +22,7 @@
     logging::Log,
     membership::{Host, Membership},
     metrics::Metrics,
-    poison, poison_part, prefix_cache,
+    notice, poison, poison_part, prefix_cache,
     registry::{Event, Key, Registry},
     retry_budget::{self, Budget},
     slowness,
@@ -84,6 +85,8 @@
     pub work_changed: Notify,
     /// Notified when this host learns that it has missed a change in the store.
     pub update_missed: Notify,
+    /// Notified when this host learns that the store came back from an earlier copy.
+    pub store_era_changed: Notify,
     /// Notified when this host may have become a watcher of the store.
     pub watch_role_changed: Notify,
     bounds: Cell<Bounds>,
@@ -120,6 +123,8 @@
     pub load: load::Tracker,
     /// Failure rates of targets.
     pub health: Health,
+    /// Targets that are leaving or asked this host to back off.
+    pub availability: availability::Tracker,
     /// Prompt prefixes in the engines' caches.
     pub prefix_cache: prefix_cache::Index,
     /// The other hosts.
@@ -156,6 +161,11 @@
         self.configuration_watch.age(clock::now()).as_millis() as u64
     }
 
+    /// Returns the highest known era of the store.
+    pub fn store_era(&self) -> id::Era {
+        self.targets_watch.era()
+    }
+
     /// Returns whether the last call for either table failed.
     pub fn is_store_unreachable(&self) -> bool {
         self.configuration_watch.has_failed() || self.targets_watch.has_failed()
@@ -192,6 +202,7 @@
             targets_watch: Watch::default(),
             load: load::Tracker::new(PEER_WORK_TTL),
             health: Health::default(),
+            availability: availability::Tracker::default(),
             prefix_cache: prefix_cache::Index::default(),
             membership: Membership::new(settings.host.clone()),
             retry_budgets: HashMap::new(),
@@ -213,6 +224,7 @@
             dispatcher: Dispatcher::default(),
             work_changed: Notify::new(),
             update_missed: Notify::new(),
+            store_era_changed: Notify::new(),
             watch_role_changed: Notify::new(),
             last_grants: RefCell::default(),
             peer_socket: RefCell::default(),
@@ -344,17 +356,25 @@
     pub fn record_target_events(&self, events: Vec<Event>) {
         for event in events {
             match event {
-                Event::Added(_, id) => tracing::info!(code = 8001, target = %id, "target added"),
+                Event::Added(key, id) => {
+                    tracing::info!(code = 8001, target = %id, "target added");
+                    notice::restore_departure(self, key);
+                }
                 Event::Draining(key, id) => {
                     self.pool.close_idle(key);
+                    notice::restore_departure(self, key);
                     tracing::info!(code = 8002, target = %id, "target draining; nothing new is sent to it");
                 }
+                Event::Withheld(_, id) => {
+                    tracing::info!(code = 8048, target = %id, "target that left is listed again; not used until its removal can have been written again");
+                }
                 Event::Removed(key, id) => {
                     self.pool.close_idle(key);
                     let mut state = self.state_mut();
                     state.load.forget_target(key);
                     state.prefix_cache.forget(key);
                     state.slowness.forget(key);
+                    state.availability.forget(key, &id, clock::now());
                     tracing::info!(code = 8003, target = %id, "target gone");
                 }
             }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -1,14 +1,15 @@
 //! Request path of an entry host in front of the services in the operators' configuration.
 //!
-//! Everything runs on one thread. The modules that decide (`balancer`, `calls`, `configuration`,
-//! `deadline`, `dispatch`, `election`, `engine`, `event_stream`, `health`, `load`, `membership`,
-//! `poison`, `poison_part`, `prefix_cache`, `registry`, `retry_after`, `retry_budget`, `shortlist`,
-//! `slowness`, `watch`) do no I/O and read no clock; `dispatcher`, `forward`, `http_server`, `peers`,
-//! `poison_reports`, `reservation`, `store_sync`, `stream_relay` and `upstream` call them. A
-//! deployment's platform supplies its names and formats through [`store::Store`],
-//! [`headers::HeaderNames`] and [`directory::Directory`].
+//! Everything runs on one thread. The modules that decide (`availability`, `balancer`, `calls`,
+//! `configuration`, `deadline`, `dispatch`, `election`, `engine`, `event_stream`, `health`, `load`,
+//! `membership`, `poison`, `poison_part`, `prefix_cache`, `registry`, `retry_after`,
+//! `retry_budget`, `shortlist`, `slowness`, `watch`) do no I/O and read no clock; `dispatcher`,
+//! `forward`, `http_server`, `notice`, `peers`, `poison_reports`, `reservation`, `store_sync`,
+//! `stream_relay` and `upstream` call them. A deployment's platform supplies its names and formats
+//! through [`store::Store`], [`headers::HeaderNames`] and [`directory::Directory`].
 
 pub mod attempt;
+pub mod availability;
 pub mod balancer;
 pub mod calls;
 pub mod configuration;
@@ -19,6 +20,7 @@
 pub mod dispatcher;
 pub mod election;
 pub mod engine;
+pub mod era;
 pub mod event_stream;
 pub mod forward;
 pub mod headers;
@@ -29,6 +31,7 @@
 pub mod logging;
 pub mod membership;
 pub mod metrics;
+pub mod notice;
 pub mod peers;
 pub mod poison;
 pub mod poison_part;
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -25,6 +25,8 @@
     pub retried: IntCounterVec,
     /// Calls that reached a target beyond the first of their request, by kind.
     pub further_calls: IntCounterVec,
+    /// Notices of targets that want no new requests, by kind.
+    pub target_notices: IntCounterVec,
     /// Requests whose caller disconnected.
     pub callers_gone: IntCounter,
     /// Connections opened to targets.
@@ -42,6 +44,8 @@
     pub dropped_lines: IntGauge,
     /// Version of the configuration in force.
     pub configuration_version: IntGauge,
+    /// Era of the store: how often it came back from an earlier copy.
+    pub store_era: IntGauge,
     /// Number of known targets.
     pub target_count: IntGauge,
     /// Number of hosts that are up, including this one.
@@ -90,6 +94,11 @@
                 "Calls to targets beyond the first of their request, by kind.",
                 "kind",
             )?,
+            target_notices: counters(
+                "target_notices_total",
+                "Targets that said that they are leaving or asked for a pause.",
+                "notice",
+            )?,
             callers_gone: counter("callers_gone_total", "Requests whose caller went away.")?,
             connections_opened: counter("connections_total", "Connections opened to targets.")?,
             store_calls: counters(
@@ -106,6 +115,7 @@
             table_age,
             dropped_lines: gauge("log_lines_dropped", "Log lines dropped since the start.")?,
             configuration_version: gauge("configuration_version", "Configuration in force.")?,
+            store_era: gauge("store_era", "Times that the store came back from a copy.")?,
             target_count: gauge("targets", "Targets known.")?,
             host_count: gauge("hosts", "Hosts that are there.")?,
             registry,
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -6,11 +6,13 @@
 use tokio::{net::UdpSocket, time::sleep};
 
 use crate::{
+    availability::Departure,
     context::Context,
     dispatch::{Reply, Request, RequestNumber},
     dispatcher,
     load::Work,
     membership::{Change, Heartbeat, ROUND_INTERVAL},
+    notice,
     poison_part::Block,
     poison_reports, registry, slowness, store_sync,
     watch::Update,
@@ -59,6 +61,8 @@
     PartsCleared(Vec<id::Fingerprint>),
     /// Parts that the sender blocks.
     PartsBlocked(id::Host, Vec<Block>),
+    /// The sender learned from a response that a target is leaving.
+    TargetLeaving(Departure),
 }
 
 /// Returns the current heartbeat of this host.
@@ -91,7 +95,7 @@
 /// Sends a datagram to each address; returns whether all were sent.
 pub(crate) fn send_to(context: &Context, addresses: &[SocketAddr], packet: &Packet) -> bool {
     let Some(socket) = context.peer_socket() else { return false };
-    let bytes = match postcard::to_stdvec(packet) {
+    let bytes = match encode(context, packet) {
         Ok(bytes) => bytes,
         Err(err) => {
             tracing::error!(code = 8023, %err, "cannot encode a datagram");
@@ -108,6 +112,26 @@
     sent
 }
 
+/// Encodes a packet. The departures that this host learned of lately follow a heartbeat; hosts of an
+/// earlier version ignore them.
+fn encode(context: &Context, packet: &Packet) -> postcard::Result<Vec<u8>> {
+    let mut bytes = postcard::to_stdvec(packet)?;
+    if matches!(packet, Packet::Heartbeat(_)) {
+        let departures = context.state().availability.recent_departures(clock::now());
+        if !departures.is_empty() {
+            bytes.extend(postcard::to_stdvec(&departures)?);
+        }
+    }
+    Ok(bytes)
+}
+
+/// Decodes a packet and the departures that follow it.
+fn decode(bytes: &[u8]) -> postcard::Result<(Packet, Vec<Departure>)> {
+    let (packet, rest) = postcard::take_from_bytes(bytes)?;
+    let departures = if rest.is_empty() { Vec::new() } else { postcard::from_bytes(rest)? };
+    Ok((packet, departures))
+}
+
 /// Reports this host's work to the dispatcher, forever.
 pub async fn report_work(context: Rc<Context>) {
     let mut last_report =
@@ -210,8 +234,13 @@
             Err(err) if err.kind() == io::ErrorKind::ConnectionRefused => continue,
             Err(err) => return Err(err),
         };
-        match postcard::from_bytes::<Packet>(&buffer[..length]) {
-            Ok(packet) => handle_packet(context, packet),
+        match decode(&buffer[..length]) {
+            Ok((packet, departures)) => {
+                handle_packet(context, packet);
+                for departure in departures {
+                    notice::handle_departure(context, departure);
+                }
+            }
             Err(err) => tracing::debug!(%sender, %err, "cannot decode a datagram"),
         }
     }
@@ -256,6 +285,7 @@
             state.poison_parts.record_break(request, &target, now);
             state.poison.record_interrupted_run(request, target, now);
         }
+        Packet::TargetLeaving(departure) => notice::handle_departure(context, departure),
         Packet::DispatchRequest(host, request) => {
             dispatcher::handle_request(context, host, request)
         }
