fix(poison): count the runs of a target that keeps its identifier apart

Callers saw: engines that go on crashing under a part or a request, when they come back under their old identifiers. Cause: evidence was kept by the target's identifier, so a target counted once however often it crashed, and with few targets the thresholds were never reached. Change: evidence is kept by run, which is the identifier with the incarnation; the reports between hosts carry both.

--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -15,6 +15,7 @@
     notice,
     poison_part::Block,
     poison_reports, registry, slowness, store_sync,
+    target::Run,
     watch::Update,
 };
 use fuchsiaknot_core::{
@@ -49,14 +50,14 @@
     /// Target changes that the sender read from the store, each with its version.
     TargetUpdate(Update<Vec<(id::Version, registry::Change)>>),
     /// An attempt at a request broke off at a target.
-    AttemptBroken(id::Fingerprint, id::Target),
+    AttemptBroken(id::Fingerprint, Run),
     /// A host asks the dispatcher to place a request.
     DispatchRequest(id::Host, Request),
     /// The dispatcher's reply to such a request.
     DispatchReply(id::Host, RequestNumber, Reply),
     /// A target broke off a request before it had answered it, and may have crashed under one of the
     /// prompt's parts.
-    CrashSuspected(id::Fingerprint, Vec<id::Fingerprint>, id::Target),
+    CrashSuspected(id::Fingerprint, Vec<id::Fingerprint>, Run),
     /// Parts that the sender has seen answered.
     PartsCleared(Vec<id::Fingerprint>),
     /// Parts that the sender blocks.
--- a/gateway/src/poison.rs
+++ b/gateway/src/poison.rs
@@ -7,6 +7,8 @@
 
 use fuchsiaknot_core::{clock::Moment, id};
 
+use crate::target::Run;
+
 /// Number of different targets at which a request must have been interrupted to be refused.
 const REFUSAL_THRESHOLD: usize = 3;
 /// Time for which an interrupted run counts; after it, the targets have restarted and the caller
@@ -18,17 +20,12 @@
 /// Interrupted runs, by request.
 #[derive(Debug, Default)]
 pub struct Detector {
-    interrupted_runs: HashMap<id::Fingerprint, Vec<(id::Target, Moment)>>,
+    interrupted_runs: HashMap<id::Fingerprint, Vec<(Run, Moment)>>,
 }
 
 impl Detector {
     /// Records that a request's run at a target was interrupted.
-    pub fn record_interrupted_run(
-        &mut self,
-        request: id::Fingerprint,
-        target: id::Target,
-        now: Moment,
-    ) {
+    pub fn record_interrupted_run(&mut self, request: id::Fingerprint, target: Run, now: Moment) {
         if MAX_REQUESTS <= self.interrupted_runs.len()
             && !self.interrupted_runs.contains_key(&request)
         {
--- a/gateway/src/poison_part.rs
+++ b/gateway/src/poison_part.rs
@@ -17,6 +17,8 @@
 
 use fuchsiaknot_core::{clock::Moment, id};
 
+use crate::target::Run;
+
 /// Number of moments at which targets must have crashed under a part for it to be blocked.
 const BLOCK_THRESHOLD: usize = 4;
 /// Number of such moments if at least [`MANY_TARGETS`] crashed and most crashes were under the part.
@@ -95,7 +97,7 @@
     /// Targets with broken runs, oldest first.
     broken: VecDeque<Break>,
     /// Targets that crashed under a blocked part, oldest first.
-    explained: VecDeque<(id::Target, Moment)>,
+    explained: VecDeque<(Run, Moment)>,
     /// Times at which this host last saw an answer to a prompt with a part.
     answered: HashMap<id::Fingerprint, Moment>,
     /// Share of the spread by which this host's blocks are longer, from 0 to 1.
@@ -105,7 +107,7 @@
 /// Crash of a target under a part.
 #[derive(Debug, Clone)]
 struct Crash {
-    target: id::Target,
+    target: Run,
     /// Request with the part that ran there.
     request: id::Fingerprint,
     /// Time at which this host learned of the target's first broken run.
@@ -129,7 +131,7 @@
 /// Runs that a target broke off at about the same time.
 #[derive(Debug, Clone)]
 struct Break {
-    target: id::Target,
+    target: Run,
     /// Request of the first run.
     request: id::Fingerprint,
     /// Time at which this host learned of it.
@@ -175,7 +177,7 @@
             .is_some_and(|first| self.crashes.iter().any(|it| it.request != first.request))
     }
 
-    fn has_crash(&self, target: &id::Target) -> bool {
+    fn has_crash(&self, target: &Run) -> bool {
         self.crashes.iter().any(|it| it.target == *target)
     }
 
@@ -205,7 +207,7 @@
         &mut self,
         request: id::Fingerprint,
         parts: &[id::Fingerprint],
-        target: &id::Target,
+        target: &Run,
         now: Moment,
     ) -> Vec<id::Fingerprint> {
         let Some(crashed_at) = self.record_break(request, target, now) else { return Vec::new() };
@@ -247,7 +249,7 @@
     pub fn record_break(
         &mut self,
         request: id::Fingerprint,
-        target: &id::Target,
+        target: &Run,
         now: Moment,
     ) -> Option<Moment> {
         self.explained.retain(|(_, at)| now < *at + EXPLANATION_TTL);
@@ -448,7 +450,7 @@
     }
 
     /// Puts crashes of targets down to a blocked part.
-    fn explain(&mut self, targets: Vec<id::Target>, now: Moment) {
+    fn explain(&mut self, targets: Vec<Run>, now: Moment) {
         for record in self.parts.values_mut() {
             record.crashes.retain(|it| !targets.contains(&it.target));
         }
--- a/gateway/src/poison_reports.rs
+++ b/gateway/src/poison_reports.rs
@@ -14,6 +14,7 @@
     peers::{self, Packet},
     poison_part::Block,
     registry::Key,
+    target::Run,
 };
 
 /// Time from its first event on for which a run that breaks off may have crashed its target.
@@ -107,8 +108,8 @@
     context: &Context,
     job: &Job,
     key: Key,
-) -> Option<(id::Fingerprint, id::Target)> {
-    let target = context.state().registry.get(key).map(|it| it.id.clone())?;
+) -> Option<(id::Fingerprint, Run)> {
+    let target = context.state().registry.get(key).map(Run::from)?;
     let (request, now) = (job.fingerprint(), clock::now());
     let mut state = context.state_mut();
     state.poison_parts.record_break(request, &target, now);
@@ -131,7 +132,7 @@
     context: &Context,
     request: id::Fingerprint,
     parts: &[id::Fingerprint],
-    target: &id::Target,
+    target: &Run,
 ) {
     context.state_mut().poison_parts.record_crash(request, parts, target, clock::now());
 }
--- a/gateway/src/target.rs
+++ b/gateway/src/target.rs
@@ -29,6 +29,28 @@
     pub stage: Option<Stage>,
 }
 
+/// One run of a target's process. A target that crashed may start again under its old identifier.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Run {
+    /// The target.
+    pub target: id::Target,
+    /// Identifies the run; `None` when the target does not send it.
+    pub incarnation: Option<id::Incarnation>,
+}
+
+impl From<&Target> for Run {
+    fn from(target: &Target) -> Run {
+        Run { target: target.id.clone(), incarnation: target.incarnation }
+    }
+}
+
+impl From<&str> for Run {
+    /// Returns the run of a target that sends no incarnation.
+    fn from(target: &str) -> Run {
+        Run { target: target.into(), incarnation: None }
+    }
+}
+
 /// Part of the work on a prompt that an engine runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Stage {
--- a/gateway/tests/poison.rs
+++ b/gateway/tests/poison.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use fuchsiaknot_gateway::poison::Detector;
+use fuchsiaknot_gateway::{poison::Detector, target::Run};
 
 use common::ms;
 
@@ -27,6 +27,17 @@
     assert!(!detector.is_refused(7, ms(10)));
 }
 
+/// A target that crashed and came back under its old identifier counts again.
+#[test]
+fn restarted_target() {
+    let mut detector = Detector::default();
+    for incarnation in 0..3 {
+        let run = Run { target: "a".into(), incarnation: Some(incarnation) };
+        detector.record_interrupted_run(7, run, ms(incarnation));
+    }
+    assert!(detector.is_refused(7, ms(10)));
+}
+
 #[test]
 fn old_runs_expire() {
     let mut detector = Detector::default();
--- a/gateway/tests/poison_part.rs
+++ b/gateway/tests/poison_part.rs
@@ -8,21 +8,28 @@
 };
 
 use fuchsiaknot_core::{clock::Moment, id::Fingerprint};
-use fuchsiaknot_gateway::poison_part::{Block, Detector};
+use fuchsiaknot_gateway::{
+    poison_part::{Block, Detector},
+    target::Run,
+};
 use rand::{Rng as _, SeedableRng as _, rngs::StdRng};
 use rstest::rstest;
-use smol_str::{SmolStr, format_smolstr};
 
 use common::ms;
 
 const COMMON: Fingerprint = 1;
 const BAD: Fingerprint = 2;
 
+/// Returns the only run of a target.
+fn run_of(prefix: &str, number: impl std::fmt::Display) -> Run {
+    format!("{prefix}{number}").as_str().into()
+}
+
 /// Records a crash for each of these requests, each at a target of its own.
 fn crash_under(detector: &mut Detector, part: Fingerprint, times: &[u64]) {
     for at in times {
         let parts = [COMMON, part];
-        detector.record_crash(*at, &parts, &format_smolstr!("t{at}"), ms(*at));
+        detector.record_crash(*at, &parts, &run_of("t", at), ms(*at));
     }
 }
 
@@ -48,7 +55,7 @@
         host: usize,
         request: Fingerprint,
         part: Fingerprint,
-        target: SmolStr,
+        target: Run,
     },
     Cleared {
         host: usize,
@@ -170,7 +177,7 @@
             }
             Event::End { host, request, part, crashes: true, retries } => {
                 self.crashes.push(now);
-                let target = format_smolstr!("t{}", self.crashes.len());
+                let target = run_of("t", self.crashes.len());
                 // A sound run that had not begun its answer breaks off at the same target.
                 let bystander = self.random.random_range(100..350);
                 for (request, part) in [(request ^ 1, bystander), (request, part)] {
@@ -232,7 +239,7 @@
         host: usize,
         request: Fingerprint,
         part: Fingerprint,
-        target: &SmolStr,
+        target: &Run,
     ) {
         let blocked = self.hosts[host].record_crash(request, &[COMMON, part], target, now);
         if !blocked.is_empty() {
@@ -283,11 +290,11 @@
 ) {
     let mut random = StdRng::seed_from_u64(seed);
     let mut detector = Detector::default();
-    let mut reports: Vec<(u64, SmolStr, Option<Fingerprint>)> = Vec::new();
+    let mut reports: Vec<(u64, Run, Option<Fingerprint>)> = Vec::new();
     for target in 0..target_count {
         for run in 0..8 {
             let part = (run < 3).then(|| 100 + random.random_range(0..part_count));
-            reports.push((random.random_range(0..400), format_smolstr!("t{target}"), part));
+            reports.push((random.random_range(0..400), run_of("t", target), part));
         }
     }
     reports.sort_unstable();
@@ -310,7 +317,7 @@
     for target in 0..40_u64 {
         for _ in 0..3 {
             let parts = [COMMON, 100 + random.random_range(0..20)];
-            let (id, now) = (format_smolstr!("t{target}"), ms(50 * target));
+            let (id, now) = (run_of("t", target), ms(50 * target));
             detector.record_crash(random.random(), &parts, &id, now);
         }
     }
@@ -324,7 +331,7 @@
 fn burst_and_pause() {
     let mut detector = Detector::default();
     for number in 0..5_u64 {
-        let target = format_smolstr!("t{number}");
+        let target = run_of("t", number);
         detector.record_crash(number, &[COMMON, BAD], &target, ms(number));
     }
     let mut arrivals = 0;
@@ -332,7 +339,7 @@
         let now = ms(5000 + 120 * number);
         if !detector.is_blocked(&[COMMON, BAD], now) {
             arrivals += 1;
-            detector.record_crash(number, &[COMMON, BAD], &format_smolstr!("t{number}"), now);
+            detector.record_crash(number, &[COMMON, BAD], &run_of("t", number), now);
         }
     }
     assert!(arrivals <= 3, "{arrivals}");
@@ -353,7 +360,7 @@
         if step % 200 == 0 {
             for _ in 0..4 {
                 let part = 100 + random.random_range(0..250);
-                let target = format_smolstr!("t{step}");
+                let target = run_of("t", step);
                 detector.record_crash(random.random(), &[COMMON, part], &target, now);
             }
         }
@@ -368,7 +375,7 @@
 fn first_part_spared() {
     let mut detector = Detector::default();
     for number in 0..4_u64 {
-        let (target, now) = (format_smolstr!("t{number}"), ms(1000 * number));
+        let (target, now) = (run_of("t", number), ms(1000 * number));
         detector.record_crash(100 + number, &[COMMON, 50 + number], &target, now);
         assert!(!detector.is_blocked(&[COMMON], now));
         detector.record_crash(number, &[COMMON, BAD], &target, now + ms(5));
@@ -383,7 +390,7 @@
 fn bad_first_part() {
     let (mut detector, mut alone) = (Detector::default(), Detector::default());
     for number in 0..4_u64 {
-        let (target, now) = (format_smolstr!("t{number}"), ms(4000 * number));
+        let (target, now) = (run_of("t", number), ms(4000 * number));
         detector.record_crash(number, &[BAD, 50 + number], &target, now);
         alone.record_crash(number, &[BAD], &target, now / 4);
     }
@@ -397,7 +404,7 @@
 fn repeated_request() {
     let mut detector = Detector::default();
     for number in 0..4_u64 {
-        let target = format_smolstr!("t{number}");
+        let target = run_of("t", number);
         detector.record_crash(7, &[COMMON, BAD, 60], &target, ms(1000 * number));
     }
     assert!(!detector.is_blocked(&[60], ms(4000)));
@@ -479,17 +486,31 @@
     let mut detector = Detector::default();
     for number in 0..20_000_u64 {
         let now = ms(number);
-        detector.record_crash(number, &[1000 + number], &format_smolstr!("x{number}"), now);
+        detector.record_crash(number, &[1000 + number], &run_of("x", number), now);
         if number % 5000 == 0 {
-            detector.record_crash(number, &[BAD], &format_smolstr!("t{number}"), now);
+            detector.record_crash(number, &[BAD], &run_of("t", number), now);
         }
     }
     assert!(detector.len() <= 2048, "{}", detector.len());
     let mut blocked = Detector::default();
     crash_under(&mut blocked, BAD, &[0, 1000, 2000, 3000]);
     for number in 0..20_000_u64 {
-        let target = format_smolstr!("x{number}");
+        let target = run_of("x", number);
         blocked.record_crash(number, &[1000 + number], &target, ms(4000 + number));
     }
     assert!(blocked.is_blocked(&[BAD], ms(30_000)));
 }
+
+/// Targets that came back under their old identifiers counted once for a part, however often it
+/// crashed them.
+#[test]
+fn restarted_targets() {
+    let mut detector = Detector::default();
+    for number in 0..6 {
+        let (target, incarnation) = (format!("t{}", number % 2).into(), Some(number));
+        let now = ms(1000 * number);
+        detector.record_crash(number, &[COMMON, BAD], &Run { target, incarnation }, now);
+    }
+    assert!(detector.is_blocked(&[COMMON, BAD], ms(5500)));
+    assert!(!detector.is_blocked(&[COMMON, 3], ms(5500)));
+}
