--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -130,7 +130,7 @@
     pub last_event_id: Option<u64>,
     /// Prompt that another engine has prefilled.
     pub prefilled: Option<&'a Prefilled>,
-    /// Time to wait for the response head before another target is tried; `None` to wait until the
+    /// Time to wait for the response head before the attempt is given up; `None` to wait until the
     /// job's deadline.
     pub head_timeout: Option<Duration>,
 }
--- a/gateway/src/job.rs
+++ b/gateway/src/job.rs
@@ -74,9 +74,9 @@
     pub prior_time: Duration,
     /// Deadline: the end of the caller's timeout or of the route's, whichever is earlier.
     pub expires_at: Moment,
-    /// Number of attempts whose request was sent to a target.
+    /// Number of attempts to run the job that were written to a target, answered or not.
     pub attempts_sent: Cell<u32>,
-    /// Calls that reached a target.
+    /// Calls that were written to targets, and what was taken for them from the retry budget.
     pub calls: Cell<Ledger>,
     /// Engine chosen for the prefill, with its stage and latency estimate.
     pub prefill_choice: Cell<Option<engine::Choice>>,
