feat(log): what the retry budget has taken and allows when it refuses an attempt

Event 8041 has the requests, the calls taken, the calls allowed and the number of hosts behind the decision, and is also logged when a failed attempt gets no further one. Needed to tell a share that is too large from calls that are not counted.

--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -24,7 +24,7 @@
     metrics::Metrics,
     notice, poison, poison_part, prefix_cache,
     registry::{Event, Key, Registry},
-    retry_budget::{self, Budget},
+    retry_budget::{self, Budget, Usage},
     slowness,
     upstream::Pool,
     watch::Watch,
@@ -336,6 +336,13 @@
         self.with_budget(service, |budget| budget.permits(count, hosts, clock::now()))
     }
 
+    /// Returns what this host has taken of the budget of a service, and the number of hosts that
+    /// share it.
+    pub fn budget_usage(&self, service: &id::Service) -> (Usage, usize) {
+        let hosts = self.state().membership.live_count();
+        (self.with_budget(service, |budget| budget.usage(hosts, clock::now())), hosts)
+    }
+
     /// Counts a caller's request in the retry budget of its service.
     pub fn count_request(&self, service: &id::Service) {
         self.with_budget(service, |budget| budget.count_request(clock::now()));
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -327,19 +327,29 @@
     pub(crate) fn pay_for_attempt(&self, prefills: bool) -> Result<(), Reason> {
         let price = self.job.calls.get().price(prefills);
         if !self.context.take_calls(&self.job.service, price) {
-            tracing::info!(code = 8041,
-                id = %self.job.id,
-                service = %self.job.service,
-                calls = price,
-                sent = self.job.attempts_sent.get(),
-                "retry budget does not permit the next attempt"
-            );
+            self.log_spent_budget(price);
             return Err(self.spent_reason());
         }
         self.job.update_calls(|it| it.record_payment(price));
         Ok(())
     }
 
+    /// Logs that the retry budget does not permit a number of calls, and what decided it.
+    fn log_spent_budget(&self, price: u32) {
+        let (usage, hosts) = self.context.budget_usage(&self.job.service);
+        tracing::info!(code = 8041,
+            id = %self.job.id,
+            service = %self.job.service,
+            calls = price,
+            sent = self.job.attempts_sent.get(),
+            requests = usage.requests,
+            taken = usage.retries,
+            allowed = usage.allowed,
+            hosts,
+            "retry budget does not permit the next attempt"
+        );
+    }
+
     /// Returns the reason for giving up when the retry budget is spent.
     fn spent_reason(&self) -> Reason {
         if self.may_have_run { Reason::TargetFailed } else { Reason::RetryBudget }
@@ -375,6 +385,7 @@
             return Err(reason);
         }
         if over_budget {
+            self.log_spent_budget(self.job.calls.get().price(false));
             return Err(self.spent_reason());
         }
         context.metrics.retried.with_label_values(&[retry_reason.code()]).inc();
--- a/gateway/src/retry_budget.rs
+++ b/gateway/src/retry_budget.rs
@@ -31,6 +31,17 @@
     slices: VecDeque<Slice>,
 }
 
+/// What this host has counted in the current window, and what it may take in all.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Usage {
+    /// Requests of callers.
+    pub requests: u32,
+    /// Retries taken.
+    pub retries: u32,
+    /// Retries that this host may take in the window.
+    pub allowed: f64,
+}
+
 /// Counts of a part of the window.
 #[derive(Debug, Clone, Copy)]
 struct Slice {
@@ -68,12 +79,19 @@
     /// Returns whether this host's share of the budget permits this many retries; `hosts` is the
     /// number of live hosts.
     pub fn permits(&mut self, count: u32, hosts: usize, now: Moment) -> bool {
+        let usage = self.usage(hosts, now);
+        count == 0 || f64::from(usage.retries + count) <= usage.allowed
+    }
+
+    /// Returns the counts of the current window and this host's share of the budget; `hosts` is the
+    /// number of live hosts.
+    pub fn usage(&mut self, hosts: usize, now: Moment) -> Usage {
         self.current_slice(now);
         let requests: u32 = self.slices.iter().map(|it| it.requests).sum();
         let retries: u32 = self.slices.iter().map(|it| it.retries).sum();
         let slack = self.config.slack / hosts.max(1) as f64;
-        let bound = SAFETY_FACTOR * (self.config.ratio * f64::from(requests) + slack);
-        count == 0 || f64::from(retries + count) <= bound
+        let allowed = SAFETY_FACTOR * (self.config.ratio * f64::from(requests) + slack);
+        Usage { requests, retries, allowed }
     }
 
     /// Drops the slices that left the window, and returns the current one.
