--- a/gateway/tests/retry_budget.rs
+++ b/gateway/tests/retry_budget.rs
@@ -66,3 +66,14 @@
     assert!(!budget.try_take(2, 1, ms(1000)));
     assert!(budget.try_take(1, 1, ms(1000)));
 }
+
+/// Retries at the end of a slice were forgotten with its start, up to a tenth of a window early.
+#[test]
+fn burst_at_slice_end() {
+    let mut budget = Budget::new(CONFIG);
+    budget.count_request(ms(20_000));
+    let mut take_all = |now| (0..100).filter(|_| budget.try_take(1, 1, ms(now))).count();
+    let (first, second) = (take_all(20_990), take_all(30_010));
+    let allowed = CONFIG.ratio + CONFIG.slack;
+    assert!(0 < first && (first + second) as f64 <= allowed, "{first} and {second} of {allowed}");
+}
