fix(retry): share the slack among all known hosts, and with a host's earlier run

Callers saw nothing at first; the targets did: with hosts that restart in series, or that hear from no other, the calls beyond the first of their requests exceeded the bound for the service, so that targets in trouble got more repeats than they can bear.

Cause: the bound holds for the sum over all hosts, and each host took an equal share of the slack, but the shares did not add up. Each run of a host had a share of its own, and the number of sharers was the number of hosts that this one hears from: 1 right after its start and while it is cut off. Now a process has no slack in the first window of its life, since its earlier run may have spent it, and silent hosts share for an hour.

--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -29,7 +29,10 @@
     upstream::Pool,
     watch::Watch,
 };
-use fuchsiaknot_core::{clock, id};
+use fuchsiaknot_core::{
+    clock::{self, Moment},
+    id,
+};
 
 /// Settings of the request path on one host.
 #[derive(Debug, Clone)]
@@ -94,6 +97,8 @@
     last_grants: RefCell<HashMap<id::Host, u64>>,
     peer_socket: RefCell<Option<Rc<UdpSocket>>>,
     shutting_down: Cell<bool>,
+    /// Start of this process.
+    started_at: Moment,
     open_requests: Rc<Cell<usize>>,
     state: RefCell<State>,
 }
@@ -230,6 +235,7 @@
             peer_socket: RefCell::default(),
             shutdown_started: Notify::new(),
             shutting_down: Cell::new(false),
+            started_at: clock::now(),
             open_requests: Rc::default(),
             state: RefCell::new(state),
         }
@@ -326,36 +332,41 @@
     /// Takes calls beyond the first of their request from the budget of a service; returns whether
     /// there were enough left.
     pub fn take_calls(&self, service: &id::Service, count: u32) -> bool {
-        let hosts = self.state().membership.live_count();
-        self.with_budget(service, |budget| budget.try_take(count, hosts, clock::now()))
+        self.with_budget(service, |budget, hosts, now| budget.try_take(count, hosts, now))
     }
 
     /// Returns whether the budget of a service has this many calls left.
     pub fn permits_calls(&self, service: &id::Service, count: u32) -> bool {
-        let hosts = self.state().membership.live_count();
-        self.with_budget(service, |budget| budget.permits(count, hosts, clock::now()))
+        self.with_budget(service, |budget, hosts, now| budget.permits(count, hosts, now))
     }
 
     /// Returns what this host has taken of the budget of a service, and the number of hosts that
     /// share it.
     pub fn budget_usage(&self, service: &id::Service) -> (Usage, usize) {
-        let hosts = self.state().membership.live_count();
-        (self.with_budget(service, |budget| budget.usage(hosts, clock::now())), hosts)
+        self.with_budget(service, |budget, hosts, now| (budget.usage(hosts, now), hosts))
     }
 
     /// Counts a caller's request in the retry budget of its service.
     pub fn count_request(&self, service: &id::Service) {
-        self.with_budget(service, |budget| budget.count_request(clock::now()));
+        self.with_budget(service, |budget, _, now| budget.count_request(now));
     }
 
-    /// Applies an operation to the retry budget of a service, with the bounds in force.
-    fn with_budget<T>(&self, service: &id::Service, operation: impl FnOnce(&mut Budget) -> T) -> T {
-        let config = self.bounds().retries;
+    /// Applies an operation to the retry budget of a service, with the bounds in force, given the
+    /// number of hosts that share the budget and the time.
+    fn with_budget<T>(
+        &self,
+        service: &id::Service,
+        operation: impl FnOnce(&mut Budget, usize, Moment) -> T,
+    ) -> T {
+        let (config, now) = (self.bounds().retries, clock::now());
         let mut state = self.state_mut();
-        let budget =
-            state.retry_budgets.entry(service.clone()).or_insert_with(|| Budget::new(config));
+        let hosts = state.membership.sharing_count(now);
+        let budget = state
+            .retry_budgets
+            .entry(service.clone())
+            .or_insert_with(|| Budget::new(config, self.started_at));
         budget.set_config(config);
-        operation(budget)
+        operation(budget, hosts, now)
     }
 
     /// Logs changes of targets, closes idle connections to draining and removed targets, and drops
--- a/gateway/src/membership.rs
+++ b/gateway/src/membership.rs
@@ -29,6 +29,10 @@
 /// Time within which a probed host must answer; it allows for some lost datagrams.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time for which a silent host counts among those that share a bound: it may only be cut off from
+/// this host.
+const SHARE_MEMORY: Duration = Duration::from_secs(3600);
+
 /// An entry host as it announces itself.
 ///
 /// Its row in the store is this type as JSON, with the names in the attributes.
@@ -121,6 +125,8 @@
     claimed_at: Option<Moment>,
     /// Time of the last heartbeat; `None` when the host is known only from the store.
     last_heard: Option<Moment>,
+    /// Time of the last heartbeat, or at which the host was read from the store.
+    known_at: Moment,
     /// The probe that is still unanswered.
     probe: Option<Probe>,
     up: bool,
@@ -150,7 +156,7 @@
 
     /// Adds a host that is registered in the store; the host counts as up after its first
     /// heartbeat.
-    pub fn add_registered(&mut self, host: Host) {
+    pub fn add_registered(&mut self, host: Host, now: Moment) {
         if host.name == self.own.name {
             return;
         }
@@ -163,6 +169,7 @@
             store_unreachable: false,
             claimed_at: None,
             last_heard: None,
+            known_at: now,
             probe: None,
             up: false,
         };
@@ -187,6 +194,7 @@
             store_unreachable: heartbeat.store_unreachable,
             claimed_at: heartbeat.claim_age.map(|it| now.saturating_sub(it)),
             last_heard: Some(now),
+            known_at: now,
             probe: None,
             up: !heartbeat.leaving,
         };
@@ -359,6 +367,12 @@
         1 + self.peers.values().filter(|it| it.up).count()
     }
 
+    /// Returns the number of hosts that share a bound on all hosts: this one and those that were known
+    /// lately, up or not.
+    pub fn sharing_count(&self, now: Moment) -> usize {
+        1 + self.peers.values().filter(|it| now < it.known_at + SHARE_MEMORY).count()
+    }
+
     /// Returns the addresses for callers, those in their data centre first.
     pub fn caller_addresses(&self, data_centre: &str, own_ready: bool) -> Vec<SocketAddr> {
         let own = own_ready.then_some(&self.own);
--- a/gateway/src/retry_budget.rs
+++ b/gateway/src/retry_budget.rs
@@ -1,7 +1,9 @@
 //! Retry budget of a service in a sliding window.
 //!
-//! The bound holds for all hosts together. To need no coordination, each host limits itself to the
-//! ratio of its own requests plus an equal share of the slack.
+//! The bound holds for all hosts together, whenever they restart and whoever they hear from. To need
+//! no coordination, each host limits itself to the ratio of its own requests plus an equal share of
+//! the slack. Its earlier run may have spent that share already, so a process has no slack in the
+//! first window of its life.
 
 use std::{collections::VecDeque, time::Duration};
 
@@ -28,6 +30,8 @@
 #[derive(Debug)]
 pub struct Budget {
     config: Config,
+    /// Start of this host's process.
+    started_at: Moment,
     slices: VecDeque<Slice>,
 }
 
@@ -51,9 +55,9 @@
 }
 
 impl Budget {
-    /// Creates a budget with an empty window.
-    pub fn new(config: Config) -> Budget {
-        Budget { config, slices: VecDeque::new() }
+    /// Creates a budget with an empty window on a host whose process started at `started_at`.
+    pub fn new(config: Config, started_at: Moment) -> Budget {
+        Budget { config, started_at, slices: VecDeque::new() }
     }
 
     /// Changes the bound and keeps the counts.
@@ -67,7 +71,7 @@
     }
 
     /// Takes this many retries, or none if this host's share of the budget does not permit all of
-    /// them; `hosts` is the number of live hosts.
+    /// them; `hosts` is the number of hosts that share the slack.
     pub fn try_take(&mut self, count: u32, hosts: usize, now: Moment) -> bool {
         let permits = self.permits(count, hosts, now);
         if permits {
@@ -77,19 +81,20 @@
     }
 
     /// Returns whether this host's share of the budget permits this many retries; `hosts` is the
-    /// number of live hosts.
+    /// number of hosts that share the slack.
     pub fn permits(&mut self, count: u32, hosts: usize, now: Moment) -> bool {
         let usage = self.usage(hosts, now);
         count == 0 || f64::from(usage.retries + count) <= usage.allowed
     }
 
     /// Returns the counts of the current window and this host's share of the budget; `hosts` is the
-    /// number of live hosts.
+    /// number of hosts that share the slack.
     pub fn usage(&mut self, hosts: usize, now: Moment) -> Usage {
         self.current_slice(now);
         let requests: u32 = self.slices.iter().map(|it| it.requests).sum();
         let retries: u32 = self.slices.iter().map(|it| it.retries).sum();
-        let slack = self.config.slack / hosts.max(1) as f64;
+        let has_slack = self.started_at + self.config.window <= now;
+        let slack = if has_slack { self.config.slack / hosts.max(1) as f64 } else { 0.0 };
         let allowed = SAFETY_FACTOR * (self.config.ratio * f64::from(requests) + slack);
         Usage { requests, retries, allowed }
     }
--- a/gateway/src/store_sync.rs
+++ b/gateway/src/store_sync.rs
@@ -584,9 +584,9 @@
         match store.hosts().await {
             Ok(hosts) => {
                 backoff.record_success(context);
-                let mut state = context.state_mut();
+                let (mut state, now) = (context.state_mut(), clock::now());
                 for host in hosts {
-                    state.membership.add_registered(host);
+                    state.membership.add_registered(host, now);
                 }
                 return;
             }
--- a/gateway/tests/membership.rs
+++ b/gateway/tests/membership.rs
@@ -100,7 +100,7 @@
 #[test]
 fn registered_host() {
     let mut members = Membership::new(host("h1", 1));
-    members.add_registered(host("h2", 2));
+    members.add_registered(host("h2", 2), ms(0));
     assert_eq!(members.caller_addresses("a", false), []);
     assert_eq!(members.next_round(false), [host("h2", 2).peer_address]);
 }
@@ -160,7 +160,7 @@
     let mut members: Vec<Membership> = hosts.iter().cloned().map(Membership::new).collect();
     for members in &mut members {
         for host in &hosts {
-            members.add_registered(host.clone());
+            members.add_registered(host.clone(), ms(0));
         }
     }
     let deliver = |members: &mut [Membership], from: usize, to: usize, now: u64| {
@@ -189,3 +189,16 @@
     assert!(known.iter().all(|it| *it == COUNT), "{known:?}");
     assert!(sent < COUNT * COUNT * (STATE_CHANGES + 3), "{sent} datagrams");
 }
+
+/// A host that heard from no other shared a bound with none, and took all of it.
+#[test]
+fn silent_hosts_share() {
+    let mut members = two_hosts();
+    members.add_registered(host("h3", 3), ms(0));
+    assert_eq!(members.sharing_count(ms(0)), 3);
+    members.tick(ms(500));
+    members.tick(ms(1000));
+    assert_eq!((members.live_count(), members.sharing_count(ms(1000))), (1, 3));
+    members.handle_heartbeat(heartbeat("h2", 2), ms(3_000_000));
+    assert_eq!(members.sharing_count(ms(4_000_000)), 2);
+}
