fix(retry): count the retries of a slice until its end has left the window

Targets may have got up to a tenth of a window's retries too early: a slice was dropped when its start left the window, with retries that came up to a second later. A slice that is partly in the window now counts with its retries and no longer with its requests, so that either way the count errs towards fewer retries.

--- a/gateway/src/retry_budget.rs
+++ b/gateway/src/retry_budget.rs
@@ -91,7 +91,10 @@
     /// number of hosts that share the slack.
     pub fn usage(&mut self, hosts: usize, now: Moment) -> Usage {
         self.current_slice(now);
-        let requests: u32 = self.slices.iter().map(|it| it.requests).sum();
+        let window_start = now.saturating_sub(self.config.window);
+        // A slice that is partly in the window counts with its retries, but not with its requests.
+        let whole = self.slices.iter().filter(|it| window_start <= it.start);
+        let requests: u32 = whole.map(|it| it.requests).sum();
         let retries: u32 = self.slices.iter().map(|it| it.retries).sum();
         let has_slack = self.started_at + self.config.window <= now;
         let slack = if has_slack { self.config.slack / hosts.max(1) as f64 } else { 0.0 };
@@ -101,11 +104,11 @@
 
     /// Drops the slices that left the window, and returns the current one.
     fn current_slice(&mut self, now: Moment) -> &mut Slice {
-        let oldest = now.saturating_sub(self.config.window);
-        while self.slices.front().is_some_and(|it| it.start < oldest) {
+        let length = self.config.window / WINDOW_SLICES;
+        let window_start = now.saturating_sub(self.config.window);
+        while self.slices.front().is_some_and(|it| it.start + length < window_start) {
             self.slices.pop_front();
         }
-        let length = self.config.window / WINDOW_SLICES;
         let is_current = self.slices.back().is_some_and(|it| now < it.start + length);
         if !is_current {
             self.slices.push_back(Slice { start: now, requests: 0, retries: 0 });
