feat(log): rate limits that targets name in their responses

Event 8055 and the notice limit of fuchsiaknot_target_notices_total say when a target names a limit, changes it or takes any rate again; a value that is not a number is logged as 8056 and ignored. Nothing is decided with it yet. Needed to tell hosts that do not obey a limit from hosts that never got it.

--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -22,7 +22,7 @@
     logging::Log,
     membership::{Host, Membership},
     metrics::Metrics,
-    notice, poison, poison_part, prefix_cache,
+    notice, poison, poison_part, prefix_cache, rate_limit,
     registry::{Event, Key, Registry},
     retry_budget::{self, Budget, Usage},
     slowness,
@@ -130,6 +130,8 @@
     pub health: Health,
     /// Targets that are leaving or asked this host to back off.
     pub availability: availability::Tracker,
+    /// Rate limits that targets have named.
+    pub rate_limits: rate_limit::Tracker,
     /// Prompt prefixes in the engines' caches.
     pub prefix_cache: prefix_cache::Index,
     /// The other hosts.
@@ -208,6 +210,7 @@
             load: load::Tracker::new(PEER_WORK_TTL),
             health: Health::default(),
             availability: availability::Tracker::default(),
+            rate_limits: rate_limit::Tracker::default(),
             prefix_cache: prefix_cache::Index::default(),
             membership: Membership::new(settings.host.clone()),
             retry_budgets: HashMap::new(),
@@ -393,6 +396,7 @@
                     state.prefix_cache.forget(key);
                     state.slowness.forget(key);
                     state.availability.forget(key, &id, clock::now());
+                    state.rate_limits.forget(key);
                     tracing::info!(code = 8003, target = %id, "target gone");
                 }
             }
--- a/gateway/src/headers.rs
+++ b/gateway/src/headers.rs
@@ -22,6 +22,8 @@
     pub not_run: HeaderName,
     /// Set to `1` in a response of a target that is leaving.
     pub target_leaving: HeaderName,
+    /// Requests a second that the target takes from all hosts together; absent when it has no limit.
+    pub target_limit: HeaderName,
     /// Identifier of the last event sent to the caller before a stream was resumed.
     pub last_event_id: HeaderName,
     /// Number of prompt tokens, and the maximum number of tokens to generate.
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! Everything runs on one thread. The modules that decide (`availability`, `balancer`, `calls`,
 //! `configuration`, `deadline`, `dispatch`, `election`, `engine`, `event_stream`, `health`, `load`,
-//! `membership`, `poison`, `poison_part`, `prefix_cache`, `registry`, `retry_after`,
-//! `retry_budget`, `shortlist`, `slowness`, `watch`) do no I/O and read no clock; `dispatcher`,
+//! `membership`, `poison`, `poison_part`, `prefix_cache`, `rate_limit`, `registry`,
+//! `retry_after`, `retry_budget`, `shortlist`, `slowness`, `watch`) do no I/O and read no clock; `dispatcher`,
 //! `forward`, `http_server`, `notice`, `peers`, `poison_reports`, `reservation`, `store_sync`,
 //! `stream_relay` and `upstream` call them. A deployment's platform supplies its names and formats
 //! through [`store::Store`], [`headers::HeaderNames`] and [`directory::Directory`].
@@ -39,6 +39,7 @@
 pub mod prefill;
 pub mod prefix_cache;
 pub mod prompt;
+pub mod rate_limit;
 pub mod registry;
 pub mod reservation;
 pub mod response;
--- a/gateway/src/notice.rs
+++ b/gateway/src/notice.rs
@@ -1,4 +1,7 @@
-//! Notices of targets in their responses: that they are leaving, or that a host is to back off.
+//! Notices of targets in their responses: that they are leaving, that a host is to back off, or that
+//! they limit the rate of requests.
+
+use std::borrow::Cow;
 
 use fuchsiaknot_core::clock;
 use hyper::{HeaderMap, StatusCode, header};
@@ -7,6 +10,7 @@
     availability::{Backoff, Departure, Source},
     context::Context,
     peers::{self, Packet},
+    rate_limit::Limit,
     registry::Key,
 };
 
@@ -22,6 +26,32 @@
     if let Some(value) = retry_after.filter(|_| status == StatusCode::SERVICE_UNAVAILABLE) {
         record_backoff(context, key, &String::from_utf8_lossy(value.as_bytes()));
     }
+    // Another target at the address answers with this status.
+    if status != StatusCode::MISDIRECTED_REQUEST {
+        let limit = headers.get(&context.header_names.target_limit);
+        record_limit(context, key, limit.map(|it| String::from_utf8_lossy(it.as_bytes())));
+    }
+}
+
+/// Records the value of the limit in a response; `None` if it names none. A value that is not a
+/// number changes nothing.
+fn record_limit(context: &Context, key: Key, value: Option<Cow<'_, str>>) {
+    let Some(target) = context.state().registry.get(key).map(|it| it.id.clone()) else { return };
+    let limit = match value.as_deref().map(Limit::try_from).transpose() {
+        Ok(limit) => limit,
+        Err(err) => {
+            tracing::warn!(code = 8056, %target, value = value.as_deref(), %err, "target sent no usable limit; ignoring it");
+            return;
+        }
+    };
+    let (before, now) = (context.state().rate_limits.limit(key), clock::now());
+    if context.state_mut().rate_limits.observe(key, limit, now) {
+        if limit.is_some() {
+            context.metrics.target_notices.with_label_values(&["limit"]).inc();
+        }
+        let (limit, before) = (limit.map(f64::from), before.map(f64::from));
+        tracing::info!(code = 8055, notice = "limit", %target, limit, before, "target changed the rate of requests that it takes");
+    }
 }
 
 /// Records that a target said that it is leaving, and reports it to the dispatcher at once; the other
--- a/gateway/tests/prompt.rs
+++ b/gateway/tests/prompt.rs
@@ -14,6 +14,7 @@
         expected_target: name("expected-target"),
         not_run: name("not-run"),
         target_leaving: name("target-leaving"),
+        target_limit: name("target-limit"),
         last_event_id: name("last-event-id"),
         token_counts: name("token-counts"),
         prompt_parts: name("prompt-parts"),
