fix(rate-limit): divide the limit that a target names among the hosts

Targets in need got three times what they take: two engines that named 4.1 and 5.1 requests a second got 55 and 48 in 4 s (30 and 36 allowed), and callers got the slower answers of engines that could not recover.

Cause: nothing read the limit, so hosts sent to a target with a limit as to any other. Now each host reads it from each response, reports changes in its heartbeats, and keeps to its share: the limit is divided among the two hosts, and one more for each request a second, that rank highest for the target among those known in the last minute. A sharer sends one request per interval and saves none up; the other hosts send a rare probe. So the sum over all hosts stays within the limit and a few requests without any coordination, also with hosts that know only some of the others. A target whose share is used is treated like one that asked for a pause: requests go elsewhere, and without another target they are refused at once with a time to come back. A response without a limit ends it.

--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -183,6 +183,23 @@
         self.membership.is_watcher(self.is_store_unreachable())
     }
 
+    /// Returns whether a target takes another request of this host now.
+    pub fn is_available(&self, key: Key, now: Moment) -> bool {
+        self.availability.is_available(key, now) && self.rate_limits.is_available(key, now)
+    }
+
+    /// Returns the time until a target takes another request; `None` if it is leaving.
+    pub fn time_until_available(&self, key: Key, now: Moment) -> Option<Duration> {
+        let until_available = self.availability.time_until_available(key, now)?;
+        Some(until_available.max(self.rate_limits.time_until_available(key, now)))
+    }
+
+    /// Divides the targets' rate limits among the hosts.
+    pub fn divide_rate_limits(&mut self, now: Moment) {
+        let own = self.membership.own_name();
+        self.rate_limits.divide(own, self.membership.limit_sharers(now), now);
+    }
+
     /// Returns the work of all hosts at a target; none for an unknown target.
     pub fn total_work(&self, key: Key) -> Work {
         let target = self.registry.get(key);
@@ -363,7 +380,7 @@
     ) -> T {
         let (config, now) = (self.bounds().retries, clock::now());
         let mut state = self.state_mut();
-        let hosts = state.membership.sharing_count(now);
+        let hosts = state.membership.budget_sharers(now);
         let budget = state
             .retry_budgets
             .entry(service.clone())
--- a/gateway/src/dispatcher.rs
+++ b/gateway/src/dispatcher.rs
@@ -138,7 +138,9 @@
     let now = clock::now();
     let usable_key = |id: &id::Target| {
         let key = state.registry.usable_key(id)?;
-        state.availability.may_send(key, now).then_some(key)
+        let is_available =
+            state.availability.may_send(key, now) && state.rate_limits.is_available(key, now);
+        is_available.then_some(key)
     };
     let key = usable_key(prefill_engine)?;
     let stage = state.registry.get(key)?.stage.unwrap_or(Stage::Decode);
--- a/gateway/src/membership.rs
+++ b/gateway/src/membership.rs
@@ -29,9 +29,11 @@
 /// Time within which a probed host must answer; it allows for some lost datagrams.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Time for which a silent host counts among those that share a bound: it may only be cut off from
+/// Time for which a silent host counts among those that share a budget: it may only be cut off from
 /// this host.
-const SHARE_MEMORY: Duration = Duration::from_secs(3600);
+const BUDGET_SHARE_MEMORY: Duration = Duration::from_secs(3600);
+/// The same for a target's rate limit, of which the share of a host that is gone is lost meanwhile.
+const LIMIT_SHARE_MEMORY: Duration = Duration::from_secs(60);
 
 /// An entry host as it announces itself.
 ///
@@ -277,6 +279,11 @@
         addresses
     }
 
+    /// Returns the name of this host.
+    pub fn own_name(&self) -> &id::Host {
+        &self.own.name
+    }
+
     /// Returns the host that dispatches this host's requests.
     pub fn dispatcher(&self) -> &id::Host {
         &self.dispatcher
@@ -367,10 +374,26 @@
         1 + self.peers.values().filter(|it| it.up).count()
     }
 
-    /// Returns the number of hosts that share a bound on all hosts: this one and those that were known
-    /// lately, up or not.
-    pub fn sharing_count(&self, now: Moment) -> usize {
-        1 + self.peers.values().filter(|it| now < it.known_at + SHARE_MEMORY).count()
+    /// Returns the number of hosts that share a budget: this one and those that were known lately, up
+    /// or not.
+    pub fn budget_sharers(&self, now: Moment) -> usize {
+        self.known_within(BUDGET_SHARE_MEMORY, now).count()
+    }
+
+    /// Returns the hosts among which a target's rate limit is divided: this one and those that were
+    /// known lately, up or not.
+    pub fn limit_sharers(&self, now: Moment) -> impl Iterator<Item = &id::Host> + Clone {
+        self.known_within(LIMIT_SHARE_MEMORY, now)
+    }
+
+    /// Returns this host and those that were known within `memory`.
+    fn known_within(
+        &self,
+        memory: Duration,
+        now: Moment,
+    ) -> impl Iterator<Item = &id::Host> + Clone {
+        let known = self.peers.iter().filter(move |(_, it)| now < it.known_at + memory);
+        std::iter::once(&self.own.name).chain(known.map(|(name, _)| name))
     }
 
     /// Returns the addresses for callers, those in their data centre first.
--- a/gateway/src/notice.rs
+++ b/gateway/src/notice.rs
@@ -10,8 +10,9 @@
     availability::{Backoff, Departure, Source},
     context::Context,
     peers::{self, Packet},
-    rate_limit::Limit,
+    rate_limit::{self, Limit},
     registry::Key,
+    target::Run,
 };
 
 /// Records the notices in the head of a target's response.
@@ -36,24 +37,56 @@
 /// Records the value of the limit in a response; `None` if it names none. A value that is not a
 /// number changes nothing.
 fn record_limit(context: &Context, key: Key, value: Option<Cow<'_, str>>) {
-    let Some(target) = context.state().registry.get(key).map(|it| it.id.clone()) else { return };
     let limit = match value.as_deref().map(Limit::try_from).transpose() {
         Ok(limit) => limit,
         Err(err) => {
-            tracing::warn!(code = 8056, %target, value = value.as_deref(), %err, "target sent no usable limit; ignoring it");
+            let target = context.state().registry.get(key).map(|it| it.id.to_string());
+            tracing::warn!(code = 8056, target, value = value.as_deref(), %err, "target sent no usable limit; ignoring it");
             return;
         }
     };
-    let (before, now) = (context.state().rate_limits.limit(key), clock::now());
-    if context.state_mut().rate_limits.observe(key, limit, now) {
-        if limit.is_some() {
-            context.metrics.target_notices.with_label_values(&["limit"]).inc();
+    let before = context.state().rate_limits.limit(key);
+    if before.is_none() && limit.is_none() {
+        return;
+    }
+    let run = context.state().registry.get(key).map(Run::from);
+    let Some(run) = run else { return };
+    let now = clock::now();
+    if context.state_mut().rate_limits.observe(key, &run, limit, now) {
+        apply_limit(context, key, before, Source::Target);
+    }
+}
+
+/// Handles a report of another host that a target has changed its limit.
+pub fn handle_limit(context: &Context, report: &rate_limit::Report) {
+    let key = context.state().registry.key(&report.run.target);
+    let is_same_run = |key: &Key| {
+        context.state().registry.get(*key).is_some_and(|it| Run::from(it) == report.run)
+    };
+    let Some(key) = key.filter(is_same_run) else { return };
+    let before = context.state().rate_limits.limit(key);
+    let applied = context.state_mut().rate_limits.apply(key, report, clock::now());
+    match applied {
+        Ok(true) => apply_limit(context, key, before, Source::Host),
+        Ok(false) => {}
+        Err(err) => {
+            tracing::debug!(target = %report.run.target, %err, "unusable report of a limit")
         }
-        let (limit, before) = (limit.map(f64::from), before.map(f64::from));
-        tracing::info!(code = 8055, notice = "limit", %target, limit, before, "target changed the rate of requests that it takes");
     }
 }
 
+/// Divides a limit that has changed among the hosts.
+fn apply_limit(context: &Context, key: Key, before: Option<Limit>, source: Source) {
+    context.state_mut().divide_rate_limits(clock::now());
+    let (state, before) = (context.state(), before.map(f64::from));
+    let Some(target) = state.registry.get(key).map(|it| &it.id) else { return };
+    let limit = state.rate_limits.limit(key).map(f64::from);
+    if limit.is_some() {
+        context.metrics.target_notices.with_label_values(&["limit"]).inc();
+    }
+    tracing::info!(code = 8055, notice = "limit", %target, limit, before, source = source.as_str(), "target changed the rate of requests that it takes");
+}
+
 /// Records that a target said that it is leaving, and reports it to the dispatcher at once; the other
 /// hosts learn of it from heartbeats.
 fn record_departure(context: &Context, key: Key) {
@@ -120,5 +153,7 @@
 pub fn record_request(context: &Context, key: Key) {
     let mut state = context.state_mut();
     let slots = state.registry.get(key).map_or(1, |it| it.slots);
-    state.availability.record_request(key, slots, clock::now());
+    let now = clock::now();
+    state.availability.record_request(key, slots, now);
+    state.rate_limits.record_request(key, now);
 }
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -14,7 +14,7 @@
     membership::{Change, Heartbeat, ROUND_INTERVAL},
     notice,
     poison_part::Block,
-    poison_reports, registry, slowness, store_sync,
+    poison_reports, rate_limit, registry, slowness, store_sync,
     target::Run,
     watch::Update,
 };
@@ -113,24 +113,57 @@
     sent
 }
 
-/// Encodes a packet. The departures that this host learned of lately follow a heartbeat; hosts of an
-/// earlier version ignore them.
+/// What a host learned from targets lately, which follows its heartbeats. Hosts of an earlier version
+/// ignore what they don't know at the end.
+#[derive(Debug, Default)]
+struct Notices {
+    departures: Vec<Departure>,
+    limits: Vec<rate_limit::Report>,
+}
+
+impl Notices {
+    fn recent(context: &Context) -> Notices {
+        let (state, now) = (context.state(), clock::now());
+        Notices {
+            departures: state.availability.recent_departures(now),
+            limits: state.rate_limits.recent_reports(now),
+        }
+    }
+
+    fn encode(&self) -> postcard::Result<Vec<u8>> {
+        if self.departures.is_empty() && self.limits.is_empty() {
+            return Ok(Vec::new());
+        }
+        let mut bytes = postcard::to_stdvec(&self.departures)?;
+        if !self.limits.is_empty() {
+            bytes.extend(postcard::to_stdvec(&self.limits)?);
+        }
+        Ok(bytes)
+    }
+
+    fn decode(bytes: &[u8]) -> postcard::Result<Notices> {
+        if bytes.is_empty() {
+            return Ok(Notices::default());
+        }
+        let (departures, rest) = postcard::take_from_bytes(bytes)?;
+        let limits = if rest.is_empty() { Vec::new() } else { postcard::from_bytes(rest)? };
+        Ok(Notices { departures, limits })
+    }
+}
+
+/// Encodes a packet and the notices that follow a heartbeat.
 fn encode(context: &Context, packet: &Packet) -> postcard::Result<Vec<u8>> {
     let mut bytes = postcard::to_stdvec(packet)?;
     if matches!(packet, Packet::Heartbeat(_)) {
-        let departures = context.state().availability.recent_departures(clock::now());
-        if !departures.is_empty() {
-            bytes.extend(postcard::to_stdvec(&departures)?);
-        }
+        bytes.extend(Notices::recent(context).encode()?);
     }
     Ok(bytes)
 }
 
-/// Decodes a packet and the departures that follow it.
-fn decode(bytes: &[u8]) -> postcard::Result<(Packet, Vec<Departure>)> {
+/// Decodes a packet and the notices that follow it.
+fn decode(bytes: &[u8]) -> postcard::Result<(Packet, Notices)> {
     let (packet, rest) = postcard::take_from_bytes(bytes)?;
-    let departures = if rest.is_empty() { Vec::new() } else { postcard::from_bytes(rest)? };
-    Ok((packet, departures))
+    Ok((packet, Notices::decode(rest)?))
 }
 
 /// Reports this host's work to the dispatcher, forever.
@@ -220,6 +253,7 @@
             send_to_all(&context, &Packet::HostDown(host));
         }
         record_changes(&context, tick.down.into_iter().map(Change::Down));
+        context.state_mut().divide_rate_limits(clock::now());
         tokio::select! {
             () = sleep(ROUND_INTERVAL) => {}
             () = context.shutdown_started.notified() => {}
@@ -236,11 +270,14 @@
             Err(err) => return Err(err),
         };
         match decode(&buffer[..length]) {
-            Ok((packet, departures)) => {
+            Ok((packet, notices)) => {
                 handle_packet(context, packet);
-                for departure in departures {
+                for departure in notices.departures {
                     notice::handle_departure(context, departure);
                 }
+                for report in notices.limits {
+                    notice::handle_limit(context, &report);
+                }
             }
             Err(err) => tracing::debug!(%sender, %err, "cannot decode a datagram"),
         }
--- a/gateway/src/prefill.rs
+++ b/gateway/src/prefill.rs
@@ -88,9 +88,10 @@
         return;
     }
     let Ok(mut connection) = context.pool.connect(key, target.address).await else { return };
-    if !may_send() {
+    if !may_send() || !context.state().rate_limits.is_available(key, clock::now()) {
         return;
     }
+    notice::record_request(context, key);
     match connection.send(request).await {
         Ok(response) => notice::record(context, key, response.status(), response.headers()),
         Err(err) => {
--- a/gateway/src/reservation.rs
+++ b/gateway/src/reservation.rs
@@ -76,16 +76,16 @@
     /// Returns whether an engine that generates may get the job, now or after a short pause.
     fn has_decode_engine(&self) -> bool {
         let (state, now) = (self.context.state(), clock::now());
-        selection::answering(&state, &self.job.service)
-            .any(|key| !self.tried.contains(&key) && state.availability.may_send(key, now))
+        selection::answering(&state, &self.job.service).filter(|key| !self.tried.contains(key)).any(
+            |key| state.availability.may_send(key, now) && state.rate_limits.is_available(key, now),
+        )
     }
 
     fn placement_request(&self, resumes: bool) -> Request {
         let (job, now) = (&self.job, clock::now());
         let state = self.context.state();
         let usable = || state.registry.usable(&job.service);
-        let is_excluded =
-            |key: &Key| self.tried.contains(key) || !state.availability.is_available(*key, now);
+        let is_excluded = |key: &Key| self.tried.contains(key) || !state.is_available(*key, now);
         let is_paused = |key: &Key| state.health.is_paused(*key, now);
         // A paused engine is better than none: it may only have been silent for a moment.
         let none_healthy = usable().all(|(key, _)| is_excluded(&key) || is_paused(&key));
--- a/gateway/src/selection.rs
+++ b/gateway/src/selection.rs
@@ -18,7 +18,7 @@
 pub fn service_target(context: &Context, job: &Job, tried: &[Key]) -> Option<Key> {
     let state = context.state();
     let now = clock::now();
-    let is_excluded = |key| tried.contains(&key) || !state.availability.is_available(key, now);
+    let is_excluded = |key| tried.contains(&key) || !state.is_available(key, now);
     let candidates: Vec<balancer::Candidate> = preferred(&state, &job.service, is_excluded)
         .into_iter()
         .map(|(key, target)| balancer::Candidate {
@@ -114,8 +114,7 @@
 /// zero if one is, or if all are leaving.
 pub fn time_until_available(state: &State, service: &id::Service) -> Duration {
     let now = clock::now();
-    let times = answering(state, service)
-        .filter_map(|key| state.availability.time_until_available(key, now));
+    let times = answering(state, service).filter_map(|key| state.time_until_available(key, now));
     times.min().unwrap_or_default()
 }
 
--- a/gateway/tests/membership.rs
+++ b/gateway/tests/membership.rs
@@ -195,10 +195,12 @@
 fn silent_hosts_share() {
     let mut members = two_hosts();
     members.add_registered(host("h3", 3), ms(0));
-    assert_eq!(members.sharing_count(ms(0)), 3);
+    assert_eq!(members.budget_sharers(ms(0)), 3);
     members.tick(ms(500));
     members.tick(ms(1000));
-    assert_eq!((members.live_count(), members.sharing_count(ms(1000))), (1, 3));
+    assert_eq!((members.live_count(), members.budget_sharers(ms(1000))), (1, 3));
+    assert_eq!(members.limit_sharers(ms(59_999)).collect::<Vec<_>>(), ["h1", "h2", "h3"]);
+    assert_eq!(members.limit_sharers(ms(60_000)).collect::<Vec<_>>(), ["h1"]);
     members.handle_heartbeat(heartbeat("h2", 2), ms(3_000_000));
-    assert_eq!(members.sharing_count(ms(4_000_000)), 2);
+    assert_eq!(members.budget_sharers(ms(4_000_000)), 2);
 }
