fix(shutdown): serve the connections that wait when the port of a leaving host closes

Cause: the listener was dropped with the connections that it had not accepted, and hyper's graceful shutdown closes a connection that has read nothing yet, which is what a connection accepted a moment before is. On a busy machine both take longer than the 200 ms for which nothing may be lost. Now the queue is accepted before the listener closes, and a connection that is new or has sent a part of a head has a second to send the rest before it is shut down.

That this is what the users saw is suspected: their log is cut short.

--- a/gateway/src/http_server.rs
+++ b/gateway/src/http_server.rs
@@ -25,6 +25,9 @@
 /// Time without acknowledgements after which a caller's connection fails; long enough for lost
 /// packets to be sent again.
 const CALLER_SILENCE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time after the port has closed within which a connection that is new, or has sent a part of a
+/// request head, must send the rest.
+const LAST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 /// Smallest buffer size that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
@@ -59,7 +62,8 @@
     socket.listen(BACKLOG)
 }
 
-/// Serves the connections of a listener until `phase` is [`Phase::Closing`].
+/// Serves the connections of a listener until `phase` is [`Phase::Closing`], those that wait to be
+/// accepted then included.
 pub async fn serve<H, F>(
     listener: TcpListener,
     limits: impl Fn() -> Limits + Clone + 'static,
@@ -73,7 +77,7 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = phase.wait_for(|it| *it == Phase::Closing) => return,
+            _ = phase.wait_for(|it| *it == Phase::Closing) => break,
         };
         let stream = match accepted {
             Ok((stream, _)) => stream,
@@ -86,6 +90,38 @@
         let handle = Rc::clone(&handle);
         tokio::task::spawn_local(serve_connection(stream, limits.clone(), phase.clone(), handle));
     }
+    // Closing the listener resets the connections in its queue.
+    for stream in accept_queued(listener) {
+        let handle = Rc::clone(&handle);
+        tokio::task::spawn_local(serve_connection(stream, limits.clone(), phase.clone(), handle));
+    }
+}
+
+/// Closes a listener and returns the connections that waited to be accepted.
+fn accept_queued(listener: TcpListener) -> Vec<TcpStream> {
+    let mut streams = Vec::new();
+    let listener = match listener.into_std() {
+        Ok(listener) => listener,
+        Err(err) => {
+            tracing::warn!(code = 8057, %err, "cannot accept the connections that wait while the port closes; their callers have to retry");
+            return streams;
+        }
+    };
+    loop {
+        let accepted = listener.accept().and_then(|(stream, _)| {
+            stream.set_nonblocking(true)?;
+            TcpStream::from_std(stream)
+        });
+        match accepted {
+            Ok(stream) => streams.push(stream),
+            Err(err) if err.kind() == io::ErrorKind::WouldBlock => return streams,
+            Err(err) if err.kind() == io::ErrorKind::ConnectionAborted => {}
+            Err(err) => {
+                tracing::warn!(code = 8057, %err, "cannot accept the connections that wait while the port closes; their callers have to retry");
+                return streams;
+            }
+        }
+    }
 }
 
 async fn serve_connection<H, F>(
@@ -101,8 +137,7 @@
         tracing::debug!(%err, "cannot configure a caller's connection");
         return;
     }
-    let idle = watchdog::Phase::Idle(Instant::now());
-    let watchdog = Arc::new(Watchdog::new(idle));
+    let watchdog = Arc::new(Watchdog::new(watchdog::Phase::New(Instant::now())));
     let stream = WatchedStream::new(stream, Arc::clone(&watchdog));
     let request_watchdog = Arc::clone(&watchdog);
     let service = service_fn(move |request| {
@@ -130,6 +165,15 @@
             return;
         }
         _ = phase.wait_for(|it| *it == Phase::Closing) => {
+            if watchdog.expects_request() {
+                // A graceful shutdown closes a connection whose request has not been read.
+                tokio::select! {
+                    biased;
+                    _ = connection.as_mut() => return,
+                    () = watchdog.request_begun() => {}
+                    () = sleep(LAST_REQUEST_TIMEOUT) => {}
+                }
+            }
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/gateway/src/watchdog.rs
+++ b/gateway/src/watchdog.rs
@@ -23,6 +23,8 @@
 /// State of a connection that decides which timeout applies.
 #[derive(Debug, Clone, Copy)]
 pub enum Phase {
+    /// Waiting for the first byte of the connection's first request, since the given time.
+    New(Instant),
     /// Waiting for the first byte of the next request, since the given time.
     Idle(Instant),
     /// Waiting for the rest of a request header, since the given time.
@@ -55,6 +57,20 @@
         matches!(*self.phase.lock().expect("watchdog lock poisoned"), Phase::Busy)
     }
 
+    /// Returns whether the caller is about to send a request: the connection is new, or a part of a
+    /// request head has arrived.
+    pub fn expects_request(&self) -> bool {
+        let phase = *self.phase.lock().expect("watchdog lock poisoned");
+        matches!(phase, Phase::New(_) | Phase::Header(_))
+    }
+
+    /// Waits until a request head has been read.
+    pub async fn request_begun(&self) {
+        while !self.has_open_request() {
+            self.changed.notified().await;
+        }
+    }
+
     /// Waits until a timeout has passed and returns the reason for closing the connection.
     ///
     /// `limits` returns the timeouts in force, which may change while the connection is open.
@@ -62,7 +78,9 @@
         loop {
             let phase = *self.phase.lock().expect("watchdog lock poisoned");
             let (due, reason) = match phase {
-                Phase::Idle(since) => (since + limits().idle_timeout, Reason::IdleTimeout),
+                Phase::New(since) | Phase::Idle(since) => {
+                    (since + limits().idle_timeout, Reason::IdleTimeout)
+                }
                 Phase::Header(since) => (since + limits().header_timeout, Reason::HeaderTimeout),
                 Phase::Busy => {
                     self.changed.notified().await;
@@ -82,7 +100,7 @@
 
     fn record_received_bytes(&self) {
         let mut phase = self.phase.lock().expect("watchdog lock poisoned");
-        if let Phase::Idle(_) = *phase {
+        if let Phase::New(_) | Phase::Idle(_) = *phase {
             *phase = Phase::Header(Instant::now());
             self.changed.notify_one();
         }
