fix(response): end a discarded response after 50 ms and 64 KB, and any wait at its deadline

Callers waited for the next attempt for as long as a refusal's body went on, up to their deadline and beyond: each chunk had 50 ms of its own, and a timeout lets a chunk pass that has already arrived, also with no time left. Now the whole rest has 50 ms and 64 KB, then its connection is closed, and a wait with no time left ends.

--- a/gateway/src/target_response.rs
+++ b/gateway/src/target_response.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use fuchsiaknot_core::clock;
 use http_body_util::BodyExt;
 use hyper::{HeaderMap, Response, StatusCode, body::Incoming, header, http::response};
 use tokio::time::timeout;
@@ -14,8 +15,10 @@
 
 /// Largest response body that is read whole before it is forwarded.
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
-/// Longest wait for each chunk when the rest of a discarded response is read.
+/// Time within which the rest of a discarded response must end.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(50);
+/// Most bytes of a discarded response that are read.
+const MAX_DISCARDED_BYTES: usize = 64 * 1024;
 
 /// A response in progress.
 ///
@@ -72,10 +75,18 @@
         Ok(())
     }
 
-    /// Reads and drops the rest of the response, so that its connection can be reused.
+    /// Reads and drops the rest of the response, so that its connection can be reused; closes the
+    /// connection if the rest is long.
     async fn discard(mut self, context: &Context, job: &Job) {
-        while let Ok(Some(_)) = self.chunk(job.time_left().min(DISCARD_TIMEOUT)).await {}
-        self.finish(context);
+        let end = clock::now() + job.time_left().min(DISCARD_TIMEOUT);
+        let mut discarded = 0;
+        while discarded <= MAX_DISCARDED_BYTES {
+            match self.chunk(end.saturating_sub(clock::now())).await {
+                Ok(Some(chunk)) => discarded += chunk.len(),
+                Ok(None) => return self.finish(context),
+                Err(_) => return,
+            }
+        }
     }
 
     /// Returns whether the response is a stream of server-sent events.
@@ -100,6 +111,10 @@
     /// Fails when the response breaks off or no chunk arrives within `max_wait`.
     pub async fn chunk(&mut self, max_wait: Duration) -> Result<Option<Bytes>, Failure> {
         loop {
+            // A timeout lets a chunk pass that has arrived.
+            if max_wait.is_zero() {
+                return Err(Failure::Expired);
+            }
             let frame = timeout(max_wait, self.body.frame()).await.map_err(|_| Failure::Expired)?;
             match frame {
                 None => return Ok(None),
