fix(response): bound the memory and the chunks of responses that are read whole

A host of 260 MB could end under memory for 8 MB of each response without end, and its callers' requests with it; small chunks kept it busy up to the deadline. A response that exceeds this counts as broken: an idempotent request goes to another target, others get 502, and the connection is closed.

--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -11,7 +11,7 @@
 use tokio::{net::UdpSocket, sync::Notify};
 
 use crate::{
-    availability,
+    availability, body_memory,
     configuration::Configuration,
     deadline::Deadlines,
     dispatcher::Dispatcher,
@@ -78,6 +78,8 @@
     pub metrics: Metrics,
     /// Pool of connections to targets.
     pub pool: Pool,
+    /// Memory for response bodies that are read whole.
+    pub body_memory: body_memory::Memory,
     /// Log writer, for its count of dropped lines.
     pub log: Option<Log>,
     /// Notified when the shutdown starts.
@@ -245,6 +247,7 @@
             prefill_api,
             metrics,
             pool,
+            body_memory: body_memory::Memory::default(),
             log,
             dispatcher: Dispatcher::default(),
             work_changed: Notify::new(),
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -1,16 +1,18 @@
 //! Request path of an entry host in front of the services in the operators' configuration.
 //!
-//! Everything runs on one thread. The modules that decide (`availability`, `balancer`, `calls`,
-//! `configuration`, `deadline`, `dispatch`, `election`, `engine`, `event_stream`, `health`, `load`,
-//! `membership`, `poison`, `poison_part`, `prefix_cache`, `rate_limit`, `registry`,
-//! `retry_after`, `retry_budget`, `shortlist`, `slowness`, `watch`) do no I/O and read no clock; `dispatcher`,
-//! `forward`, `http_server`, `notice`, `peers`, `poison_reports`, `reservation`, `store_sync`,
-//! `stream_relay` and `upstream` call them. A deployment's platform supplies its names and formats
-//! through [`store::Store`], [`headers::HeaderNames`] and [`directory::Directory`].
+//! Everything runs on one thread. The modules that decide (`availability`, `balancer`,
+//! `body_memory`, `calls`, `configuration`, `deadline`, `dispatch`, `election`, `engine`,
+//! `event_stream`, `health`, `load`, `membership`, `poison`, `poison_part`, `prefix_cache`,
+//! `rate_limit`, `registry`, `retry_after`, `retry_budget`, `shortlist`, `slowness`, `watch`) do no
+//! I/O and read no clock; `dispatcher`, `forward`, `http_server`, `notice`, `peers`,
+//! `poison_reports`, `reservation`, `store_sync`, `stream_relay` and `upstream` call them. A
+//! deployment's platform supplies its names and formats through [`store::Store`],
+//! [`headers::HeaderNames`] and [`directory::Directory`].
 
 pub mod attempt;
 pub mod availability;
 pub mod balancer;
+pub mod body_memory;
 pub mod calls;
 pub mod configuration;
 pub mod context;
--- a/gateway/src/target_response.rs
+++ b/gateway/src/target_response.rs
@@ -13,8 +13,6 @@
     target::Target, upstream::Connection,
 };
 
-/// Largest response body that is read whole before it is forwarded.
-const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
 /// Time within which the rest of a discarded response must end.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(50);
 /// Most bytes of a discarded response that are read.
@@ -138,10 +136,9 @@
         job: &Job,
     ) -> Result<(StatusCode, HeaderMap, Bytes), Failure> {
         let mut bytes = Vec::new();
+        let mut memory = context.body_memory.share();
         while let Some(chunk) = self.chunk(job.time_left()).await? {
-            if MAX_BODY_BYTES < bytes.len() + chunk.len() {
-                return Err(Failure::Broken("the response is too large".to_owned()));
-            }
+            memory.take(chunk.len()).map_err(|err| Failure::Broken(err.to_string()))?;
             bytes.extend_from_slice(&chunk);
         }
         let (status, headers) = (self.head.status, self.headers());
