fix(stream): bytes that are no event break the stream instead of reaching the caller

Callers got megabytes of bytes that are no event as if they were one, which after the first forbids a retry elsewhere, and up to 1 MB was buffered for each stream.

--- a/gateway/src/stream_relay.rs
+++ b/gateway/src/stream_relay.rs
@@ -25,8 +25,9 @@
     max_silence: Option<Duration>,
 ) -> Result<Option<Event>, Failure> {
     loop {
-        if let Some(event) = splitter.next_event() {
-            return Ok(Some(event));
+        let event = splitter.next_event().map_err(|err| Failure::Broken(err.to_string()))?;
+        if event.is_some() {
+            return Ok(event);
         }
         let (silence, time_left) = (max_silence.unwrap_or(Duration::MAX), job.time_left());
         let chunk = match attempt.response.chunk(silence.min(time_left)).await {
@@ -35,7 +36,9 @@
         };
         match chunk {
             Some(bytes) => splitter.push(&bytes),
-            None if splitter.take_partial().is_empty() => return Ok(None),
+            None if !splitter.is_within_event() && splitter.take_partial().is_empty() => {
+                return Ok(None);
+            }
             None => return Err(Failure::Broken("the stream ended within an event".to_owned())),
         }
     }
@@ -69,6 +72,9 @@
     last_event_id: Option<u64>,
     /// Arrival time of the last event; `None` after a failure, so that no pause spans two targets.
     last_event_at: Option<Moment>,
+    /// Whether the caller has a part of an event that has not ended. No other target can go on from
+    /// there.
+    is_within_event: bool,
 }
 
 impl Relay {
@@ -77,7 +83,13 @@
         forwarder: Forwarder,
         sender: mpsc::Sender<Result<bytes::Bytes, Truncated>>,
     ) -> Relay {
-        Relay { forwarder, sender, last_event_id: None, last_event_at: None }
+        Relay {
+            forwarder,
+            sender,
+            last_event_id: None,
+            last_event_at: None,
+            is_within_event: false,
+        }
     }
 
     /// Relays the events of an attempt, from `first` on, until the stream ends or the caller
@@ -94,7 +106,10 @@
                 Ok(Some(event)) => {
                     self.record_pause(attempt.response.key);
                     self.forwarder.record_event();
-                    self.last_event_id = event.id.or(self.last_event_id);
+                    self.is_within_event = !event.is_complete;
+                    if event.is_complete {
+                        self.last_event_id = event.id.or(self.last_event_id);
+                    }
                     if self.sender.send(Ok(event.bytes)).await.is_err() {
                         self.record_disconnect();
                         return;
@@ -104,6 +119,11 @@
                     self.finish(attempt);
                     return;
                 }
+                Err(failure) if self.is_within_event => {
+                    self.forwarder.record_target_failure(attempt.response.key, &failure);
+                    drop(attempt);
+                    return self.abort("within-event").await;
+                }
                 Err(failure) => {
                     self.last_event_at = None;
                     if matches!(failure, Failure::Silent) {
@@ -136,7 +156,8 @@
             }
             let job = Rc::clone(&self.forwarder.job);
             // Before its first event a stream may be queued at its target.
-            let max_silence = job.silence_timeout().filter(|_| self.last_event_id.is_some());
+            let may_resume = self.last_event_id.is_some() && !self.is_within_event;
+            let max_silence = job.silence_timeout().filter(|_| may_resume);
             next = tokio::select! {
                 next = next_event(&mut attempt, &mut splitter, &job, max_silence) => next,
                 () = self.sender.closed() => {
