fix(upstream): bound the bytes that are read until a response head is complete

Callers waited up to their deadline for a target that sends interim heads without end, and the host spent its processor on them: the client library skips any number of them, so its buffer of 64 KB bounds only a single head. A connection now fails after 256 KB without a response head, which counts as a broken attempt.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod availability;
 pub mod balancer;
 pub mod body_memory;
+mod bounded_stream;
 pub mod calls;
 pub mod configuration;
 pub mod context;
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -14,7 +14,10 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
 
-use crate::registry::Key;
+use crate::{
+    bounded_stream::{Allowance, BoundedStream},
+    registry::Key,
+};
 use fuchsiaknot_core::clock::{self, Moment};
 
 /// Time for establishing a connection; a round trip within a region takes a few milliseconds.
@@ -26,6 +29,11 @@
 /// Maximum time for which an idle connection is kept, also when the target states no time or a
 /// longer one.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(3);
+/// Size of the buffer from which responses are parsed; a longer head fails.
+const BUFFER_BYTES: usize = 64 * 1024;
+/// Most bytes that are read until a response head is complete: the head, interim heads before it and
+/// the part of the body that is read with it.
+const MAX_BYTES_TO_HEAD: usize = 4 * BUFFER_BYTES;
 /// Maximum number of idle connections kept for each target.
 const MAX_IDLE_PER_TARGET: usize = 8;
 
@@ -49,6 +57,8 @@
     sender: SendRequest<Full<Bytes>>,
     /// Task that reads from and writes to the socket.
     driver: JoinHandle<()>,
+    /// Bytes that may be read from the socket.
+    allowance: Allowance,
     idle_until: Moment,
 }
 
@@ -147,8 +157,12 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, RequestError> {
+        self.allowance.set(MAX_BYTES_TO_HEAD);
         match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+            Ok(response) => {
+                self.allowance.set(usize::MAX);
+                Ok(response)
+            }
             Err(mut err) => match err.take_message() {
                 Some(_) => Err(RequestError::NotSent),
                 None => Err(RequestError::Broken(err.into_error())),
@@ -164,8 +178,9 @@
 pub async fn open(address: std::net::SocketAddr) -> io::Result<Connection> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
     set_silence_timeout(&stream, SILENCE_TIMEOUT)?;
+    let (stream, allowance) = BoundedStream::new(stream);
     let handshake = http1::Builder::new()
-        .max_buf_size(64 * 1024)
+        .max_buf_size(BUFFER_BYTES)
         .handshake(TokioIo::new(stream))
         .await
         .map_err(io::Error::other)?;
@@ -175,7 +190,7 @@
             tracing::debug!(%err, "connection to a target failed");
         }
     });
-    Ok(Connection { sender, driver, idle_until: Moment::ZERO })
+    Ok(Connection { sender, driver, allowance, idle_until: Moment::ZERO })
 }
 
 /// Makes a connection fail when the peer acknowledges no data for `timeout` or no keep-alive
