fix(http-server): serve the connections that wait when the server of the product's port stops

Cause: the same as on the entry hosts' port (queued_at_close): the listener was dropped with its queue, and a connection from which nothing was read yet was closed by the graceful shutdown. Both servers now share accept_queued and Watchdog::last_request_begun.

--- a/gateway/src/http_server.rs
+++ b/gateway/src/http_server.rs
@@ -25,9 +25,6 @@
 /// Time without acknowledgements after which a caller's connection fails; long enough for lost
 /// packets to be sent again.
 const CALLER_SILENCE_TIMEOUT: Duration = Duration::from_secs(5);
-/// Time after the port has closed within which a connection that is new, or has sent a part of a
-/// request head, must send the rest.
-const LAST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 /// Smallest buffer size that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
@@ -91,14 +88,15 @@
         tokio::task::spawn_local(serve_connection(stream, limits.clone(), phase.clone(), handle));
     }
     // Closing the listener resets the connections in its queue.
-    for stream in accept_queued(listener) {
+    for (stream, _) in accept_queued(listener) {
         let handle = Rc::clone(&handle);
         tokio::task::spawn_local(serve_connection(stream, limits.clone(), phase.clone(), handle));
     }
 }
 
-/// Closes a listener and returns the connections that waited to be accepted.
-fn accept_queued(listener: TcpListener) -> Vec<TcpStream> {
+/// Closes a listener and returns the connections that waited to be accepted, with the addresses of
+/// their peers.
+pub fn accept_queued(listener: TcpListener) -> Vec<(TcpStream, SocketAddr)> {
     let mut streams = Vec::new();
     let listener = match listener.into_std() {
         Ok(listener) => listener,
@@ -108,12 +106,12 @@
         }
     };
     loop {
-        let accepted = listener.accept().and_then(|(stream, _)| {
+        let accepted = listener.accept().and_then(|(stream, peer)| {
             stream.set_nonblocking(true)?;
-            TcpStream::from_std(stream)
+            Ok((TcpStream::from_std(stream)?, peer))
         });
         match accepted {
-            Ok(stream) => streams.push(stream),
+            Ok(accepted) => streams.push(accepted),
             Err(err) if err.kind() == io::ErrorKind::WouldBlock => return streams,
             Err(err) if err.kind() == io::ErrorKind::ConnectionAborted => {}
             Err(err) => {
@@ -165,14 +163,10 @@
             return;
         }
         _ = phase.wait_for(|it| *it == Phase::Closing) => {
-            if watchdog.expects_request() {
-                // A graceful shutdown closes a connection whose request has not been read.
-                tokio::select! {
-                    biased;
-                    _ = connection.as_mut() => return,
-                    () = watchdog.request_begun() => {}
-                    () = sleep(LAST_REQUEST_TIMEOUT) => {}
-                }
+            tokio::select! {
+                biased;
+                _ = connection.as_mut() => return,
+                () = watchdog.last_request_begun() => {}
             }
             connection.as_mut().graceful_shutdown();
             connection.await
--- a/gateway/src/watchdog.rs
+++ b/gateway/src/watchdog.rs
@@ -8,6 +8,7 @@
     pin::Pin,
     sync::{Arc, Mutex},
     task::{Context, Poll},
+    time::Duration,
 };
 
 use fuchsiaknot_core::verdict::Reason;
@@ -15,11 +16,15 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     sync::Notify,
-    time::{Instant, sleep_until},
+    time::{Instant, sleep_until, timeout},
 };
 
 use crate::http_server::Limits;
 
+/// Time after the port has closed within which a connection that is new, or has sent a part of a
+/// request head, must send the rest.
+const LAST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// State of a connection that decides which timeout applies.
 #[derive(Debug, Clone, Copy)]
 pub enum Phase {
@@ -57,18 +62,24 @@
         matches!(*self.phase.lock().expect("watchdog lock poisoned"), Phase::Busy)
     }
 
-    /// Returns whether the caller is about to send a request: the connection is new, or a part of a
-    /// request head has arrived.
-    pub fn expects_request(&self) -> bool {
-        let phase = *self.phase.lock().expect("watchdog lock poisoned");
-        matches!(phase, Phase::New(_) | Phase::Header(_))
+    /// Waits for the last request of a connection whose port has closed: until its head has been read
+    /// if the connection is new or has sent a part of a head, but at most for
+    /// [`LAST_REQUEST_TIMEOUT`]; returns at once otherwise.
+    ///
+    /// The graceful shutdown of a connection from which no request was read closes it.
+    pub async fn last_request_begun(&self) {
+        let begun = async {
+            while self.expects_request() {
+                self.changed.notified().await;
+            }
+        };
+        // After the timeout, the connection is shut down whatever it has sent.
+        let _ = timeout(LAST_REQUEST_TIMEOUT, begun).await;
     }
 
-    /// Waits until a request head has been read.
-    pub async fn request_begun(&self) {
-        while !self.has_open_request() {
-            self.changed.notified().await;
-        }
+    fn expects_request(&self) -> bool {
+        let phase = *self.phase.lock().expect("watchdog lock poisoned");
+        matches!(phase, Phase::New(_) | Phase::Header(_))
     }
 
     /// Waits until a timeout has passed and returns the reason for closing the connection.
--- a/src/link/http_server/mod.rs
+++ b/src/link/http_server/mod.rs
@@ -8,6 +8,7 @@
     convert::Infallible,
     io,
     net::{SocketAddr, TcpListener},
+    pin::Pin,
     sync::{
         Arc,
         atomic::{AtomicUsize, Ordering},
@@ -208,13 +209,17 @@
         loop {
             let accepted = tokio::select! {
                 it = listener.accept() => it,
-                _ = stopped.wait_for(|it| *it) => return,
+                _ = stopped.wait_for(|it| *it) => break,
             };
             match accepted {
                 Ok((stream, caller_address)) => self.accept(stream, caller_address),
                 Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
             }
         }
+        // Closing the listener resets the connections in its queue.
+        for (stream, caller_address) in http_server::accept_queued(listener) {
+            self.accept(stream, caller_address);
+        }
     }
 
     fn accept(self: &Arc<Self>, stream: TcpStream, caller_address: SocketAddr) {
@@ -272,10 +277,15 @@
             tokio::select! {
                 _ = &mut conn => return,
                 reason = watchdog.expired(limits) => break reason,
-                _ = stopped.wait_for(|it| *it), if !stopping => {
-                    stopping = true;
-                    Pin::new(&mut conn).graceful_shutdown();
+                _ = stopped.wait_for(|it| *it), if !stopping => stopping = true,
+            }
+            if stopping {
+                tokio::select! {
+                    biased;
+                    _ = &mut conn => return,
+                    () = watchdog.last_request_begun() => {}
                 }
+                Pin::new(&mut conn).graceful_shutdown();
             }
         };
         self.metrics.count_refusal(reason);
--- a/tests/http_server.rs
+++ b/tests/http_server.rs
@@ -254,3 +254,19 @@
     assert!(read_to_close(&stream).ends_with("abc"));
     while TcpStream::connect(fixture.server.address()).is_ok() {}
 }
+
+/// Connections that waited to be accepted when the server stopped were reset, with the requests that
+/// their callers had sent.
+#[test]
+fn stop_with_queue() {
+    for round in 0..200 {
+        let fixture = Fixture::start(Limits::default());
+        let callers: Vec<TcpStream> = (0..16).map(|_| fixture.connect()).collect();
+        callers.iter().for_each(|it| send(it, "GET /echo HTTP/1.1\r\nHost: a\r\n\r\n"));
+        fixture.server.stop();
+        for caller in &callers {
+            let got = read_to_close(caller);
+            assert!(got.starts_with("HTTP/1.1 200"), "round {round}: {got:?}");
+        }
+    }
+}
