--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -273,11 +273,16 @@
         let target = view.targets.into_iter().find(|it| it.target == "engine-0").unwrap();
         (drained, target.running + target.waiting)
     };
+    let drained_on = |host: usize| {
+        let view = fleet.client(host).fleet().unwrap();
+        view.groups.iter().any(|it| it.drains.iter().any(|it| it.target == "engine-0"))
+    };
     wait_until("the engine is drained and idle", || engine() == (true, 0));
+    let knowing: Vec<bool> = (0..3).map(drained_on).collect();
     for _ in 0..4 {
         let before = callers.whole();
         wait_until("the other engine answers", || before + 8 <= callers.whole());
-        assert_eq!(engine(), (true, 0));
+        assert_eq!(engine(), (true, 0), "hosts that knew of the drain: {knowing:?}");
     }
     assert!(fleet.operate(2, &["drain", "engine-0", "--end"], "").status.success());
     wait_until("the engine gets requests again", || !engine().0 && 0 < engine().1);
