--- a/gateway/src/bounded_stream.rs
+++ b/gateway/src/bounded_stream.rs
@@ -22,6 +22,11 @@
     pub(crate) fn set(&self, bytes: usize) {
         self.0.set(bytes);
     }
+
+    /// Returns whether no byte may be read any more.
+    pub(crate) fn is_used_up(&self) -> bool {
+        self.0.get() == 0
+    }
 }
 
 /// Stream that reads only what its allowance permits.
@@ -47,8 +52,7 @@
     ) -> Poll<io::Result<()>> {
         let allowed = self.allowance.0.get();
         if allowed == 0 {
-            let message = "the response head is too long";
-            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, message)));
+            return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
         }
         let before = buf.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -46,6 +46,9 @@
     /// The connection closed before any part of the request was written.
     #[error("the connection closed before the request was sent")]
     NotSent,
+    /// The target sent too much before a response head was complete.
+    #[error("the response head is too long")]
+    HeadTooLong,
     /// The connection broke after the request was sent.
     #[error("the connection broke: {0}")]
     Broken(hyper::Error),
@@ -165,6 +168,7 @@
             }
             Err(mut err) => match err.take_message() {
                 Some(_) => Err(RequestError::NotSent),
+                None if self.allowance.is_used_up() => Err(RequestError::HeadTooLong),
                 None => Err(RequestError::Broken(err.into_error())),
             },
         }
