fix(rate-limit): keep a limit until it differs by a tenth

A target that names another value with each response would have had each of them logged and reported to all hosts in the heartbeats, and every host divide it anew. small_changes guards against it.

--- a/gateway/src/rate_limit.rs
+++ b/gateway/src/rate_limit.rs
@@ -26,6 +26,9 @@
 /// Time in each interval in which a host may send its probe. Hosts that have no request meanwhile
 /// leave it out, so that unused probes do not come together later.
 const PROBE_SLOT: Duration = Duration::from_secs(1);
+/// Share of a limit by which another one must differ to replace it. Smaller changes would be reported
+/// to all hosts each time, for a share that hardly changes.
+const MIN_CHANGE: f64 = 0.1;
 /// Time by which a request may follow the previous one too early if that one was late by as much, so
 /// that a host whose requests come irregularly still uses its share.
 const LATENESS: Duration = Duration::from_millis(50);
@@ -69,6 +72,11 @@
     fn rate(self) -> f64 {
         self.0.max(MIN_RATE)
     }
+
+    /// Returns whether hosts have to divide this limit instead of another one.
+    fn differs_from(self, other: Limit) -> bool {
+        MIN_CHANGE * other.rate() < (self.rate() - other.rate()).abs()
+    }
 }
 
 impl From<Limit> for f64 {
@@ -224,7 +232,10 @@
             return false;
         }
         state.at = at;
-        let changed = state.limit != limit;
+        let changed = match (state.limit, limit) {
+            (Some(before), Some(after)) => after.differs_from(before),
+            (before, after) => before != after,
+        };
         if changed {
             state.limit = limit;
             state.changed_at = changed_at;
--- a/gateway/tests/rate_limit.rs
+++ b/gateway/tests/rate_limit.rs
@@ -174,6 +174,19 @@
     assert!(hosts.most_in_window() <= allowed(5.0));
 }
 
+/// A limit that changes a little with each response was reported to all hosts each time.
+#[test]
+fn small_changes() {
+    let (mut tracker, key) = (Tracker::default(), keys(1)[0]);
+    assert!(tracker.observe(key, &run(), Some(limit(5.0)), ms(0)));
+    for (time, per_second) in [(1000, 5.4), (2000, 4.6), (6000, 5.0)] {
+        assert!(!tracker.observe(key, &run(), Some(limit(per_second)), ms(time)));
+    }
+    assert_eq!(tracker.recent_reports(ms(6000)), []);
+    assert!(tracker.observe(key, &run(), Some(limit(4.0)), ms(7000)));
+    assert_eq!(tracker.recent_reports(ms(7000)), [report(Some(4.0), ms(0))]);
+}
+
 /// A target without a limit, or after its end, gets any rate.
 #[test]
 fn no_limit() {
