refactor(stream): one stream type that checks and counts what is read

The streams of callers' and targets' connections repeated each other for all but their reads. TappedStream is generic over what they do there.

--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -1,6 +1,12 @@
 //! HTTP/1 connections to targets, each with one request at a time.
 
-use std::{cell::RefCell, collections::HashMap, io, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    io,
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -15,8 +21,8 @@
 use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
 
 use crate::{
-    bounded_stream::{Allowance, BoundedStream},
     registry::Key,
+    tapped_stream::{Tap, TappedStream},
 };
 use fuchsiaknot_core::clock::{self, Moment};
 
@@ -54,6 +60,37 @@
     Broken(hyper::Error),
 }
 
+/// Bytes that may still be read from a connection; clones share them.
+///
+/// The client library skips any number of interim heads, so the size of its buffer alone does not
+/// bound what a target may send before its response.
+#[derive(Debug, Clone)]
+struct Allowance(Rc<Cell<usize>>);
+
+impl Allowance {
+    fn unlimited() -> Allowance {
+        Allowance(Rc::new(Cell::new(usize::MAX)))
+    }
+
+    fn set(&self, bytes: usize) {
+        self.0.set(bytes);
+    }
+
+    fn is_used_up(&self) -> bool {
+        self.0.get() == 0
+    }
+}
+
+impl Tap for Allowance {
+    fn check_read(&self) -> io::Result<()> {
+        if self.is_used_up() { Err(io::ErrorKind::InvalidData.into()) } else { Ok(()) }
+    }
+
+    fn record_read(&self, bytes: usize) {
+        self.set(self.0.get().saturating_sub(bytes));
+    }
+}
+
 /// A connection to a target, closed on drop.
 #[derive(Debug)]
 pub struct Connection {
@@ -182,7 +219,8 @@
 pub async fn open(address: std::net::SocketAddr) -> io::Result<Connection> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
     set_silence_timeout(&stream, SILENCE_TIMEOUT)?;
-    let (stream, allowance) = BoundedStream::new(stream);
+    let allowance = Allowance::unlimited();
+    let stream = TappedStream::new(stream, allowance.clone());
     let handshake = http1::Builder::new()
         .max_buf_size(BUFFER_BYTES)
         .handshake(TokioIo::new(stream))
--- a/gateway/src/watchdog.rs
+++ b/gateway/src/watchdog.rs
@@ -4,7 +4,6 @@
 //! arrived, the rest of the request header must arrive within the header timeout.
 
 use std::{
-    io,
     pin::Pin,
     sync::{Arc, Mutex},
     task::{Context, Poll},
@@ -14,12 +13,14 @@
 use fuchsiaknot_core::verdict::Reason;
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
     sync::Notify,
     time::{Instant, sleep_until, timeout},
 };
 
-use crate::http_server::Limits;
+use crate::{
+    http_server::Limits,
+    tapped_stream::{Tap, TappedStream},
+};
 
 /// Time after the port has closed within which a connection that is new, or has sent a part of a
 /// request head, must send the rest.
@@ -119,66 +120,13 @@
 }
 
 /// Stream of a caller's connection that reports received bytes to its watchdog.
-#[derive(Debug)]
-pub struct WatchedStream<S> {
-    stream: S,
-    watchdog: Arc<Watchdog>,
-}
+pub type WatchedStream<S> = TappedStream<S, Arc<Watchdog>>;
 
-impl<S> WatchedStream<S> {
-    /// Wraps the stream of a connection.
-    pub fn new(stream: S, watchdog: Arc<Watchdog>) -> WatchedStream<S> {
-        WatchedStream { stream, watchdog }
-    }
-
-    /// Returns the wrapped stream.
-    pub fn into_stream(self) -> S {
-        self.stream
-    }
-}
-
-impl<S: AsyncRead + Unpin> AsyncRead for WatchedStream<S> {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if before < buf.filled().len() {
-            self.watchdog.record_received_bytes();
+impl Tap for Arc<Watchdog> {
+    fn record_read(&self, bytes: usize) {
+        if 0 < bytes {
+            self.record_received_bytes();
         }
-        polled
-    }
-}
-
-impl<S: AsyncWrite + Unpin> AsyncWrite for WatchedStream<S> {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
     }
 }
 
