--- a/gateway/src/rate_limit.rs
+++ b/gateway/src/rate_limit.rs
@@ -85,7 +85,7 @@
     }
 }
 
-/// What a target said about its limit, as hosts tell each other.
+/// A target's latest limit, as hosts report it to each other.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Report {
     /// The target.
--- a/gateway/src/retry_budget.rs
+++ b/gateway/src/retry_budget.rs
@@ -1,7 +1,7 @@
 //! Retry budget of a service in a sliding window.
 //!
-//! The bound holds for all hosts together, whenever they restart and whoever they hear from. To need
-//! no coordination, each host limits itself to the ratio of its own requests plus an equal share of
+//! The bound holds for all hosts together, also while hosts restart or are partitioned. To need no
+//! coordination, each host limits itself to the ratio of its own requests plus an equal share of
 //! the slack. Its earlier run may have spent that share already, so a process has no slack in the
 //! first window of its life.
 
--- a/gateway/src/tapped_stream.rs
+++ b/gateway/src/tapped_stream.rs
@@ -22,7 +22,7 @@
     fn record_read(&self, bytes: usize);
 }
 
-/// Stream that tells its tap of each read.
+/// Stream that reports each read to its tap.
 #[derive(Debug)]
 pub struct TappedStream<S, T> {
     stream: S,
--- a/gateway/tests/membership.rs
+++ b/gateway/tests/membership.rs
@@ -190,7 +190,7 @@
     assert!(sent < COUNT * COUNT * (STATE_CHANGES + 3), "{sent} datagrams");
 }
 
-/// A host that heard from no other shared a bound with none, and took all of it.
+/// A partitioned host received no heartbeats, divided the budget by one and took all of it.
 #[test]
 fn silent_hosts_share() {
     let mut members = two_hosts();
--- a/gateway/tests/rate_limit.rs
+++ b/gateway/tests/rate_limit.rs
@@ -203,9 +203,9 @@
 /// Hosts learn of a limit and of its end from each other; an earlier response changes nothing.
 #[test]
 fn reports() {
-    let (mut told, mut other, key) = (Tracker::default(), Tracker::default(), keys(1)[0]);
-    assert!(told.observe(key, &run(), Some(limit(2.0)), ms(1000)));
-    assert_eq!(told.recent_reports(ms(1300)), [report(Some(2.0), ms(300))]);
+    let (mut observer, mut other, key) = (Tracker::default(), Tracker::default(), keys(1)[0]);
+    assert!(observer.observe(key, &run(), Some(limit(2.0)), ms(1000)));
+    assert_eq!(observer.recent_reports(ms(1300)), [report(Some(2.0), ms(300))]);
     assert_eq!(other.apply(key, &report(Some(2.0), ms(300)), ms(5300)), Ok(true));
     assert_eq!(other.limit(key), Some(limit(2.0)));
     assert_eq!(other.recent_reports(ms(5300)), []);
@@ -214,7 +214,7 @@
     assert_eq!(other.apply(key, &report(None, ms(100)), ms(5600)), Ok(true));
     assert_eq!(other.limit(key), None);
     assert_eq!(other.apply(key, &report(Some(f64::NAN), ms(0)), ms(5700)), Err(InvalidLimit));
-    assert_eq!(told.recent_reports(ms(9000)), []);
+    assert_eq!(observer.recent_reports(ms(9000)), []);
 }
 
 /// A host without a share sends a probe now and then, so that it learns of the end of the limit when
