fix(poison): an answer ends the suspicion of a request

What callers saw: a sound request that many callers send alike was refused by all hosts for a minute, with 503, after it had broken off at three targets within a minute.

Cause: the detector counted interrupted runs and nothing took them back, although an answer shows that the request does not crash each target that runs it. Prompt parts have had such clearing from the start.

Change: a complete, successful answer removes the request's interrupted runs, and the hosts are told when there were any (RequestCleared, at most one datagram to each host for each broken run). The fingerprint is computed once a request instead of at each use.

--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -46,7 +46,7 @@
     let mut disconnect_guard = DisconnectGuard::new(&context, &id);
     let job = Rc::new(job);
     let forwarder = Forwarder::new(&context, &job);
-    let response = if context.state().poison.is_refused(job.fingerprint(), clock::now()) {
+    let response = if context.state().poison.is_refused(job.fingerprint, clock::now()) {
         forwarder.give_up(Reason::CrashesTargets)
     } else {
         forwarder.run().await
--- a/gateway/src/job.rs
+++ b/gateway/src/job.rs
@@ -64,6 +64,8 @@
     pub configuration_version: id::Version,
     /// Prompt description from the headers.
     pub prompt: Prompt,
+    /// Hash of path, query and body, equal for all of the caller's attempts at the same request.
+    pub fingerprint: id::Fingerprint,
     /// Fingerprints of the prompt's shared parts, in order.
     pub parts: Vec<id::Fingerprint>,
     /// Arrival time of the request head.
@@ -127,6 +129,8 @@
             headers.remove(name);
         }
         headers.remove(header::EXPECT);
+        let mut hasher = std::hash::DefaultHasher::new();
+        (parts.uri.path(), parts.uri.query(), &body).hash(&mut hasher);
         Ok(Job {
             id,
             route,
@@ -134,6 +138,7 @@
             on_engines,
             configuration_version: configuration.version,
             prompt,
+            fingerprint: hasher.finish(),
             parts: part_fingerprints,
             arrived,
             caller_timeout,
@@ -176,14 +181,6 @@
         (resumable && !self.attempts_exhausted()).then_some(silence)
     }
 
-    /// Returns a hash of path, query and body, equal for all of the caller's attempts at the same
-    /// request.
-    pub fn fingerprint(&self) -> id::Fingerprint {
-        let mut hasher = std::hash::DefaultHasher::new();
-        (self.uri.path(), self.uri.query(), &self.body).hash(&mut hasher);
-        hasher.finish()
-    }
-
     /// Records that a call is written to a target; returns whether it is beyond the request's first.
     pub fn record_call(&self, call: Call) -> bool {
         if call == Call::Run {
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -64,6 +64,8 @@
     PartsBlocked(id::Host, Vec<Block>),
     /// The sender learned from a response that a target is leaving.
     TargetLeaving(Departure),
+    /// The sender has seen a suspected request answered.
+    RequestCleared(id::Fingerprint),
 }
 
 /// Returns the current heartbeat of this host.
@@ -333,6 +335,9 @@
         Packet::CrashSuspected(request, parts, target) => {
             poison_reports::handle_crash(context, request, &parts, &target)
         }
+        Packet::RequestCleared(request) => {
+            context.state_mut().poison.record_answer(request);
+        }
         Packet::PartsCleared(parts) => poison_reports::handle_clearing(context, &parts),
         Packet::PartsBlocked(host, blocks) => {
             poison_reports::handle_report(context, &host, &blocks)
--- a/gateway/src/poison.rs
+++ b/gateway/src/poison.rs
@@ -1,7 +1,8 @@
 //! Detects poison requests: requests that crash each target that runs them.
 //!
 //! The caller of such a request may retry it at any host. The hosts inform each other of every
-//! interrupted run, and all refuse a request that was interrupted at several targets.
+//! interrupted run, and all refuse a request that was interrupted at several targets since a target
+//! last answered it.
 
 use std::{collections::HashMap, time::Duration};
 
@@ -39,6 +40,12 @@
         runs.push((target, now));
     }
 
+    /// Records that a target answered a request, which is therefore no poison; returns whether
+    /// interrupted runs counted against it.
+    pub fn record_answer(&mut self, request: id::Fingerprint) -> bool {
+        self.interrupted_runs.remove(&request).is_some()
+    }
+
     /// Returns whether a request is refused as poison.
     pub fn is_refused(&self, request: id::Fingerprint, now: Moment) -> bool {
         let runs = self.interrupted_runs.get(&request).map_or(&[][..], Vec::as_slice);
--- a/gateway/src/poison_reports.rs
+++ b/gateway/src/poison_reports.rs
@@ -1,5 +1,5 @@
-//! Reports runs that targets broke off, and answers to suspected parts, to the other hosts, and
-//! applies their reports.
+//! Reports runs that targets broke off, and answers to suspected requests and parts, to the other
+//! hosts, and applies their reports.
 
 use std::{rc::Rc, time::Duration};
 
@@ -54,12 +54,25 @@
         let now = clock::now();
         let first_event_at = *self.first_event_at.get_or_insert(now);
         if !self.is_sound && first_event_at + SOUND_TIME <= now {
-            self.record_answer();
+            self.record_sound_parts();
         }
     }
 
-    /// Records that the job's parts are harmless, and informs all hosts if they were suspected.
+    /// Records a complete answer, and informs all hosts if the request or its parts were suspected.
+    ///
+    /// The first events of a stream clear its parts only: the request may still crash its targets
+    /// later on.
     pub(crate) fn record_answer(&mut self) {
+        self.record_sound_parts();
+        let request = self.job.fingerprint;
+        let was_suspected = self.context.state_mut().poison.record_answer(request);
+        if was_suspected {
+            peers::send_to_all(&self.context, &Packet::RequestCleared(request));
+        }
+    }
+
+    /// Records that the job's parts are harmless, and informs all hosts if they were suspected.
+    fn record_sound_parts(&mut self) {
         self.is_sound = true;
         let (context, now) = (&self.context, clock::now());
         let mut state = context.state_mut();
@@ -110,7 +123,7 @@
     key: Key,
 ) -> Option<(id::Fingerprint, Run)> {
     let target = context.state().registry.get(key).map(Run::from)?;
-    let (request, now) = (job.fingerprint(), clock::now());
+    let (request, now) = (job.fingerprint, clock::now());
     let mut state = context.state_mut();
     state.poison_parts.record_break(request, &target, now);
     state.poison.record_interrupted_run(request, target.clone(), now);
--- a/gateway/tests/poison.rs
+++ b/gateway/tests/poison.rs
@@ -49,3 +49,15 @@
     detector.record_interrupted_run(7, "d".into(), ms(60_001));
     assert!(!detector.is_refused(7, ms(60_002)));
 }
+
+/// A request that targets answer in between was refused after three interrupted runs.
+#[test]
+fn answered_request() {
+    let mut detector = Detector::default();
+    for (at, target) in ["a", "b", "c", "d"].iter().enumerate() {
+        detector.record_interrupted_run(7, (*target).into(), ms(2 * at as u64));
+        assert!(detector.record_answer(7));
+        assert!(!detector.is_refused(7, ms(2 * at as u64 + 1)));
+    }
+    assert!(!detector.record_answer(7), "reported twice");
+}
