test(drain): hosts that have not confirmed a drain are not shown, failing

Seen by reading, on the trail of announced_drain_cuts_none: that test takes an engine for drained once it is idle, though one host may not know of the drain yet. docs/operators.md says that `fleet show` lists the hosts that have not said that they have nothing there, but the daemon always answers with an empty list, so neither the test nor an operator can tell.

Measured: with one of three hosts paused, unconfirmed_drain_shown waits for that host's name until its limit of 60 s.

--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -15,7 +15,7 @@
     wait_until,
 };
 use fuchsiaknot::{
-    operate::wire::{Edit, EditOutcome},
+    operate::wire::{Drain, Edit, EditOutcome},
     standin::platform::{Faults, Stats},
 };
 
@@ -259,6 +259,34 @@
     println!("one edit per second: {}", rates(&fleet, SECONDS, change));
 }
 
+/// Returns the drain of a target as a host shows it.
+fn drain_shown(fleet: &Fleet, host: usize, target: &str) -> Option<Drain> {
+    let groups = fleet.client(host).fleet().unwrap().groups;
+    groups.into_iter().flat_map(|it| it.drains).find(|it| it.target == target)
+}
+
+/// Returns the index of the host that holds the first group.
+fn holder_of(fleet: &Fleet) -> usize {
+    let holder = fleet.client(0).fleet().unwrap().groups[0].holder.clone().unwrap();
+    fleet.hosts.iter().position(|it| it.name == holder).unwrap()
+}
+
+/// Operators could not see which hosts had not confirmed a drain: the list was always empty.
+#[test]
+fn unconfirmed_drain_shown() {
+    let fleet = Fleet::start(3, 1);
+    let holder = holder_of(&fleet);
+    let paused = (holder + 1) % 3;
+    fleet.hosts[paused].process.pause();
+    assert!(fleet.operate(holder, &["drain", "engine-0"], "").status.success());
+    let waits_for = |hosts: &[&str]| {
+        drain_shown(&fleet, holder, "engine-0").is_some_and(|it| it.waiting == hosts)
+    };
+    wait_until("only the paused host is waited for", || waits_for(&[&fleet.hosts[paused].name]));
+    fleet.hosts[paused].process.resume();
+    wait_until("no host is waited for", || waits_for(&[]));
+}
+
 #[test]
 fn announced_drain_cuts_none() {
     let fleet = Fleet::start(3, 2);
