fix(drain): show the hosts that have not confirmed a drain, and its end

What operators saw: `fleet show` never named a host that a drain waits for, though docs/operators.md says so, and the page told them to stop a target once nothing runs there, which a host that has not seen the drain can change at any moment.

Cause: the daemon filled the list with nothing; only the holder of the group knows it, and its view did not contain it.

Change: the holder's view has the unconfirmed hosts until the bound after which they send nothing, and whether the drain is complete; the table and the page print both, and the operators' page names the sign to wait for. On the other hosts the list stays empty.

--- a/src/authority/answers.rs
+++ b/src/authority/answers.rs
@@ -78,16 +78,13 @@
             let empty = Group::default();
             let group = group_state.group().unwrap_or(&empty);
             let record = group_state.lease.record();
-            let is_complete = |target: &str| {
-                group_state.controller.as_ref().is_some_and(|it| it.is_drained(target, now))
-            };
             GroupView {
                 group: name.clone(),
                 holder: record.and_then(|it| it.owner.as_ref()).map(|it| it.host.clone()),
                 epoch: record.map_or(0, |it| it.epoch),
                 held_here: group_state.lease.held_epoch(now).is_some(),
                 revision: group.revision,
-                drains: view::drains(group, is_complete),
+                drains: view::drains(group, group_state.controller.as_ref(), now),
                 orders: view::orders(group),
             }
         });
--- a/src/authority/view.rs
+++ b/src/authority/view.rs
@@ -3,7 +3,12 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 
-use crate::{drain, id, order::Group, target::Action};
+use crate::{
+    clock::Moment,
+    drain, id,
+    order::{Controller, Group},
+    target::Action,
+};
 
 /// State of all groups, according to the rows that this host last read.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize)]
@@ -40,6 +45,8 @@
     pub purpose: &'static str,
     /// Whether this host is the holder and knows that nothing runs at the target any more.
     pub complete: bool,
+    /// Hosts whose requests may still arrive at the target; empty unless this host is the holder.
+    pub waiting: Vec<id::Host>,
 }
 
 impl DrainView {
@@ -65,13 +72,18 @@
     pub released: bool,
 }
 
-/// Returns the drains of a group; `is_complete` tells whether that of a target is complete.
-pub(super) fn drains(group: &Group, is_complete: impl Fn(&str) -> bool) -> Vec<DrainView> {
+/// Returns the drains of a group; `controller` is the one of the holder, if this host is it.
+pub(super) fn drains(
+    group: &Group,
+    controller: Option<&Controller>,
+    now: Moment,
+) -> Vec<DrainView> {
     let drains = group.targets.iter().filter_map(|(target, it)| Some((target, it.drain.as_ref()?)));
     let view = |(target, drain): (&id::Target, &drain::Drain)| DrainView {
         target: target.clone(),
         purpose: purpose_name(drain.purpose),
-        complete: is_complete(target),
+        complete: controller.is_some_and(|it| it.is_drained(target, now)),
+        waiting: controller.map_or_else(Vec::new, |it| it.unconfirmed_hosts(target, now)),
     };
     drains.map(view).collect()
 }
--- a/src/command/fleet.rs
+++ b/src/command/fleet.rs
@@ -74,7 +74,7 @@
 
 fn group_row(it: &Group) -> Vec<String> {
     let pending = it.pending.iter().map(|it| format!("{} {}", it.target, it.action));
-    let drains = it.drains.iter().map(|it| format!("{} ({})", it.target, it.purpose));
+    let drains = it.drains.iter().map(ToString::to_string);
     vec![
         it.group.to_string(),
         it.holder.as_deref().unwrap_or("none").to_owned(),
--- a/src/daemon/operate.rs
+++ b/src/daemon/operate.rs
@@ -94,7 +94,8 @@
         let drain = |it: DrainView| Drain {
             target: it.target,
             purpose: SmolStr::new_static(it.purpose),
-            waiting: Vec::new(),
+            complete: it.complete,
+            waiting: it.waiting,
         };
         Group {
             group: it.group,
--- a/src/operate/page.rs
+++ b/src/operate/page.rs
@@ -28,7 +28,7 @@
             it.holder.as_deref().unwrap_or("none").to_owned(),
             it.epoch.to_string(),
             comma_separated(it.pending.iter().map(|it| format!("{} {}", it.target, it.action))),
-            comma_separated(it.drains.iter().map(|it| format!("{} ({})", it.target, it.purpose))),
+            comma_separated(it.drains.iter().map(ToString::to_string)),
             comma_separated(it.held_back.iter().map(ToString::to_string)),
         ]
     });
--- a/src/operate/wire.rs
+++ b/src/operate/wire.rs
@@ -1,6 +1,6 @@
 //! JSON request and response bodies of the operators' interface.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, fmt};
 
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -248,10 +248,28 @@
     pub target: id::Target,
     /// Reason for the drain: `order`, `announced` or `withdrawn`.
     pub purpose: SmolStr,
-    /// Hosts that have not yet confirmed that they have no request on the target.
+    /// Whether no request runs at the target or can still arrive. Only the holder of the group
+    /// knows; `false` on other hosts.
+    #[serde(default)]
+    pub complete: bool,
+    /// Hosts that have not yet confirmed that they have no request on the target. Only the holder of
+    /// the group knows; empty on other hosts.
     pub waiting: Vec<id::Host>,
 }
 
+impl fmt::Display for Drain {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Drain { target, purpose, complete, waiting } = self;
+        write!(formatter, "{target} ({purpose}")?;
+        if *complete {
+            formatter.write_str(", complete")?;
+        } else if !waiting.is_empty() {
+            write!(formatter, ", waits for {}", waiting.join(" "))?;
+        }
+        formatter.write_str(")")
+    }
+}
+
 /// A target as the answering host sees it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Target {
--- a/src/order/controller.rs
+++ b/src/order/controller.rs
@@ -231,6 +231,14 @@
         self.trackers.get(target).is_some_and(|it| self.is_drain_complete(it, now))
     }
 
+    /// Returns the hosts whose requests may still arrive at a drained target, since they have
+    /// neither confirmed the drain nor passed the bound after which they send nothing there.
+    pub fn unconfirmed_hosts(&self, target: &str, now: Moment) -> Vec<id::Host> {
+        let barrier = self.trackers.get(target).and_then(|it| it.barrier.as_ref());
+        let barrier = barrier.filter(|it| it.passed_at(now, &self.config.drain).is_none());
+        barrier.map_or_else(Vec::new, |it| it.pending_hosts().cloned().collect())
+    }
+
     /// Returns the steps to take now; `hosts` are the entry hosts in the host list, and `token` is
     /// stored in a new write.
     ///
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -285,6 +285,9 @@
     wait_until("only the paused host is waited for", || waits_for(&[&fleet.hosts[paused].name]));
     fleet.hosts[paused].process.resume();
     wait_until("no host is waited for", || waits_for(&[]));
+    wait_until("the drain is complete", || {
+        drain_shown(&fleet, holder, "engine-0").is_some_and(|it| it.complete)
+    });
 }
 
 #[test]
@@ -307,10 +310,11 @@
     };
     wait_until("the engine is drained and idle", || engine() == (true, 0));
     let knowing: Vec<bool> = (0..3).map(drained_on).collect();
+    let drain = drain_shown(&fleet, holder_of(&fleet), "engine-0");
     for _ in 0..4 {
         let before = callers.whole();
         wait_until("the other engine answers", || before + 8 <= callers.whole());
-        assert_eq!(engine(), (true, 0), "hosts that knew of the drain: {knowing:?}");
+        assert_eq!(engine(), (true, 0), "hosts that knew of the drain: {knowing:?}; {drain:?}");
     }
     assert!(fleet.operate(2, &["drain", "engine-0", "--end"], "").status.success());
     wait_until("the engine gets requests again", || !engine().0 && 0 < engine().1);
