feat(refusal): hosts report refused connections to the dispatcher

Cause: the dispatcher places the prompts of all hosts by its own health checks, and the request of a host names only the engines to avoid for that request.

Change: a host reports a refused connection to the dispatcher with one datagram. When two hosts report the same run of an engine within a second, the dispatcher places nothing on it for 0.5 s, unless no other engine is left. One host alone does not decide, since its route may lead elsewhere. Requests that are placed without the dispatcher, and plain services, go by the host's own attempts as before. Event 8058, notice "refused" in fuchsiaknot_target_notices_total.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -184,6 +184,9 @@
         return Err(Failure::Unavailable);
     }
     let connected = context.pool.connect(key, target.address).await;
+    if connected.as_ref().is_err_and(RequestError::is_refused) {
+        dispatcher::report_refusal(context, &target);
+    }
     let mut connection = connected.map_err(|err| Failure::NotSent(err.to_string()))?;
     if !may_send() {
         return Err(Failure::Unavailable);
--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -22,7 +22,7 @@
     logging::Log,
     membership::{Host, Membership},
     metrics::Metrics,
-    notice, poison, poison_part, prefix_cache, rate_limit,
+    notice, poison, poison_part, prefix_cache, rate_limit, refusal,
     registry::{Event, Key, Registry},
     retry_budget::{self, Budget, Usage},
     slowness,
@@ -134,6 +134,8 @@
     pub availability: availability::Tracker,
     /// Rate limits that targets have named.
     pub rate_limits: rate_limit::Tracker,
+    /// Reports of connections that targets refused, while this host is the dispatcher.
+    pub refusals: refusal::Tracker,
     /// Prompt prefixes in the engines' caches.
     pub prefix_cache: prefix_cache::Index,
     /// The other hosts.
@@ -230,6 +232,7 @@
             health: Health::default(),
             availability: availability::Tracker::default(),
             rate_limits: rate_limit::Tracker::default(),
+            refusals: refusal::Tracker::default(),
             prefix_cache: prefix_cache::Index::default(),
             membership: Membership::new(settings.host.clone()),
             retry_budgets: HashMap::new(),
@@ -417,6 +420,7 @@
                     state.slowness.forget(key);
                     state.availability.forget(key, &id, clock::now());
                     state.rate_limits.forget(key);
+                    state.refusals.forget(key);
                     tracing::info!(code = 8003, target = %id, "target gone");
                 }
             }
--- a/gateway/src/dispatcher.rs
+++ b/gateway/src/dispatcher.rs
@@ -16,8 +16,10 @@
     dispatch::{DecidedRequest, Decision, Fleet, Placement, Queue, Reply, Request, RequestNumber},
     engine::{Choice, Estimate},
     peers::{self, Packet},
+    refusal,
+    registry::Key,
     selection,
-    target::Stage,
+    target::{Run, Stage, Target},
 };
 
 /// Time for the dispatcher's first reply; a round trip takes a few milliseconds.
@@ -178,6 +180,36 @@
     }
 }
 
+/// Reports to the dispatcher that an engine refused a connection.
+pub fn report_refusal(context: &Context, target: &Target) {
+    if target.stage.is_none() {
+        return;
+    }
+    let (name, run) = (context.settings.host.name.clone(), Run::from(target));
+    let dispatcher = context.state().membership.dispatcher().clone();
+    if dispatcher == name {
+        handle_refusal(context, &name, &run);
+    } else {
+        peers::send(context, &dispatcher, &Packet::ConnectionRefused(name, run));
+    }
+}
+
+/// Handles a host's report that an engine refused a connection, as the dispatcher.
+pub fn handle_refusal(context: &Context, host: &id::Host, run: &Run) {
+    let now = clock::now();
+    let mut state = context.state_mut();
+    let key = state.registry.usable_key(&run.target);
+    let is_same_run = |key: &Key| state.registry.get(*key).is_some_and(|it| Run::from(it) == *run);
+    let Some(key) = key.filter(is_same_run) else { return };
+    if !state.refusals.record(key, host, now) {
+        return;
+    }
+    state.health.pause(key, now + refusal::PAUSE);
+    drop(state);
+    context.metrics.target_notices.with_label_values(&["refused"]).inc();
+    tracing::info!(code = 8058, target = %run.target, "target refuses connections of several hosts; placing nothing on it for a moment");
+}
+
 /// Passes a dispatcher's reply to the pending request; a grant that nobody takes is acknowledged at
 /// once.
 pub fn handle_reply(context: &Context, dispatcher: id::Host, number: RequestNumber, reply: Reply) {
--- a/gateway/src/health.rs
+++ b/gateway/src/health.rs
@@ -60,6 +60,14 @@
         pause
     }
 
+    /// Pauses a target on the word of other hosts; its failure rate is that of this host's requests.
+    pub fn pause(&mut self, key: Key, until: Moment) {
+        if let Some(entry) = self.states.entry(key) {
+            let state = entry.or_default();
+            state.paused_until = state.paused_until.max(until);
+        }
+    }
+
     /// Returns whether a target should get no requests for now.
     pub fn is_paused(&self, key: Key, now: Moment) -> bool {
         self.states.get(key).is_some_and(|it| now < it.paused_until)
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -3,7 +3,7 @@
 //! Everything runs on one thread. The modules that decide (`availability`, `balancer`,
 //! `body_memory`, `calls`, `configuration`, `deadline`, `dispatch`, `election`, `engine`,
 //! `event_stream`, `health`, `load`, `membership`, `poison`, `poison_part`, `prefix_cache`,
-//! `rate_limit`, `registry`, `retry_after`, `retry_budget`, `shortlist`, `slowness`, `watch`) do no
+//! `rate_limit`, `refusal`, `registry`, `retry_after`, `retry_budget`, `shortlist`, `slowness`, `watch`) do no
 //! I/O and read no clock; `dispatcher`, `forward`, `http_server`, `notice`, `peers`,
 //! `poison_reports`, `reservation`, `store_sync`, `stream_relay` and `upstream` call them. A
 //! deployment's platform supplies its names and formats through [`store::Store`],
@@ -42,6 +42,7 @@
 pub mod prefix_cache;
 pub mod prompt;
 pub mod rate_limit;
+pub mod refusal;
 pub mod registry;
 pub mod reservation;
 pub mod response;
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -66,6 +66,8 @@
     TargetLeaving(Departure),
     /// The sender has seen a suspected request answered.
     RequestCleared(id::Fingerprint),
+    /// A target refused a connection of this host; sent to the dispatcher.
+    ConnectionRefused(id::Host, Run),
 }
 
 /// Returns the current heartbeat of this host.
@@ -326,6 +328,7 @@
             state.poison.record_interrupted_run(request, target, now);
         }
         Packet::TargetLeaving(departure) => notice::handle_departure(context, departure),
+        Packet::ConnectionRefused(host, run) => dispatcher::handle_refusal(context, &host, &run),
         Packet::DispatchRequest(host, request) => {
             dispatcher::handle_request(context, host, request)
         }
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -60,6 +60,13 @@
     Broken(hyper::Error),
 }
 
+impl RequestError {
+    /// Returns whether nothing listens at the target's address.
+    pub fn is_refused(&self) -> bool {
+        matches!(self, RequestError::Connect(err) if err.kind() == io::ErrorKind::ConnectionRefused)
+    }
+}
+
 /// Bytes that may still be read from a connection; clones share them.
 ///
 /// The client library skips any number of interim heads, so the size of its buffer alone does not
