fix(job): bound the memory of all callers' bodies together

What callers saw: nothing yet; a host that runs out of memory is ended with all its requests.

Cause: read_body kept each body within the configured size, and nothing counted them together. The body of a request refused before it has a route was collected whole as well, only to be dropped.

Change: the bodies of open requests share 32 MB beyond 64 KB each, with the accounting that responses have had, apart from theirs. A request that finds no room gets 503 out-of-memory with a time to come back, and the rest of its body is read and dropped without being kept.

--- a/core/src/verdict.rs
+++ b/core/src/verdict.rs
@@ -89,6 +89,8 @@
     BodyTimeout = ("body-timeout", 408, NotRun);
     /// The request body is larger than allowed. Nothing was sent.
     BodyTooLarge = ("body-too-large", 413, NotRun);
+    /// The bodies of all open requests take the memory set aside for them. Nothing was sent.
+    OutOfMemory = ("out-of-memory", 503, NotRun);
     /// The caller's connection was idle for too long. No request was open on the connection.
     IdleTimeout = ("idle-timeout", 408, NotRun);
     /// The host is shutting down. Checked before admission.
--- a/gateway/src/body_memory.rs
+++ b/gateway/src/body_memory.rs
@@ -1,4 +1,4 @@
-//! Memory for the bodies of targets' responses that are read whole.
+//! Memory for the bodies of requests and responses that are read whole.
 //!
 //! Each body may have a few bytes at any time. What is beyond that is shared by all bodies, so that
 //! many large ones at once, or ones without end, don't take more memory than the host has.
@@ -9,9 +9,9 @@
 const FREE_BYTES: usize = 64 * 1024;
 /// Bytes of all bodies together beyond those.
 const SHARED_BYTES: usize = 32 * 1024 * 1024;
-/// Largest body.
+/// Largest body of a response.
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
-/// Most chunks of a body; chunks of a few bytes each take more processor time than they are worth.
+/// Most chunks of a response; chunks of a few bytes each take more processor time than they are worth.
 const MAX_CHUNKS: usize = 32 * 1024;
 
 /// Why a body is not read any further.
@@ -24,7 +24,7 @@
     #[error("the response has too many chunks")]
     Chunks,
     /// All bodies together are too large.
-    #[error("the responses in memory are too large")]
+    #[error("the bodies in memory are too large")]
     Shared,
 }
 
@@ -53,19 +53,27 @@
 }
 
 impl Share {
-    /// Takes memory for another chunk.
+    /// Takes memory for another chunk of a response.
     ///
     /// # Errors
     /// Fails when the body, or all of them together, would become too large.
     pub fn take(&mut self, bytes: usize) -> Result<(), Exceeded> {
         self.chunks += 1;
-        self.bytes += bytes;
-        if MAX_BODY_BYTES < self.bytes {
+        if MAX_BODY_BYTES < self.bytes + bytes {
             return Err(Exceeded::Body);
         }
         if MAX_CHUNKS < self.chunks {
             return Err(Exceeded::Chunks);
         }
+        self.take_shared(bytes)
+    }
+
+    /// Takes memory for more bytes of a body whose own size is bounded elsewhere.
+    ///
+    /// # Errors
+    /// Fails when all bodies together would become too large.
+    pub fn take_shared(&mut self, bytes: usize) -> Result<(), Exceeded> {
+        self.bytes += bytes;
         let shared = self.bytes.saturating_sub(FREE_BYTES);
         let used = self.used.get() - self.shared + shared;
         if SHARED_BYTES < used {
--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -80,6 +80,9 @@
     pub pool: Pool,
     /// Memory for response bodies that are read whole.
     pub body_memory: body_memory::Memory,
+    /// Memory for the bodies of callers' requests, apart from that of the responses, so that neither
+    /// takes all of it.
+    pub request_memory: body_memory::Memory,
     /// Log writer, for its count of dropped lines.
     pub log: Option<Log>,
     /// Notified when the shutdown starts.
@@ -251,6 +254,7 @@
             metrics,
             pool,
             body_memory: body_memory::Memory::default(),
+            request_memory: body_memory::Memory::default(),
             log,
             dispatcher: Dispatcher::default(),
             work_changed: Notify::new(),
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -28,6 +28,8 @@
 const STREAM_CHANNEL_CAPACITY: usize = 16;
 /// Retry delay sent to callers of a host that has no configuration yet.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Retry delay sent to callers whose body had no room; another host is likely to have some.
+const OUT_OF_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Maximum number of attempts whose request could not be sent, after which no further target is
 /// tried.
 const MAX_FAILED_CONNECTS: u32 = 4;
@@ -84,7 +86,11 @@
         "request refused before it had a route"
     );
     let status = StatusCode::from_u16(reason.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    let retry_after = (reason == Reason::NotReady).then_some(NOT_READY_RETRY_AFTER);
+    let retry_after = match reason {
+        Reason::NotReady => Some(NOT_READY_RETRY_AFTER),
+        Reason::OutOfMemory => Some(OUT_OF_MEMORY_RETRY_AFTER),
+        _ => None,
+    };
     response::local(status, reason.code(), retry_after)
 }
 
--- a/gateway/src/job.rs
+++ b/gateway/src/job.rs
@@ -8,10 +8,10 @@
 };
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::{
     HeaderMap, Method, Request, Uri,
-    body::{Body as _, Incoming},
+    body::Incoming,
     header::{self, HeaderValue},
 };
 use smol_str::SmolStr;
@@ -19,6 +19,7 @@
 
 use crate::{
     attempt::Options,
+    body_memory,
     calls::{Call, Ledger},
     configuration::{Configuration, RequestKind, Route},
     context::{Context, OpenRequest},
@@ -92,6 +93,7 @@
     uri: Uri,
     headers: HeaderMap,
     body: Bytes,
+    _memory: body_memory::Share,
     _open: OpenRequest,
 }
 
@@ -123,7 +125,9 @@
         let prompt = Prompt::read(&parts.headers, names);
         let part_fingerprints = fingerprints(&service, &prompt);
         let time_left = expires_at.saturating_sub(clock::now());
-        let body = read_body(body, configuration.limits.max_body_bytes, time_left).await?;
+        let max_bytes = configuration.limits.max_body_bytes;
+        let mut memory = context.request_memory.share();
+        let body = read_body(body, max_bytes, time_left, &mut memory).await?;
         let mut headers = end_to_end(&parts.headers);
         for name in &names.reserved {
             headers.remove(name);
@@ -154,6 +158,7 @@
             uri: parts.uri,
             headers,
             body,
+            _memory: memory,
             _open: open,
         })
     }
@@ -294,24 +299,44 @@
     headers.get(name)?.to_str().ok()
 }
 
-async fn read_body(body: Incoming, max_bytes: usize, time_left: Duration) -> Result<Bytes, Reason> {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    let read = timeout(time_left, Limited::new(body, max_bytes).collect()).await;
-    let collected = read.map_err(|_| Reason::BodyTimeout)?;
-    collected.map(http_body_util::Collected::to_bytes).map_err(|err| {
-        match err.is::<http_body_util::LengthLimitError>() {
-            true => Reason::BodyTooLarge,
-            false => Reason::BadRequest,
+/// Reads the body of a request whole, within the memory that all bodies share.
+async fn read_body(
+    mut body: Incoming,
+    max_bytes: usize,
+    time_left: Duration,
+    memory: &mut body_memory::Share,
+) -> Result<Bytes, Reason> {
+    let mut bytes = Vec::new();
+    let read = async {
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_| Reason::BadRequest)?;
+            let Ok(chunk) = frame.into_data() else { continue };
+            if max_bytes < bytes.len() + chunk.len() {
+                return Err(Reason::BodyTooLarge);
+            }
+            memory.take_shared(chunk.len()).map_err(|_| Reason::OutOfMemory)?;
+            bytes.extend_from_slice(&chunk);
         }
-    })
+        Ok(())
+    };
+    let outcome = timeout(time_left, read).await.unwrap_or(Err(Reason::BodyTimeout));
+    if outcome == Err(Reason::OutOfMemory) {
+        tokio::task::spawn_local(discard_body(body, max_bytes));
+    }
+    outcome.map(|()| Bytes::from(bytes))
 }
 
 /// Reads and drops the body of a refused request, since a connection that closes with unread bytes is
 /// reset and its caller may not see the response.
-async fn discard_body(body: Incoming, max_bytes: usize) {
-    let read = Limited::new(body, max_bytes).collect();
+async fn discard_body(mut body: Incoming, max_bytes: usize) {
+    let read = async {
+        let mut left = max_bytes;
+        while let Some(Ok(frame)) = body.frame().await {
+            let length = frame.data_ref().map_or(0, Bytes::len);
+            let Some(rest) = left.checked_sub(length) else { return };
+            left = rest;
+        }
+    };
     if timeout(DISCARD_TIMEOUT, read).await.is_err() {
         tracing::debug!("the body of a refused request did not arrive in time");
     }
