feat(target): read and log the software version of targets

The logs could not show whether a stream went on at another software version, since nothing read the version that targets announce. It is read, and named when a target is added (8001), a stream goes on (8031) and a request is answered (8015). Nothing decides by it.

The datagram with target changes has a new number, as its layout changes: hosts of earlier builds reject it rather than misread it, and the notices behind a heartbeat are decoded only there.

--- a/core/src/id.rs
+++ b/core/src/id.rs
@@ -18,6 +18,10 @@
 pub type Plan = SmolStr;
 /// Name of a customer account.
 pub type Customer = SmolStr;
+/// Version of the software that a target runs; versions have no order.
+pub type SoftwareVersion = SmolStr;
+/// Identifier of a stream: that of the caller's request which got its first event.
+pub type Stream = SmolStr;
 /// Random number drawn when a process starts; distinguishes restarts of the same host or target.
 pub type Incarnation = u64;
 /// Fencing token of a lease; increases with each acquisition, also by the same host after an
--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -399,13 +399,19 @@
         operation(budget, hosts, now)
     }
 
+    /// Returns the software version of a target, if it announces one.
+    pub fn software_version(&self, key: Key) -> Option<id::SoftwareVersion> {
+        self.state().registry.get(key)?.software_version.clone()
+    }
+
     /// Logs changes of targets, closes idle connections to draining and removed targets, and drops
     /// the state of removed ones.
     pub fn record_target_events(&self, events: Vec<Event>) {
         for event in events {
             match event {
                 Event::Added(key, id) => {
-                    tracing::info!(code = 8001, target = %id, "target added");
+                    let version = self.software_version(key);
+                    tracing::info!(code = 8001, target = %id, software = version.as_deref(), "target added");
                     notice::restore_departure(self, key);
                 }
                 Event::Draining(key, id) => {
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -22,6 +22,7 @@
     response::{self, Body},
     retry_after, selection,
     stream_relay::{Relay, next_event},
+    target::Target,
 };
 
 /// Number of events buffered for a slow caller; a full channel stops reading from the target.
@@ -437,7 +438,7 @@
 
     /// Reads and forwards a response that is not a stream.
     async fn forward_whole(&mut self, attempt: Attempt) -> Result<Response<Body>, Failure> {
-        let (key, target) = (attempt.response.key, attempt.response.target.id.clone());
+        let (key, target) = (attempt.response.key, attempt.response.target.clone());
         let (status, headers, bytes) =
             attempt.response.read_whole(&self.context, &self.job).await?;
         self.context.state_mut().health.record_success(key);
@@ -545,7 +546,7 @@
 pub(crate) fn log_response(
     context: &Context,
     job: &Job,
-    target: &str,
+    target: &Target,
     status: StatusCode,
     kind: &'static str,
 ) {
@@ -558,7 +559,8 @@
         version = job.configuration_version,
         version_age_ms = context.state().configuration_age_ms(),
         targets_age_ms = context.state().targets_age_ms(),
-        target,
+        target = %target.id,
+        software = target.software_version.as_deref(),
         status = status.as_u16(),
         sent = job.attempts_sent.get(),
         took_ms = took.as_millis() as u64,
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -47,8 +47,8 @@
     WorkChanges(id::Host, u64, Vec<(id::Target, Work)>),
     /// Version of the newest configuration that the sender read from the store.
     ConfigurationUpdate(Update<Option<id::Version>>),
-    /// Target changes that the sender read from the store, each with its version.
-    TargetUpdate(Update<Vec<(id::Version, registry::Change)>>),
+    /// Target changes as hosts of earlier builds send them, without software versions; ignored.
+    EarlierTargetUpdate,
     /// An attempt at a request broke off at a target.
     AttemptBroken(id::Fingerprint, Run),
     /// A host asks the dispatcher to place a request.
@@ -68,6 +68,8 @@
     RequestCleared(id::Fingerprint),
     /// A target refused a connection of this host; sent to the dispatcher.
     ConnectionRefused(id::Host, Run),
+    /// Target changes that the sender read from the store, each with its version.
+    TargetUpdate(Update<Vec<(id::Version, registry::Change)>>),
 }
 
 /// Returns the current heartbeat of this host.
@@ -167,7 +169,11 @@
 /// Decodes a packet and the notices that follow it.
 fn decode(bytes: &[u8]) -> postcard::Result<(Packet, Notices)> {
     let (packet, rest) = postcard::take_from_bytes(bytes)?;
-    Ok((packet, Notices::decode(rest)?))
+    let notices = match packet {
+        Packet::Heartbeat(_) => Notices::decode(rest)?,
+        _ => Notices::default(),
+    };
+    Ok((packet, notices))
 }
 
 /// Reports this host's work to the dispatcher, forever.
@@ -321,6 +327,7 @@
         Packet::ConfigurationUpdate(update) => {
             store_sync::handle_configuration_update(context, &update)
         }
+        Packet::EarlierTargetUpdate => {}
         Packet::TargetUpdate(update) => store_sync::handle_target_update(context, update),
         Packet::AttemptBroken(request, target) => {
             let (mut state, now) = (context.state_mut(), clock::now());
--- a/gateway/src/stream_relay.rs
+++ b/gateway/src/stream_relay.rs
@@ -256,6 +256,7 @@
         tracing::info!(code = 8031,
             id = %self.forwarder.job.id,
             target = %attempt.response.target.id,
+            software = attempt.response.target.software_version.as_deref(),
             after = self.last_event_id,
             "stream resumed at another target"
         );
@@ -298,7 +299,7 @@
         log_response(
             context,
             &self.forwarder.job,
-            &response.target.id,
+            &response.target,
             response.head.status,
             "stream",
         );
--- a/gateway/src/target.rs
+++ b/gateway/src/target.rs
@@ -27,6 +27,8 @@
     pub draining: bool,
     /// Stage that an engine runs; `None` for a plain service.
     pub stage: Option<Stage>,
+    /// Version of its software; `None` when the target does not announce it.
+    pub software_version: Option<id::SoftwareVersion>,
 }
 
 /// One run of a target's process. A target that crashed may start again under its old identifier.
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -40,6 +40,7 @@
         slots: 4,
         draining: false,
         stage: Some(Stage::Decode),
+        software_version: Some("v1".into()),
     }
 }
 
