fix(stream): let streams go on only at the software version that began them

Cause: nothing knew the version at which a stream began. Now each request to a stream has an origin (service and version) from its first event on, and only targets of it may go on with it: the host's own choice, the dispatcher's and, last, each attempt check it. For callers that take a stream up, a host records where its streams began, and tells three other hosts, chosen by a hash of the stream, unless these can conclude it: from a service that had one version only for as long as a stream may last. Without a record at the host or at those three, and without that, the request is refused as not run: such a host may have been restarted, cut off, or may have missed a version.

A prompt's KV cache is handed over within one version too; one of the cases was prefilled at v1 and generated at v1.1.

The datagrams whose layout changes have new numbers.

--- a/core/src/verdict.rs
+++ b/core/src/verdict.rs
@@ -115,6 +115,9 @@
     /// No target can take the request now. Every attempt, if any, was refused before the request
     /// started.
     NoTarget = ("no-target", 503, NotRun);
+    /// The caller takes up a stream, and the software version at which it began is unknown. Nothing
+    /// was sent.
+    OriginUnknown = ("origin-unknown", 503, NotRun);
     /// The retry budget is used up, and every attempt was refused before the request started.
     RetryBudget = ("retry-budget", 503, NotRun);
     /// The request has crashed more than one target. This copy was not sent.
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -179,6 +179,9 @@
     let target = target.filter(|it| !it.draining);
     let target =
         target.ok_or_else(|| Failure::NotSent("the target is draining or gone".to_owned()))?;
+    if !job.allows(&target) {
+        return Err(Failure::NotSent("the stream began at another software version".to_owned()));
+    }
     let may_send = || context.state().availability.may_send(key, clock::now());
     if !may_send() {
         return Err(Failure::Unavailable);
--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -22,10 +22,10 @@
     logging::Log,
     membership::{Host, Membership},
     metrics::Metrics,
-    notice, poison, poison_part, prefix_cache, rate_limit, refusal,
+    notice, origin_lookup, poison, poison_part, prefix_cache, rate_limit, refusal,
     registry::{Event, Key, Registry},
     retry_budget::{self, Budget, Usage},
-    slowness,
+    slowness, stream_origin,
     upstream::Pool,
     watch::Watch,
 };
@@ -89,6 +89,8 @@
     pub shutdown_started: Notify,
     /// This host's pending placement requests, and the queue for when it is the dispatcher.
     pub dispatcher: Dispatcher,
+    /// This host's queries for the origins of streams.
+    pub origin_queries: origin_lookup::Pending,
     /// Notified when this host's own work at targets changed.
     pub work_changed: Notify,
     /// Notified when this host learns that it has missed a change in the store.
@@ -155,6 +157,8 @@
     pub poison_parts: poison_part::Detector,
     /// Initial deadlines of callers, by route.
     pub deadlines: Deadlines,
+    /// Software versions at which streams began.
+    pub stream_origins: stream_origin::Tracker,
 }
 
 impl State {
@@ -201,6 +205,12 @@
         Some(until_available.max(self.rate_limits.time_until_available(key, now)))
     }
 
+    /// Records the software versions of the known targets.
+    pub fn observe_versions(&mut self, now: Moment) {
+        let list_age = self.targets_watch.age(now);
+        self.stream_origins.observe(self.registry.all(), list_age, now);
+    }
+
     /// Divides the targets' rate limits among the hosts.
     pub fn divide_rate_limits(&mut self, now: Moment) {
         let own = self.membership.own_name();
@@ -244,6 +254,7 @@
             poison: poison::Detector::default(),
             poison_parts: poison_part::Detector::new(rand::random()),
             deadlines: Deadlines::default(),
+            stream_origins: stream_origin::Tracker::default(),
         };
         let pool = Pool::new(metrics.connections_opened.clone());
         Context {
@@ -257,6 +268,7 @@
             request_memory: body_memory::Memory::default(),
             log,
             dispatcher: Dispatcher::default(),
+            origin_queries: origin_lookup::Pending::default(),
             work_changed: Notify::new(),
             update_missed: Notify::new(),
             store_era_changed: Notify::new(),
@@ -435,6 +447,7 @@
                 }
             }
         }
+        self.state_mut().observe_versions(clock::now());
         self.metrics.target_count.set(self.state().registry.len() as i64);
     }
 }
--- a/gateway/src/dispatch.rs
+++ b/gateway/src/dispatch.rs
@@ -60,6 +60,20 @@
     pub resumes: bool,
     /// Engines that already failed this request, or that its host considers unhealthy.
     pub avoid: Vec<id::Target>,
+    /// Software version that the engines must have; `None` for any.
+    pub version: Option<id::SoftwareVersion>,
+}
+
+impl Request {
+    /// Returns whether an engine has the software version that the request needs.
+    fn has_version(&self, engine: &Engine) -> bool {
+        self.version.is_none() || self.version == engine.software_version
+    }
+
+    /// Returns whether the request may go to an engine.
+    pub(crate) fn allows(&self, engine: &Engine) -> bool {
+        self.has_version(engine) && !self.avoid.contains(&engine.id)
+    }
 }
 
 /// What the dispatcher decided about a request.
@@ -266,6 +280,10 @@
     pub stage: Stage,
     /// Data centre of the engine, as an index into those of its service.
     pub data_centre: u16,
+    /// Software version of the engine, as an index into those of its service.
+    pub version: u16,
+    /// Software version of the engine, if it announces one.
+    pub software_version: Option<id::SoftwareVersion>,
     /// Largest number of requests that it runs concurrently.
     pub slots: u32,
     /// KV cache memory, in tokens.
@@ -305,6 +323,7 @@
             key: self.key,
             stage: self.stage,
             data_centre: self.data_centre,
+            version: self.version,
             rendezvous_hash: 0,
             is_home: false,
             queued_tokens: self.work.prompt_tokens,
@@ -325,7 +344,7 @@
 impl Fleet {
     /// Returns the engines that a request may go to, with the homes of its prompt marked.
     pub fn candidates(&self, request: &Request, cache: &prefix_cache::Index) -> Vec<Candidate> {
-        let eligible = self.engines.iter().filter(|it| !request.avoid.contains(&it.id));
+        let eligible = self.engines.iter().filter(|it| request.allows(it));
         let part = request.prompt.affinity_key();
         let mut candidates: Vec<Candidate> = eligible
             .map(|it| Candidate {
@@ -358,12 +377,10 @@
         let Fleet { engines, latency_model } = &*self.fleet;
         let prompt = &request.prompt;
         let part = prompt.affinity_key();
-        let homes = self.homes.homes(engines, part, &request.avoid);
+        let homes = self.homes.homes(engines, part, request);
         let kv_tokens = prompt.tokens + prompt.max_output_tokens;
-        let is_avoided = |position: usize| {
-            !request.avoid.is_empty()
-                && engines.get(position).is_some_and(|it| request.avoid.contains(&it.id))
-        };
+        let is_avoided =
+            |position: usize| engines.get(position).is_some_and(|it| !request.allows(it));
         let shortlist = self.ranking.shortlist(kv_tokens, homes, cache.holders(part), is_avoided);
         let engines = shortlist.into_iter().filter_map(|position| engines.get(position));
         let candidates = engines.map(|it| Candidate {
@@ -402,6 +419,9 @@
                 return Some(Decision::Place(placement));
             }
         }
+        if !self.fleet.engines.iter().any(|it| queued.request.has_version(it)) {
+            return Some(Decision::Refuse(Duration::ZERO));
+        }
         let waited = now.saturating_sub(queued.arrived);
         let remaining_wait = queued.request.max_wait.saturating_sub(waited);
         let queue_time = placement.map_or(remaining_wait, |it| {
@@ -446,13 +466,16 @@
     latency_model: &LatencyModel,
     latency_budget: LatencyBudget,
 ) -> Option<Placement> {
-    let can_decode = candidates.iter().any(|it| it.stage == Stage::Decode && it.has_room());
-    let prefill_candidates = candidates.iter().filter(|it| it.stage == Stage::Decode || can_decode);
+    let decode_engines = candidates.iter().filter(|it| it.stage == Stage::Decode && it.has_room());
+    let decode_versions: BTreeSet<u16> = decode_engines.map(|it| it.version).collect();
+    let prefill_candidates = candidates
+        .iter()
+        .filter(|it| it.stage == Stage::Decode || decode_versions.contains(&it.version));
     let prefill_candidates: Vec<Candidate> = prefill_candidates.copied().collect();
     let prefill_engine = engine::choose(&prefill_candidates, latency_model, latency_budget)?;
-    let data_centre = candidates.iter().find(|it| it.key == prefill_engine.key)?.data_centre;
+    let chosen = candidates.iter().find(|it| it.key == prefill_engine.key)?;
     let decode_engine = match prefill_engine.stage {
-        Stage::Prefill => engine::choose_decode_engine(candidates, data_centre),
+        Stage::Prefill => engine::choose_decode_engine(candidates, chosen),
         Stage::Decode => None,
     };
     Some(Placement { prefill_engine, decode_engine })
--- a/gateway/src/dispatcher.rs
+++ b/gateway/src/dispatcher.rs
@@ -150,6 +150,10 @@
         Some(it) => Some(usable_key(&it)?),
         None => None,
     };
+    let version = |key| state.registry.get(key).map(|it| it.software_version.clone());
+    if decode_engine.is_some_and(|it| version(it) != version(key)) {
+        return None;
+    }
     Some(Placement { prefill_engine: Choice { key, stage, estimate }, decode_engine })
 }
 
--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -217,6 +217,8 @@
     pub stage: Stage,
     /// Data centre of the engine, as an index into those of its service.
     pub data_centre: u16,
+    /// Software version of the engine, as an index into those of its service.
+    pub version: u16,
     /// Rendezvous hash of the engine and the prompt's last shared part; the same on all hosts.
     pub rendezvous_hash: u64,
     /// Whether the engine is home to the prompt: preferred for all prompts with the same shared
@@ -379,14 +381,18 @@
     deadline.mul_f64(QUEUE_DEADLINE_SHARE).max(objective / 2)
 }
 
-/// Returns the decode engine with room that is best to generate from a prompt that an engine in
-/// `data_centre` prefilled: little occupied, in the same data centre, and holding the prompt's shared
-/// parts already.
+/// Returns the decode engine with room that is best to generate from a prompt that another engine
+/// prefilled: little occupied, in the same data centre, and holding the prompt's shared parts already.
+///
+/// It has the same software version, since what two versions write does not fit together.
 ///
 /// The engine keeps the KV cache that it fetches. If prompts with the same shared part always went
 /// to the least occupied engine, copies of the part would displace other parts on all engines.
-pub fn choose_decode_engine(candidates: &[Candidate], data_centre: u16) -> Option<Key> {
-    let decode_engines = candidates.iter().filter(|it| it.stage == Stage::Decode);
+pub fn choose_decode_engine(candidates: &[Candidate], prefill_engine: &Candidate) -> Option<Key> {
+    let data_centre = prefill_engine.data_centre;
+    let decode_engines = candidates
+        .iter()
+        .filter(|it| it.stage == Stage::Decode && it.version == prefill_engine.version);
     let available = decode_engines.filter(|it| it.has_room());
     let cost = |it: &Candidate| it.occupancy() + it.fetch_cost(data_centre);
     let best = available.min_by(|a, b| cost(a).total_cmp(&cost(b)));
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -39,20 +39,22 @@
 pub async fn handle(context: Rc<Context>, request: Request<Incoming>) -> Response<Body> {
     let arrived = clock::now();
     let id = job::request_id(request.headers(), &context.header_names);
-    let job = match Job::read(&context, request).await {
+    let mut job = match Job::read(&context, request).await {
         Ok(job) => job,
         Err(reason) => {
             return finish_response(&context, refuse_unrouted(&context, &id, reason, arrived));
         }
     };
-    context.count_request(&job.service);
     let mut disconnect_guard = DisconnectGuard::new(&context, &id);
+    let found = job.find_origin(&context).await;
+    context.count_request(&job.service);
     let job = Rc::new(job);
     let forwarder = Forwarder::new(&context, &job);
-    let response = if context.state().poison.is_refused(job.fingerprint, clock::now()) {
-        forwarder.give_up(Reason::CrashesTargets)
-    } else {
-        forwarder.run().await
+    let is_poison = context.state().poison.is_refused(job.fingerprint, clock::now());
+    let response = match found {
+        _ if is_poison => forwarder.give_up(Reason::CrashesTargets),
+        Err(reason) => forwarder.give_up(reason),
+        Ok(()) => forwarder.run().await,
     };
     disconnect_guard.answered = true;
     finish_response(&context, response)
@@ -457,6 +459,7 @@
         let mut splitter = Splitter::default();
         let first = next_event(&mut attempt, &mut splitter, &self.job, None).await?;
         attempt.in_flight.finish_prefill();
+        self.job.record_origin(&self.context, &attempt.response.target);
         let time_to_first_event = clock::now().saturating_sub(self.job.arrived);
         self.job.time_to_first_event.set(Some(time_to_first_event));
         self.record_first_event(attempt.in_flight.queued_tokens());
--- a/gateway/src/headers.rs
+++ b/gateway/src/headers.rs
@@ -26,6 +26,8 @@
     pub target_limit: HeaderName,
     /// Identifier of the last event sent to the caller before a stream was resumed.
     pub last_event_id: HeaderName,
+    /// Identifier of the caller's request that got the first event of the stream it takes up.
+    pub resumed_stream: HeaderName,
     /// Number of prompt tokens, and the maximum number of tokens to generate.
     pub token_counts: HeaderName,
     /// Parts of the prompt in order, each with its number of tokens.
--- a/gateway/src/job.rs
+++ b/gateway/src/job.rs
@@ -1,7 +1,7 @@
 //! A caller's request, read whole and matched to a route.
 
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     hash::{Hash, Hasher},
     rc::Rc,
     time::Duration,
@@ -25,8 +25,10 @@
     context::{Context, OpenRequest},
     engine,
     headers::{HeaderNames, end_to_end, head_bytes},
+    origin_lookup,
     poison_part::MAX_PROMPT_PARTS,
     prompt::Prompt,
+    stream_origin::Origin,
     target::Target,
 };
 use fuchsiaknot_core::{
@@ -87,6 +89,11 @@
     pub sent_at: Cell<Option<Moment>>,
     /// Time at which the prefill on a separate engine ended.
     pub prefilled_at: Cell<Option<Moment>>,
+    /// Stream that the caller takes up after some events; empty when it doesn't name the stream, and
+    /// `None` for a new request.
+    pub resumed_stream: Option<id::Stream>,
+    /// Where the stream began; `None` until it has begun.
+    pub origin: RefCell<Option<Origin>>,
     /// Time from `arrived` to the first event of the stream.
     pub time_to_first_event: Cell<Option<Duration>>,
     method: Method,
@@ -133,6 +140,7 @@
             headers.remove(name);
         }
         headers.remove(header::EXPECT);
+        let resumed_stream = resumed_stream(&route, &parts.headers, names);
         let mut hasher = std::hash::DefaultHasher::new();
         (parts.uri.path(), parts.uri.query(), &body).hash(&mut hasher);
         Ok(Job {
@@ -154,6 +162,8 @@
             sent_at: Cell::new(None),
             prefilled_at: Cell::new(None),
             time_to_first_event: Cell::new(None),
+            resumed_stream,
+            origin: RefCell::default(),
             method: parts.method,
             uri: parts.uri,
             headers,
@@ -163,6 +173,55 @@
         })
     }
 
+    /// Finds where the stream began that the caller takes up, if it does, so that the stream goes on
+    /// there.
+    ///
+    /// # Errors
+    /// Returns the reason for refusing the request; nothing was sent to a target.
+    pub async fn find_origin(&mut self, context: &Rc<Context>) -> Result<(), Reason> {
+        let Some(stream) = &self.resumed_stream else { return Ok(()) };
+        let sole_service = match self.route.traffic_split.as_slice() {
+            [(service, _)] => Some(service),
+            _ => None,
+        };
+        let origin = origin_lookup::find(context, stream, sole_service).await;
+        let origin = origin.ok_or(Reason::OriginUnknown)?;
+        if !self.route.traffic_split.iter().any(|(service, _)| *service == origin.service) {
+            return Err(Reason::NoTarget);
+        }
+        if self.service != origin.service {
+            self.service = origin.service.clone();
+            self.parts = fingerprints(&self.service, &self.prompt);
+            let configuration = context.state().configuration.clone();
+            let service = configuration.as_ref().and_then(|it| it.services.get(&self.service));
+            self.on_engines = service.is_some_and(|it| it.engine.is_some());
+        }
+        self.origin = RefCell::new(Some(origin));
+        Ok(())
+    }
+
+    /// Records that the stream began at a target, unless its caller had taken it up.
+    pub fn record_origin(&self, context: &Context, target: &Target) {
+        let origin = Origin::from(target);
+        let stream = self.resumed_stream.clone().filter(|it| !it.is_empty());
+        let stream = stream.unwrap_or_else(|| self.id.clone());
+        *self.origin.borrow_mut() = Some(origin.clone());
+        if !stream.is_empty() {
+            origin_lookup::record_begin(context, stream, origin);
+        }
+    }
+
+    /// Returns whether a target may run the job: any, or one of the software version that began the
+    /// stream.
+    pub fn allows(&self, target: &Target) -> bool {
+        self.origin.borrow().as_ref().is_none_or(|it| it.allows(target))
+    }
+
+    /// Returns the software version that began the stream, if it has begun.
+    pub fn required_version(&self) -> Option<id::SoftwareVersion> {
+        self.origin.borrow().as_ref()?.version.clone()
+    }
+
     /// Returns the time left until the job's deadline.
     pub fn time_left(&self) -> Duration {
         self.expires_at.saturating_sub(clock::now())
@@ -259,6 +318,14 @@
     header_text(headers, &names.request_id).map(SmolStr::new).unwrap_or_default()
 }
 
+/// Returns the stream that a request takes up; empty if it doesn't name it, `None` if it takes up none.
+fn resumed_stream(route: &Route, headers: &HeaderMap, names: &HeaderNames) -> Option<id::Stream> {
+    let is_stream = matches!(route.kind, RequestKind::Stream { .. });
+    let stream = header_text(headers, &names.resumed_stream);
+    let resumes = stream.is_some() || headers.contains_key(&names.last_event_id);
+    (is_stream && resumes).then(|| id::Stream::new(stream.unwrap_or_default()))
+}
+
 /// Returns the configuration in force, and the request's route and service.
 fn choose_route(
     configuration: Option<&Rc<Configuration>>,
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -3,8 +3,9 @@
 //! Everything runs on one thread. The modules that decide (`availability`, `balancer`,
 //! `body_memory`, `calls`, `configuration`, `deadline`, `dispatch`, `election`, `engine`,
 //! `event_stream`, `health`, `load`, `membership`, `poison`, `poison_part`, `prefix_cache`,
-//! `rate_limit`, `refusal`, `registry`, `retry_after`, `retry_budget`, `shortlist`, `slowness`, `watch`) do no
-//! I/O and read no clock; `dispatcher`, `forward`, `http_server`, `notice`, `peers`,
+//! `rate_limit`, `refusal`, `registry`, `retry_after`, `retry_budget`, `shortlist`, `slowness`,
+//! `stream_origin`, `watch`) do no
+//! I/O and read no clock; `dispatcher`, `forward`, `http_server`, `notice`, `origin_lookup`, `peers`,
 //! `poison_reports`, `reservation`, `store_sync`, `stream_relay` and `upstream` call them. A
 //! deployment's platform supplies its names and formats through [`store::Store`],
 //! [`headers::HeaderNames`] and [`directory::Directory`].
@@ -34,6 +35,7 @@
 pub mod membership;
 pub mod metrics;
 pub mod notice;
+pub mod origin_lookup;
 pub mod peers;
 pub mod poison;
 pub mod poison_part;
@@ -53,6 +55,7 @@
 pub mod slowness;
 pub mod store;
 pub mod store_sync;
+pub mod stream_origin;
 pub mod stream_relay;
 pub mod tapped_stream;
 pub mod target;
--- a/gateway/src/membership.rs
+++ b/gateway/src/membership.rs
@@ -6,7 +6,10 @@
 
 use fuchsiaknot_core::{clock::Moment, id};
 
-use crate::election::{self, Candidate};
+use crate::{
+    balancer,
+    election::{self, Candidate},
+};
 
 /// Most addresses in one directory response.
 const MAX_ADDRESSES: usize = 64;
@@ -35,6 +38,10 @@
 /// The same for a target's rate limit, of which the share of a host that is gone is lost meanwhile.
 const LIMIT_SHARE_MEMORY: Duration = Duration::from_secs(60);
 
+/// Number of other hosts that keep the record of where a stream began, so that several may fail at the
+/// same time as the host that forwards the stream.
+const RECORD_KEEPERS: usize = 3;
+
 /// An entry host as it announces itself.
 ///
 /// Its row in the store is this type as JSON, with the names in the attributes.
@@ -369,6 +376,16 @@
         self.peers.values().filter(|it| it.up).map(|it| it.host.peer_address)
     }
 
+    /// Returns the other hosts that keep the record of where a stream began: those that are up and
+    /// rank highest for it by a hash that is the same on all hosts.
+    pub fn record_keepers(&self, stream: &str) -> Vec<id::Host> {
+        let up = self.peers.iter().filter(|(_, it)| it.up).map(|(name, _)| name);
+        let mut ranked: Vec<(u64, &id::Host)> =
+            up.map(|it| (balancer::rendezvous_hash(it, stream), it)).collect();
+        ranked.sort_unstable_by(|a, b| b.cmp(a));
+        ranked.into_iter().take(RECORD_KEEPERS).map(|(_, name)| name.clone()).collect()
+    }
+
     /// Returns the number of hosts that are up, including this one.
     pub fn live_count(&self) -> usize {
         1 + self.peers.values().filter(|it| it.up).count()
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -12,9 +12,10 @@
     dispatcher,
     load::Work,
     membership::{Change, Heartbeat, ROUND_INTERVAL},
-    notice,
+    notice, origin_lookup,
     poison_part::Block,
     poison_reports, rate_limit, registry, slowness, store_sync,
+    stream_origin::Origin,
     target::Run,
     watch::Update,
 };
@@ -51,8 +52,8 @@
     EarlierTargetUpdate,
     /// An attempt at a request broke off at a target.
     AttemptBroken(id::Fingerprint, Run),
-    /// A host asks the dispatcher to place a request.
-    DispatchRequest(id::Host, Request),
+    /// A request to place as hosts of earlier builds send it, without a software version; ignored.
+    EarlierDispatchRequest,
     /// The dispatcher's reply to such a request.
     DispatchReply(id::Host, RequestNumber, Reply),
     /// A target broke off a request before it had answered it, and may have crashed under one of the
@@ -70,6 +71,14 @@
     ConnectionRefused(id::Host, Run),
     /// Target changes that the sender read from the store, each with its version.
     TargetUpdate(Update<Vec<(id::Version, registry::Change)>>),
+    /// A host asks the dispatcher to place a request.
+    DispatchRequest(id::Host, Request),
+    /// Where streams began that the sender forwards.
+    StreamsBegan(Vec<(id::Stream, Origin)>),
+    /// The sender asks where a stream began.
+    OriginQuery(origin_lookup::Query),
+    /// What the sender knows of that.
+    OriginAnswer(origin_lookup::Answer),
 }
 
 /// Returns the current heartbeat of this host.
@@ -264,6 +273,7 @@
         }
         record_changes(&context, tick.down.into_iter().map(Change::Down));
         context.state_mut().divide_rate_limits(clock::now());
+        origin_lookup::publish_pending(&context);
         tokio::select! {
             () = sleep(ROUND_INTERVAL) => {}
             () = context.shutdown_started.notified() => {}
@@ -327,7 +337,7 @@
         Packet::ConfigurationUpdate(update) => {
             store_sync::handle_configuration_update(context, &update)
         }
-        Packet::EarlierTargetUpdate => {}
+        Packet::EarlierTargetUpdate | Packet::EarlierDispatchRequest => {}
         Packet::TargetUpdate(update) => store_sync::handle_target_update(context, update),
         Packet::AttemptBroken(request, target) => {
             let (mut state, now) = (context.state_mut(), clock::now());
@@ -349,6 +359,9 @@
             context.state_mut().poison.record_answer(request);
         }
         Packet::PartsCleared(parts) => poison_reports::handle_clearing(context, &parts),
+        Packet::StreamsBegan(streams) => origin_lookup::handle_report(context, streams),
+        Packet::OriginQuery(query) => origin_lookup::handle_query(context, query),
+        Packet::OriginAnswer(answer) => origin_lookup::handle_answer(context, answer),
         Packet::PartsBlocked(host, blocks) => {
             poison_reports::handle_report(context, &host, &blocks)
         }
--- a/gateway/src/registry.rs
+++ b/gateway/src/registry.rs
@@ -179,6 +179,11 @@
         entries.filter(|(_, it)| it.is_usable()).map(|(key, it)| (key, &it.target))
     }
 
+    /// Returns all known targets.
+    pub fn all(&self) -> impl Iterator<Item = &Target> {
+        self.entries.values().map(|it| &it.target)
+    }
+
     /// Returns the number of known targets.
     pub fn len(&self) -> usize {
         self.entries.len()
--- a/gateway/src/reservation.rs
+++ b/gateway/src/reservation.rs
@@ -66,7 +66,11 @@
     /// Asks the dispatcher for engines, unless none is left.
     async fn request_placement(&self, resumes: bool) -> Result<dispatcher::Outcome, Reason> {
         let request = self.placement_request(resumes);
-        let engine_count = self.context.state().registry.usable(&request.service).count();
+        let engine_count = {
+            let state = self.context.state();
+            let usable = state.registry.usable(&request.service);
+            usable.filter(|(_, it)| self.job.allows(it)).count()
+        };
         if engine_count <= request.avoid.len() || !self.has_decode_engine() {
             return Err(self.no_target_reason());
         }
@@ -76,15 +80,18 @@
     /// Returns whether an engine that generates may get the job, now or after a short pause.
     fn has_decode_engine(&self) -> bool {
         let (state, now) = (self.context.state(), clock::now());
-        selection::answering(&state, &self.job.service).filter(|key| !self.tried.contains(key)).any(
-            |key| state.availability.may_send(key, now) && state.rate_limits.is_available(key, now),
-        )
+        let is_allowed = |key| state.registry.get(key).is_some_and(|it| self.job.allows(it));
+        selection::answering(&state, &self.job.service)
+            .filter(|key| !self.tried.contains(key) && is_allowed(*key))
+            .any(|key| {
+                state.availability.may_send(key, now) && state.rate_limits.is_available(key, now)
+            })
     }
 
     fn placement_request(&self, resumes: bool) -> Request {
         let (job, now) = (&self.job, clock::now());
         let state = self.context.state();
-        let usable = || state.registry.usable(&job.service);
+        let usable = || state.registry.usable(&job.service).filter(|(_, it)| job.allows(it));
         let is_excluded = |key: &Key| self.tried.contains(key) || !state.is_available(*key, now);
         let is_paused = |key: &Key| state.health.is_paused(*key, now);
         // A paused engine is better than none: it may only have been silent for a moment.
@@ -105,6 +112,7 @@
             max_wait: max_wait.min(job.time_left()),
             resumes,
             avoid: avoided.map(|(_, it)| it.id.clone()).collect(),
+            version: job.required_version(),
         }
     }
 
--- a/gateway/src/selection.rs
+++ b/gateway/src/selection.rs
@@ -19,6 +19,7 @@
     let state = context.state();
     let now = clock::now();
     let is_excluded = |key| tried.contains(&key) || !state.is_available(key, now);
+    let is_excluded = |key, target: &Target| is_excluded(key) || !job.allows(target);
     let candidates: Vec<balancer::Candidate> = preferred(&state, &job.service, is_excluded)
         .into_iter()
         .map(|(key, target)| balancer::Candidate {
@@ -37,7 +38,7 @@
     let kv_capacity_tokens = state.kv_capacity_tokens(service);
     let now = clock::now();
     // A backoff binds only the host that was asked; a request names the engines that it avoids.
-    let targets = preferred(state, service, |key| state.availability.is_leaving(key));
+    let targets = preferred(state, service, |key, _| state.availability.is_leaving(key));
     let stage = |target: &Target| target.stage.unwrap_or(Stage::Decode);
     let median = |wanted: Stage| {
         let of_stage = targets.iter().filter(|(_, it)| stage(it) == wanted).map(|(key, _)| *key);
@@ -45,11 +46,14 @@
     };
     let (prefill_median, decode_median) = (median(Stage::Prefill), median(Stage::Decode));
     let mut data_centres: Vec<&id::DataCentre> = Vec::new();
+    let mut versions: Vec<&Option<id::SoftwareVersion>> = Vec::new();
     let engines = targets.iter().map(|(key, target)| Engine {
         key: *key,
         id: target.id.clone(),
         stage: stage(target),
         data_centre: index_of(&mut data_centres, &target.data_centre),
+        version: index_of(&mut versions, &target.software_version),
+        software_version: target.software_version.clone(),
         slots: target.slots,
         kv_capacity_tokens,
         work: state.total_work(*key),
@@ -63,11 +67,11 @@
     Fleet { latency_model, engines: engines.collect() }
 }
 
-/// Returns the index of a data centre in the list, to which it is added if it is new.
-fn index_of<'a>(data_centres: &mut Vec<&'a id::DataCentre>, name: &'a id::DataCentre) -> u16 {
-    let index = data_centres.iter().position(|it| *it == name).unwrap_or_else(|| {
-        data_centres.push(name);
-        data_centres.len() - 1
+/// Returns the index of an item in the list, to which it is added if it is new.
+fn index_of<'a, T: PartialEq>(items: &mut Vec<&'a T>, item: &'a T) -> u16 {
+    let index = items.iter().position(|it| *it == item).unwrap_or_else(|| {
+        items.push(item);
+        items.len() - 1
     });
     u16::try_from(index).unwrap_or(u16::MAX)
 }
@@ -92,9 +96,9 @@
 /// this host alone.
 pub fn decode_engine(state: &State, request: &Request, prefill_engine: Key) -> Option<Key> {
     let fleet = fleet(state, &request.service);
-    let data_centre = fleet.engines.iter().find(|it| it.key == prefill_engine)?.data_centre;
+    let prefill_engine = fleet.engines.iter().find(|it| it.key == prefill_engine)?.without_prompt();
     let candidates = fleet.candidates(request, &state.prefix_cache);
-    engine::choose_decode_engine(&candidates, data_centre)
+    engine::choose_decode_engine(&candidates, &prefill_engine)
 }
 
 /// Returns whether all engines of a service that generate, of which there is at least one, are
@@ -122,10 +126,10 @@
 fn preferred<'a>(
     state: &'a State,
     service: &id::Service,
-    is_excluded: impl Fn(Key) -> bool,
+    is_excluded: impl Fn(Key, &Target) -> bool,
 ) -> Vec<(Key, &'a Target)> {
     let now = clock::now();
-    let eligible = state.registry.usable(service).filter(|(key, _)| !is_excluded(*key));
+    let eligible = state.registry.usable(service).filter(|(key, it)| !is_excluded(*key, it));
     let (healthy, paused): (Vec<_>, Vec<_>) =
         eligible.partition(|(key, _)| !state.health.is_paused(*key, now));
     if healthy.is_empty() { paused } else { healthy }
--- a/gateway/src/shortlist.rs
+++ b/gateway/src/shortlist.rs
@@ -7,12 +7,11 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use fuchsiaknot_core::id;
 use slotmap::SecondaryMap;
 
 use crate::{
     balancer,
-    dispatch::Engine,
+    dispatch::{Engine, Request},
     engine::{Candidate, LatencyModel},
     registry::Key,
     target::Stage,
@@ -40,6 +39,7 @@
 struct Load {
     stage: Stage,
     data_centre: u16,
+    version: u16,
     /// Expected milliseconds to the first event of a typical prompt.
     first_event_ms: f64,
     /// Measure of how much one more generation would be slowed down.
@@ -54,6 +54,7 @@
         Load {
             stage: engine.stage,
             data_centre: engine.data_centre,
+            version: engine.version,
             first_event_ms: candidate.estimate(latency_model).first_event.as_secs_f64() * 1e3,
             occupancy: candidate.occupancy(),
             has_slot: candidate.requests < candidate.slots,
@@ -114,24 +115,30 @@
         holders: &[Key],
         is_avoided: impl Fn(usize) -> bool,
     ) -> Vec<usize> {
-        let (mut prefill, mut decode) =
-            (Least::<LEAST_LOADED>::new(), Least::<LEAST_LOADED>::new());
-        let mut least_occupied: BTreeMap<u16, Least<1>> = BTreeMap::new();
+        // By software version, since an engine of the same one has to generate.
+        let mut prefill: BTreeMap<u16, Least<LEAST_LOADED>> = BTreeMap::new();
+        let mut decode: BTreeMap<u16, Least<LEAST_LOADED>> = BTreeMap::new();
+        let mut least_occupied: BTreeMap<(u16, u16), Least<1>> = BTreeMap::new();
         for (position, load) in self.loads.iter().enumerate() {
             if !load.has_slot || load.free_kv_tokens < kv_tokens || is_avoided(position) {
                 continue;
             }
             match load.stage {
-                Stage::Prefill => prefill.offer(load.first_event_ms, position),
+                Stage::Prefill => {
+                    let of_version = prefill.entry(load.version).or_insert_with(Least::new);
+                    of_version.offer(load.first_event_ms, position);
+                }
                 Stage::Decode => {
-                    decode.offer(load.first_event_ms, position);
-                    let of_data_centre = least_occupied.entry(load.data_centre);
+                    let of_version = decode.entry(load.version).or_insert_with(Least::new);
+                    of_version.offer(load.first_event_ms, position);
+                    let of_data_centre = least_occupied.entry((load.version, load.data_centre));
                     of_data_centre.or_insert_with(Least::new).offer(load.occupancy, position);
                 }
             }
         }
         let least_occupied = least_occupied.into_values().flat_map(|it| it.found);
-        let least = prefill.found.into_iter().chain(decode.found).chain(least_occupied);
+        let least_loaded = prefill.into_values().chain(decode.into_values());
+        let least = least_loaded.flat_map(|it| it.found).chain(least_occupied);
         let homes = homes.into_iter().flatten();
         let holders = holders.iter().take(MAX_HOLDERS).copied();
         let known = homes.chain(holders).filter_map(|key| self.position(key));
@@ -170,9 +177,9 @@
     }
 
     /// Returns the home engines of prompts with this shared part, not among the avoided engines.
-    pub(crate) fn homes(&mut self, engines: &[Engine], part: &str, avoid: &[id::Target]) -> Homes {
-        if !avoid.is_empty() {
-            return find_homes(engines, part, avoid);
+    pub(crate) fn homes(&mut self, engines: &[Engine], part: &str, request: &Request) -> Homes {
+        if !request.avoid.is_empty() || request.version.is_some() {
+            return find_homes(engines, part, |it| request.allows(it));
         }
         if let Some(homes) = self.by_part.get(part) {
             return *homes;
@@ -180,16 +187,16 @@
         if MAX_REMEMBERED_PARTS <= self.by_part.len() {
             self.by_part.clear();
         }
-        let homes = find_homes(engines, part, avoid);
+        let homes = find_homes(engines, part, |_| true);
         self.by_part.insert(part.into(), homes);
         homes
     }
 }
 
-/// Returns the engine of each stage with the highest rendezvous hash.
-fn find_homes(engines: &[Engine], part: &str, avoid: &[id::Target]) -> Homes {
+/// Returns the allowed engine of each stage with the highest rendezvous hash.
+fn find_homes(engines: &[Engine], part: &str, is_allowed: impl Fn(&Engine) -> bool) -> Homes {
     let mut best: [Option<(u64, Key)>; 2] = [None; 2];
-    for engine in engines.iter().filter(|it| !avoid.contains(&it.id)) {
+    for engine in engines.iter().filter(|it| is_allowed(it)) {
         let hash = balancer::rendezvous_hash(&engine.id, part);
         let best = &mut best[usize::from(engine.stage == Stage::Decode)];
         if best.is_none_or(|(highest, _)| highest <= hash) {
--- a/gateway/src/store_sync.rs
+++ b/gateway/src/store_sync.rs
@@ -533,6 +533,8 @@
         state.poison.expire(now);
         state.poison_parts.expire(now);
         state.availability.expire(now);
+        state.observe_versions(now);
+        state.stream_origins.expire(now);
     }
 }
 
--- /dev/null
+++ b/gateway/src/stream_origin.rs
@@ -0,0 +1,210 @@
+//! Software versions at which streams began.
+//!
+//! What targets of two software versions write does not fit together, so a stream goes on only at the
+//! version that began it. A caller may take a stream up at any host. The host knows the version from
+//! its own record or from that of another host. Without a record, the service must have had one
+//! version only for as long as a stream may last.
+
+use std::{
+    collections::{BTreeSet, HashMap, VecDeque},
+    time::Duration,
+};
+
+use fuchsiaknot_core::{clock::Moment, id};
+use serde::{Deserialize, Serialize};
+
+use crate::target::Target;
+
+/// Longest time from the first event of a stream to its last resumption.
+pub const STREAM_LIFETIME: Duration = Duration::from_secs(30);
+/// Age of the list of targets up to which a host knows all versions of a service.
+const MAX_LIST_AGE: Duration = Duration::from_secs(2);
+/// Most records that are kept; the oldest are dropped first.
+const MAX_RECORDS: usize = 50_000;
+
+/// Where a stream began.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Origin {
+    /// Service that began it.
+    pub service: id::Service,
+    /// Software version of the target that began it; `None` if the target announced none, so that no
+    /// other target can go on with it.
+    pub version: Option<id::SoftwareVersion>,
+}
+
+impl From<&Target> for Origin {
+    fn from(target: &Target) -> Origin {
+        Origin { service: target.service.clone(), version: target.software_version.clone() }
+    }
+}
+
+impl Origin {
+    /// Returns whether a stream that began here may go on at a target.
+    pub fn allows(&self, target: &Target) -> bool {
+        self.version.is_some() && *self == Origin::from(target)
+    }
+}
+
+/// What a host, or several together, know of the origin of a stream.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Knowledge {
+    /// Record of the stream.
+    pub record: Option<Origin>,
+    /// Versions that the service has had within [`STREAM_LIFETIME`], as far as known.
+    pub versions: BTreeSet<Option<id::SoftwareVersion>>,
+    /// Whether these are all versions.
+    pub is_complete: bool,
+}
+
+impl Knowledge {
+    /// Adds what another host knows.
+    pub fn merge(&mut self, other: Knowledge) {
+        self.record = self.record.take().or(other.record);
+        self.versions.extend(other.versions);
+        self.is_complete |= other.is_complete;
+    }
+
+    /// Returns where the stream of a service began; `None` if that is uncertain. Without a service,
+    /// only a record tells.
+    pub fn into_origin(self, service: Option<&id::Service>) -> Option<Origin> {
+        if self.record.is_some() {
+            return self.record;
+        }
+        let version = self.sole_version()?.clone();
+        Some(Origin { service: service?.clone(), version })
+    }
+
+    /// Returns the version of the service if it is the only one.
+    fn sole_version(&self) -> Option<&Option<id::SoftwareVersion>> {
+        let only = self.versions.first()?;
+        (self.is_complete && self.versions.len() == 1).then_some(only)
+    }
+}
+
+#[derive(Debug)]
+struct Record {
+    origin: Origin,
+    recorded_at: Moment,
+    /// Whether this host began the stream and has not told other hosts.
+    is_unpublished: bool,
+}
+
+/// Versions of a service and the times at which this host last knew a target of each.
+type LastListed = HashMap<Option<id::SoftwareVersion>, Moment>;
+
+/// Records of streams, and the versions that each service has had lately.
+#[derive(Debug, Default)]
+pub struct Tracker {
+    records: HashMap<id::Stream, Record>,
+    /// Streams in the order of their records.
+    order: VecDeque<(Moment, id::Stream)>,
+    versions: HashMap<id::Service, LastListed>,
+    /// Time since which the list of targets was never too old; `None` while it is.
+    listed_since: Option<Moment>,
+}
+
+impl Tracker {
+    /// Records the known targets, of which the store confirmed the list `list_age` ago.
+    pub fn observe<'a>(
+        &mut self,
+        targets: impl Iterator<Item = &'a Target>,
+        list_age: Duration,
+        now: Moment,
+    ) {
+        let is_current = list_age <= MAX_LIST_AGE;
+        self.listed_since = is_current.then(|| self.listed_since.unwrap_or(now));
+        for target in targets {
+            let versions = self.versions.entry(target.service.clone()).or_default();
+            versions.insert(target.software_version.clone(), now);
+        }
+    }
+
+    /// Records where a stream began that this host forwards. Returns whether other hosts have to be
+    /// told, since they cannot conclude it from the versions of the service.
+    pub fn record_begin(&mut self, stream: id::Stream, origin: Origin, now: Moment) -> bool {
+        let is_needed =
+            self.knowledge(&stream, Some(&origin.service), now).sole_version().is_none();
+        self.insert(stream, origin, !is_needed, now);
+        is_needed
+    }
+
+    /// Records what another host said of a stream.
+    pub fn record_report(&mut self, stream: id::Stream, origin: Origin, now: Moment) {
+        self.insert(stream, origin, false, now);
+    }
+
+    fn insert(&mut self, stream: id::Stream, origin: Origin, is_unpublished: bool, now: Moment) {
+        self.order.push_back((now, stream.clone()));
+        self.records.insert(stream, Record { origin, recorded_at: now, is_unpublished });
+        while MAX_RECORDS < self.order.len() {
+            self.drop_oldest();
+        }
+    }
+
+    /// Drops the oldest record, unless the stream has a later one.
+    fn drop_oldest(&mut self) {
+        let Some((recorded_at, stream)) = self.order.pop_front() else { return };
+        if self.records.get(&stream).is_some_and(|it| it.recorded_at == recorded_at) {
+            self.records.remove(&stream);
+        }
+    }
+
+    /// Returns what this host knows of the origin of a stream, and of the versions of a service.
+    pub fn knowledge(
+        &self,
+        stream: &id::Stream,
+        service: Option<&id::Service>,
+        now: Moment,
+    ) -> Knowledge {
+        let listed = service.and_then(|it| self.versions.get(it)).into_iter().flatten();
+        let recent = listed.filter(|(_, at)| now < **at + STREAM_LIFETIME);
+        Knowledge {
+            record: self.records.get(stream).map(|it| it.origin.clone()),
+            versions: recent.map(|(version, _)| version.clone()).collect(),
+            is_complete: self.listed_since.is_some_and(|it| it + STREAM_LIFETIME <= now),
+        }
+    }
+
+    /// Returns the streams that this host began and that other hosts now have to be told of, since
+    /// the versions of their service no longer tell their origin. Each is returned once.
+    pub fn take_unpublished(&mut self, now: Moment) -> Vec<(id::Stream, Origin)> {
+        let services: Vec<id::Service> = self.versions.keys().cloned().collect();
+        let none = id::Stream::default();
+        let is_mixed =
+            |it: &id::Service| self.knowledge(&none, Some(it), now).sole_version().is_none();
+        let mixed: BTreeSet<id::Service> = services.into_iter().filter(is_mixed).collect();
+        if mixed.is_empty() {
+            return Vec::new();
+        }
+        let unpublished = self
+            .records
+            .iter_mut()
+            .filter(|(_, it)| it.is_unpublished && mixed.contains(&it.origin.service));
+        let taken = unpublished.map(|(stream, record)| {
+            record.is_unpublished = false;
+            (stream.clone(), record.origin.clone())
+        });
+        taken.collect()
+    }
+
+    /// Drops what is too old to be needed.
+    pub fn expire(&mut self, now: Moment) {
+        while self.order.front().is_some_and(|(at, _)| *at + STREAM_LIFETIME <= now) {
+            self.drop_oldest();
+        }
+        for versions in self.versions.values_mut() {
+            versions.retain(|_, at| now < *at + STREAM_LIFETIME);
+        }
+        self.versions.retain(|_, it| !it.is_empty());
+    }
+
+    /// Returns the number of records.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Returns whether there are no records.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+}
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -78,6 +78,8 @@
         id: name.into(),
         stage,
         data_centre: 0,
+        version: 0,
+        software_version: Some("v1".into()),
         slots: 32,
         kv_capacity_tokens: 700_000,
         work: Work::default(),
@@ -98,6 +100,7 @@
         max_wait: ms(400),
         resumes: false,
         avoid: Vec::new(),
+        version: None,
     }
 }
 
--- a/gateway/tests/dispatch.rs
+++ b/gateway/tests/dispatch.rs
@@ -235,7 +235,7 @@
         let prompt = prompt(&part, 13_000, &format!("p{number}"), 4000);
         let request = request(number, prompt.clone(), ms(600));
         let candidates = fleet.candidates(&request, &cache);
-        let decode_engine = choose_decode_engine(&candidates, 0).unwrap();
+        let decode_engine = choose_decode_engine(&candidates, &candidates[0]).unwrap();
         assert_ne!(decode_engine, keys[9]);
         cache.record_prefill(decode_engine, &prompt.parts, 450_000);
         used.entry(part).or_default().insert(decode_engine);
@@ -317,3 +317,71 @@
     }
     assert!(50 < placed, "{placed}");
 }
+
+/// Returns two prefill and two decode engines, one of each of a second software version.
+fn mixed_fleet(keys: &[Key]) -> HashMap<id::Service, Fleet> {
+    let mut fleets = fleet(keys);
+    for at in [1, 3] {
+        let engine = &mut fleets.get_mut(SERVICE).unwrap().engines[at];
+        (engine.version, engine.software_version) = (1, Some("v1.1".into()));
+    }
+    fleets
+}
+
+fn place_one(fleets: &mut HashMap<id::Service, Fleet>, request: Request) -> Decision {
+    let mut queue = Queue::default();
+    queue.add("h1".into(), request, ms(0));
+    queue.decide(fleets, &prefix_cache::Index::default(), ms(0))[0].decision
+}
+
+/// A prompt was prefilled at one software version and generated from its KV cache at another.
+#[rstest]
+#[case::first_version(0)]
+#[case::second_version(1)]
+fn handover_within_version(#[case] busy: usize) {
+    let keys = keys(4);
+    let mut fleets = mixed_fleet(&keys);
+    let engines = &mut fleets.get_mut(SERVICE).unwrap().engines;
+    engines[busy].work.prompt_tokens = 8000;
+    // The decode engine of the same version as the idle prefill engine is the busier one.
+    engines[3 - busy].work.requests = 12;
+    let Decision::Place(placement) =
+        place_one(&mut fleets, request(1, prompt("s", 6000, "p", 6000), ms(400)))
+    else {
+        panic!("not placed")
+    };
+    assert_eq!(placement.prefill_engine.key, keys[1 - busy]);
+    assert_eq!(placement.decode_engine, Some(keys[3 - busy]));
+}
+
+/// A stream that began at one software version was placed at another one that was less busy.
+#[test]
+fn required_version() {
+    let keys = keys(4);
+    let mut fleets = mixed_fleet(&keys);
+    let engines = &mut fleets.get_mut(SERVICE).unwrap().engines;
+    engines[1].work.prompt_tokens = 3000;
+    engines[3].work.requests = 12;
+    let resumed = Request {
+        resumes: true,
+        version: Some("v1.1".into()),
+        max_wait: ms(1200),
+        ..request(1, prompt("s", 10, "p", 600), ms(400))
+    };
+    let Decision::Place(placement) = place_one(&mut fleets, resumed) else { panic!("not placed") };
+    assert!([keys[1], keys[3]].contains(&placement.prefill_engine.key));
+}
+
+/// A stream whose software version no engine runs is refused at once.
+#[test]
+fn version_not_served() {
+    let keys = keys(4);
+    let gone = Request {
+        resumes: true,
+        version: Some("v0".into()),
+        max_wait: ms(1200),
+        ..request(1, prompt("s", 10, "p", 600), ms(400))
+    };
+    let decision = place_one(&mut mixed_fleet(&keys), gone);
+    assert!(matches!(decision, Decision::Refuse(_)), "{decision:?}");
+}
--- a/gateway/tests/prompt.rs
+++ b/gateway/tests/prompt.rs
@@ -16,6 +16,7 @@
         target_leaving: name("target-leaving"),
         target_limit: name("target-limit"),
         last_event_id: name("last-event-id"),
+        resumed_stream: name("resumes"),
         token_counts: name("token-counts"),
         prompt_parts: name("prompt-parts"),
         stage: name("stage"),
--- /dev/null
+++ b/gateway/tests/stream_origin.rs
@@ -0,0 +1,137 @@
+//! Software versions at which streams began: records, and what follows from a service's versions.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{SERVICE, ms, target};
+use fuchsiaknot_gateway::{
+    stream_origin::{Knowledge, Origin, STREAM_LIFETIME, Tracker},
+    target::Target,
+};
+use rstest::rstest;
+
+fn target_of(version: &str) -> Target {
+    Target { software_version: Some(version.into()), ..target("t1", 1) }
+}
+
+fn origin(version: &str) -> Origin {
+    Origin::from(&target_of(version))
+}
+
+/// Has a tracker see targets of these versions from `from` until `until`.
+fn observe(tracker: &mut Tracker, versions: &[&str], from: Duration, until: Duration) {
+    let targets: Vec<Target> = versions.iter().map(|it| target_of(it)).collect();
+    let mut now = from;
+    while now <= until {
+        tracker.observe(targets.iter(), ms(500), now);
+        tracker.expire(now);
+        now += ms(200);
+    }
+}
+
+fn find(tracker: &Tracker, now: Duration) -> Option<Origin> {
+    let service = SERVICE.into();
+    tracker.knowledge(&"r1".into(), Some(&service), now).into_origin(Some(&service))
+}
+
+/// A record tells where a stream began as long as the stream may be taken up.
+#[test]
+fn recorded_stream() {
+    let mut tracker = Tracker::default();
+    assert!(tracker.record_begin("r1".into(), origin("v1"), ms(0)), "others are not told");
+    tracker.expire(STREAM_LIFETIME - ms(1));
+    assert_eq!(find(&tracker, STREAM_LIFETIME - ms(1)), Some(origin("v1")));
+    tracker.expire(STREAM_LIFETIME);
+    assert!(tracker.is_empty());
+}
+
+/// Without a record the version is known only if the service has had no other one while the stream
+/// may have begun.
+#[test]
+fn sole_version() {
+    let (mut tracker, start) = (Tracker::default(), ms(1000));
+    let complete = start + STREAM_LIFETIME;
+    observe(&mut tracker, &["v1"], start, complete + ms(1000));
+    assert_eq!(find(&tracker, complete - ms(1)), None, "a stream may be older than the process");
+    assert_eq!(find(&tracker, complete), Some(origin("v1")));
+    let mixed = complete + ms(1000);
+    observe(&mut tracker, &["v1", "v1.1"], mixed, mixed);
+    assert_eq!(find(&tracker, mixed), None);
+    let last = mixed + STREAM_LIFETIME - ms(200);
+    observe(&mut tracker, &["v1.1"], mixed, last);
+    assert_eq!(find(&tracker, last), None, "a stream may be from when v1 was there");
+    observe(&mut tracker, &["v1.1"], last, mixed + STREAM_LIFETIME);
+    assert_eq!(find(&tracker, mixed + STREAM_LIFETIME), Some(origin("v1.1")));
+}
+
+/// A host that is cut off from the store may have missed a version.
+#[test]
+fn old_list() {
+    let mut tracker = Tracker::default();
+    observe(&mut tracker, &["v1"], ms(0), STREAM_LIFETIME);
+    assert_eq!(find(&tracker, STREAM_LIFETIME), Some(origin("v1")));
+    tracker.observe([target_of("v1")].iter(), ms(2500), STREAM_LIFETIME);
+    assert_eq!(find(&tracker, STREAM_LIFETIME), None);
+    observe(&mut tracker, &["v1"], STREAM_LIFETIME, STREAM_LIFETIME + ms(5000));
+    assert_eq!(find(&tracker, STREAM_LIFETIME + ms(5000)), None);
+}
+
+/// A target that announces no version is the only one that could go on with its streams.
+#[test]
+fn unnamed_version() {
+    let unnamed = Target { software_version: None, ..target("t1", 1) };
+    assert!(!Origin::from(&unnamed).allows(&unnamed));
+    assert!(origin("v1").allows(&target_of("v1")));
+    assert!(!origin("v1").allows(&target_of("v1.1")));
+    let other_service = Target { service: "other".into(), ..target_of("v1") };
+    assert!(!origin("v1").allows(&other_service));
+}
+
+fn knowledge(record: Option<&str>, versions: &[&str], is_complete: bool) -> Knowledge {
+    Knowledge {
+        record: record.map(origin),
+        versions: versions.iter().map(|it| Some((*it).into())).collect(),
+        is_complete,
+    }
+}
+
+/// A host concludes from what it and the others know together.
+#[rstest]
+#[case::record(knowledge(None, &["v1.1"], true), knowledge(Some("v1"), &[], false), Some("v1"))]
+#[case::restarted(knowledge(None, &["v1"], false), knowledge(None, &["v1"], true), Some("v1"))]
+#[case::all_restarted(knowledge(None, &["v1"], false), knowledge(None, &["v1"], false), None)]
+#[case::missed_version(knowledge(None, &["v1"], true), knowledge(None, &["v1", "v2"], true), None)]
+#[case::other_version(knowledge(None, &["v2"], false), knowledge(None, &["v1"], true), None)]
+fn several_hosts(
+    #[case] mut own: Knowledge,
+    #[case] other: Knowledge,
+    #[case] expected: Option<&str>,
+) {
+    own.merge(other);
+    assert_eq!(own.into_origin(Some(&SERVICE.into())), expected.map(origin));
+}
+
+/// Other hosts are told of a stream once they can no longer conclude where it began, and only once.
+#[test]
+fn told_when_mixed() {
+    let mut tracker = Tracker::default();
+    observe(&mut tracker, &["v1"], ms(0), STREAM_LIFETIME);
+    assert!(!tracker.record_begin("r1".into(), origin("v1"), STREAM_LIFETIME));
+    assert!(tracker.take_unpublished(STREAM_LIFETIME).is_empty());
+    tracker.record_report("r2".into(), origin("v1"), STREAM_LIFETIME);
+    observe(&mut tracker, &["v1", "v1.1"], STREAM_LIFETIME, STREAM_LIFETIME);
+    assert_eq!(tracker.take_unpublished(STREAM_LIFETIME), [("r1".into(), origin("v1"))]);
+    assert!(tracker.take_unpublished(STREAM_LIFETIME).is_empty());
+    assert!(tracker.record_begin("r3".into(), origin("v1.1"), STREAM_LIFETIME));
+}
+
+/// Callers that send many streams take a bounded number of records.
+#[test]
+fn records_bounded() {
+    let mut tracker = Tracker::default();
+    for number in 0..60_000 {
+        tracker.record_report(format!("r{number}").into(), origin("v1"), ms(number / 100));
+    }
+    assert_eq!(tracker.len(), 50_000);
+}
