fix(stream): treat a stream that its caller takes up as interrupted, not as new

Cause: only a resumption by the host itself counted as one. A caller's was queued like a new request, whose objective has passed when it comes, and was refused after 3% of its time (would-be-late, 114 ms).

Evidence: versions.rs::waits_for_engine failed before and passes now.

--- a/gateway/src/reservation.rs
+++ b/gateway/src/reservation.rs
@@ -173,7 +173,8 @@
             self.pay_for_attempt(false)?;
             return Ok(self.run_prefilled(prefilled, in_flight, last_event_id).await);
         }
-        let reservation = self.reserve_engines(last_event_id.is_some()).await?;
+        let resumes = last_event_id.is_some() || self.job.resumed_stream.is_some();
+        let reservation = self.reserve_engines(resumes).await?;
         // The part may have been blocked while the job waited.
         if let Some(reason) = self.poison_reason() {
             return Err(reason);
