fix(isolation): send requests through other hosts while a host reaches no target

Cause: a host had no way to the targets but its own, and did not tell a cut from failing targets. The prompts that the dispatcher placed for it counted as work of engines that they never reached, so the other hosts' prompts were refused while the engines were idle. Refused connections of several such hosts also had the dispatcher pause sound engines.

Change: a host that cannot open a connection to five targets in a row, with none accepted meanwhile, is cut off (reachability, probe). Then it places nothing, is not the dispatcher, and sends its callers' requests through another host that reaches targets: on the TCP port with the number of the hosts' datagrams, only with a ticket that names both runs, one hop, with the attempts made, the time left and whether the retry budget has the request already (peer_proxy, peer_server, peer_ticket). A request that may have run is not sent again unless its route allows it. Two targets that accept a connection end the state. A target that is silent for a second still accepts connections, and is probed. Refused connections are reported to the dispatcher once another target has accepted one.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     calls::Call, context::Context, dispatcher, job::Job, load::Work, notice, prefill::Prefilled,
-    registry::Key, target_response::TargetResponse, upstream::RequestError,
+    probe, registry::Key, target_response::TargetResponse, upstream::RequestError,
 };
 
 /// Why an attempt yielded no response to forward.
@@ -182,14 +182,13 @@
     if !job.allows(&target) {
         return Err(Failure::NotSent("the stream began at another software version".to_owned()));
     }
-    let may_send = || context.state().availability.may_send(key, clock::now());
+    let may_send = || {
+        !context.should_use_proxies() && context.state().availability.may_send(key, clock::now())
+    };
     if !may_send() {
         return Err(Failure::Unavailable);
     }
-    let connected = context.pool.connect(key, target.address).await;
-    if connected.as_ref().is_err_and(RequestError::is_refused) {
-        dispatcher::report_refusal(context, &target);
-    }
+    let connected = probe::connect(context, key, target.address).await;
     let mut connection = connected.map_err(|err| Failure::NotSent(err.to_string()))?;
     if !may_send() {
         return Err(Failure::Unavailable);
--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -22,7 +22,7 @@
     logging::Log,
     membership::{Host, Membership},
     metrics::Metrics,
-    notice, origin_lookup, poison, poison_part, prefix_cache, rate_limit, refusal,
+    notice, origin_lookup, poison, poison_part, prefix_cache, rate_limit, reachability, refusal,
     registry::{Event, Key, Registry},
     retry_budget::{self, Budget, Usage},
     slowness, stream_origin,
@@ -77,7 +77,9 @@
     /// Metrics of this host.
     pub metrics: Metrics,
     /// Pool of connections to targets.
-    pub pool: Pool,
+    pub pool: Pool<Key>,
+    /// Pool of connections to other hosts, for requests that are sent through them.
+    pub peer_pool: Pool<id::Host>,
     /// Memory for response bodies that are read whole.
     pub body_memory: body_memory::Memory,
     /// Memory for the bodies of callers' requests, apart from that of the responses, so that neither
@@ -91,6 +93,8 @@
     pub dispatcher: Dispatcher,
     /// This host's queries for the origins of streams.
     pub origin_queries: origin_lookup::Pending,
+    /// Notified when a connection to a target failed.
+    pub connect_failed: Notify,
     /// Notified when this host's own work at targets changed.
     pub work_changed: Notify,
     /// Notified when this host learns that it has missed a change in the store.
@@ -107,13 +111,22 @@
     /// Start of this process.
     started_at: Moment,
     open_requests: Rc<Cell<usize>>,
+    /// Requests of other hosts that this one sends on.
+    open_peer_requests: Rc<Cell<usize>>,
     state: RefCell<State>,
 }
 
-/// Guard that counts a caller's request as open until it is dropped.
+/// Guard that counts a request as open until it is dropped.
 #[derive(Debug)]
 pub struct OpenRequest(Rc<Cell<usize>>);
 
+impl OpenRequest {
+    fn new(count: &Rc<Cell<usize>>) -> OpenRequest {
+        count.set(count.get() + 1);
+        OpenRequest(Rc::clone(count))
+    }
+}
+
 impl Drop for OpenRequest {
     fn drop(&mut self) {
         self.0.set(self.0.get() - 1);
@@ -133,6 +146,8 @@
     pub targets_watch: Watch,
     /// Work in progress at targets.
     pub load: load::Tracker,
+    /// Whether this host reaches the targets.
+    pub reachability: reachability::Tracker,
     /// Failure rates of targets.
     pub health: Health,
     /// Targets that are leaving or asked this host to back off.
@@ -242,6 +257,7 @@
             registry: Registry::new(),
             targets_watch: Watch::default(),
             load: load::Tracker::new(PEER_WORK_TTL),
+            reachability: reachability::Tracker::default(),
             health: Health::default(),
             availability: availability::Tracker::default(),
             rate_limits: rate_limit::Tracker::default(),
@@ -257,6 +273,7 @@
             stream_origins: stream_origin::Tracker::default(),
         };
         let pool = Pool::new(metrics.connections_opened.clone());
+        let peer_pool = Pool::new(metrics.peer_connections.clone());
         Context {
             bounds: Cell::new(settings.bounds),
             settings,
@@ -264,11 +281,13 @@
             prefill_api,
             metrics,
             pool,
+            peer_pool,
             body_memory: body_memory::Memory::default(),
             request_memory: body_memory::Memory::default(),
             log,
             dispatcher: Dispatcher::default(),
             origin_queries: origin_lookup::Pending::default(),
+            connect_failed: Notify::new(),
             work_changed: Notify::new(),
             update_missed: Notify::new(),
             store_era_changed: Notify::new(),
@@ -279,6 +298,7 @@
             shutting_down: Cell::new(false),
             started_at: clock::now(),
             open_requests: Rc::default(),
+            open_peer_requests: Rc::default(),
             state: RefCell::new(state),
         }
     }
@@ -337,8 +357,24 @@
 
     /// Counts a caller's request as open until the returned guard is dropped.
     pub fn open_request(&self) -> OpenRequest {
-        self.open_requests.set(self.open_requests.get() + 1);
-        OpenRequest(Rc::clone(&self.open_requests))
+        OpenRequest::new(&self.open_requests)
+    }
+
+    /// Counts another host's request as open until the returned guard is dropped; `None` if `most`
+    /// are open.
+    pub fn open_peer_request(&self, most: usize) -> Option<OpenRequest> {
+        (self.open_peer_requests.get() < most).then(|| OpenRequest::new(&self.open_peer_requests))
+    }
+
+    /// Returns whether this host reaches no target, and other hosts do.
+    pub fn should_use_proxies(&self) -> bool {
+        let state = self.state();
+        state.reachability.is_cut_off() && state.membership.has_proxy()
+    }
+
+    /// Returns whether this host reaches no target.
+    pub fn is_cut_off(&self) -> bool {
+        self.state().reachability.is_cut_off()
     }
 
     /// Returns the number of open requests of callers.
@@ -357,10 +393,10 @@
         !self.is_shutting_down() && self.state().configuration.is_some()
     }
 
-    /// Returns whether this host knows configuration and targets and is not shutting down, so that
-    /// it can be the dispatcher of other hosts.
+    /// Returns whether this host knows configuration and targets, reaches targets, and is not
+    /// shutting down, so that it can be the dispatcher of other hosts.
     pub fn can_dispatch(&self) -> bool {
-        self.is_ready() && self.state().targets_watch.is_known()
+        self.is_ready() && self.state().targets_watch.is_known() && !self.is_cut_off()
     }
 
     /// Elects the dispatcher from what this host knows now; returns whether it changed.
@@ -427,7 +463,7 @@
                     notice::restore_departure(self, key);
                 }
                 Event::Draining(key, id) => {
-                    self.pool.close_idle(key);
+                    self.pool.close_idle(&key);
                     notice::restore_departure(self, key);
                     tracing::info!(code = 8002, target = %id, "target draining; nothing new is sent to it");
                 }
@@ -435,7 +471,7 @@
                     tracing::info!(code = 8048, target = %id, "target that left is listed again; not used until its removal can have been written again");
                 }
                 Event::Removed(key, id) => {
-                    self.pool.close_idle(key);
+                    self.pool.close_idle(&key);
                     let mut state = self.state_mut();
                     state.load.forget_target(key);
                     state.prefix_cache.forget(key);
@@ -443,6 +479,7 @@
                     state.availability.forget(key, &id, clock::now());
                     state.rate_limits.forget(key);
                     state.refusals.forget(key);
+                    state.reachability.forget(key);
                     tracing::info!(code = 8003, target = %id, "target gone");
                 }
             }
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -16,17 +16,17 @@
     context::Context,
     event_stream::Splitter,
     job::{self, Job, MAX_SILENCE_TIMEOUT},
+    peer_proxy,
+    peer_ticket::Ticket,
     poison_reports,
     prefill::Prefilled,
     registry::Key,
-    response::{self, Body},
+    response::{self, Body, STREAM_CHANNEL_CAPACITY},
     retry_after, selection,
     stream_relay::{Relay, next_event},
     target::Target,
 };
 
-/// Number of events buffered for a slow caller; a full channel stops reading from the target.
-const STREAM_CHANNEL_CAPACITY: usize = 16;
 /// Retry delay sent to callers of a host that has no configuration yet.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Retry delay sent to callers whose body had no room; another host is likely to have some.
@@ -35,11 +35,16 @@
 /// tried.
 const MAX_FAILED_CONNECTS: u32 = 4;
 
-/// Handles a caller's request and returns the response.
-pub async fn handle(context: Rc<Context>, request: Request<Incoming>) -> Response<Body> {
+/// Handles a caller's request and returns the response. With a ticket, another host sends the request
+/// through this one.
+pub async fn handle(
+    context: Rc<Context>,
+    request: Request<Incoming>,
+    ticket: Option<Ticket>,
+) -> Response<Body> {
     let arrived = clock::now();
     let id = job::request_id(request.headers(), &context.header_names);
-    let mut job = match Job::read(&context, request).await {
+    let mut job = match Job::read(&context, request, ticket.as_ref()).await {
         Ok(job) => job,
         Err(reason) => {
             return finish_response(&context, refuse_unrouted(&context, &id, reason, arrived));
@@ -47,9 +52,11 @@
     };
     let mut disconnect_guard = DisconnectGuard::new(&context, &id);
     let found = job.find_origin(&context).await;
-    context.count_request(&job.service);
     let job = Rc::new(job);
     let forwarder = Forwarder::new(&context, &job);
+    if !forwarder.uses_proxy() {
+        job.count(&context);
+    }
     let is_poison = context.state().poison.is_refused(job.fingerprint, clock::now());
     let response = match found {
         _ if is_poison => forwarder.give_up(Reason::CrashesTargets),
@@ -175,6 +182,7 @@
         loop {
             let attempt = match (self.send_until_answered(None).await, error_response.take()) {
                 (Ok(attempt), _) => attempt,
+                (Err(_), None) if self.uses_proxy() => return self.forward_through_peer().await,
                 (Err(_), Some(response)) => return response,
                 (Err(reason), None) => return self.give_up(reason),
             };
@@ -199,6 +207,26 @@
         }
     }
 
+    /// Returns whether the job is to be sent through another host: this one reaches no target, another
+    /// does, and the job is not running.
+    fn uses_proxy(&self) -> bool {
+        let is_running = self.job.time_to_first_event.get().is_some();
+        let may_run = !self.may_have_run || self.job.route.kind.allows_rerun();
+        self.context.should_use_proxies()
+            && may_run
+            && !is_running
+            && !self.job.is_from_peer
+            && !self.job.attempts_exhausted()
+    }
+
+    /// Sends the job through another host.
+    async fn forward_through_peer(self) -> Response<Body> {
+        match peer_proxy::forward(&self.context, &self.job, self.may_have_run).await {
+            Ok(response) => response,
+            Err(reason) => self.give_up(reason),
+        }
+    }
+
     /// Counts a retry after a response with a server error, if the request may be retried and the
     /// retry budget is not spent.
     ///
@@ -230,6 +258,10 @@
             if let Some(reason) = self.poison_reason() {
                 return Err(reason);
             }
+            if self.context.should_use_proxies() {
+                return Err(self.no_target_reason());
+            }
+            self.job.count(&self.context);
             let sent = if self.job.on_engines {
                 self.send_to_engines(last_event_id).await?.map_err(SendError::from)
             } else {
--- a/gateway/src/job.rs
+++ b/gateway/src/job.rs
@@ -26,6 +26,7 @@
     engine,
     headers::{HeaderNames, end_to_end, head_bytes},
     origin_lookup,
+    peer_ticket::{TICKET_HEADER, Ticket},
     poison_part::MAX_PROMPT_PARTS,
     prompt::Prompt,
     stream_origin::Origin,
@@ -89,6 +90,10 @@
     pub sent_at: Cell<Option<Moment>>,
     /// Time at which the prefill on a separate engine ended.
     pub prefilled_at: Cell<Option<Moment>>,
+    /// Whether the job is counted in the retry budget of its service.
+    pub is_counted: Cell<bool>,
+    /// Whether another host sends the job through this one.
+    pub is_from_peer: bool,
     /// Stream that the caller takes up after some events; empty when it doesn't name the stream, and
     /// `None` for a new request.
     pub resumed_stream: Option<id::Stream>,
@@ -109,7 +114,11 @@
     ///
     /// # Errors
     /// Returns the reason for refusing the request; nothing was sent to a target.
-    pub async fn read(context: &Context, request: Request<Incoming>) -> Result<Job, Reason> {
+    pub async fn read(
+        context: &Context,
+        request: Request<Incoming>,
+        ticket: Option<&Ticket>,
+    ) -> Result<Job, Reason> {
         let (arrived, open) = (clock::now(), context.open_request());
         let configuration = context.state().configuration.clone();
         let (parts, body) = request.into_parts();
@@ -140,6 +149,10 @@
             headers.remove(name);
         }
         headers.remove(header::EXPECT);
+        headers.remove(TICKET_HEADER);
+        let attempts_sent = ticket.map_or(0, |it| it.attempts_sent);
+        let mut calls = Ledger::default();
+        (0..attempts_sent).for_each(|_| calls.record_call());
         let resumed_stream = resumed_stream(&route, &parts.headers, names);
         let mut hasher = std::hash::DefaultHasher::new();
         (parts.uri.path(), parts.uri.query(), &body).hash(&mut hasher);
@@ -156,12 +169,14 @@
             caller_timeout,
             prior_time,
             expires_at,
-            attempts_sent: Cell::new(0),
-            calls: Cell::default(),
+            attempts_sent: Cell::new(attempts_sent),
+            calls: Cell::new(calls),
             prefill_choice: Cell::new(None),
             sent_at: Cell::new(None),
             prefilled_at: Cell::new(None),
             time_to_first_event: Cell::new(None),
+            is_counted: Cell::new(ticket.is_some_and(|it| it.is_counted)),
+            is_from_peer: ticket.is_some(),
             resumed_stream,
             origin: RefCell::default(),
             method: parts.method,
@@ -286,6 +301,35 @@
         self.prior_time + clock::now().saturating_sub(self.arrived)
     }
 
+    /// Counts the job in the retry budget of its service, unless it is counted already.
+    pub fn count(&self, context: &Context) {
+        if !self.is_counted.replace(true) {
+            context.count_request(&self.service);
+        }
+    }
+
+    /// Builds the request to send through another host; `None` if the ticket cannot be a header.
+    pub(crate) fn peer_request(
+        &self,
+        names: &HeaderNames,
+        ticket: &Ticket,
+    ) -> Option<Request<Full<Bytes>>> {
+        let mut request = self.request(names);
+        request.headers_mut().insert(TICKET_HEADER, HeaderValue::try_from(ticket).ok()?);
+        Some(request)
+    }
+
+    /// Builds the request as the caller sent it, with the time that is left.
+    fn request(&self, names: &HeaderNames) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = self.headers.clone();
+        let left_ms = self.time_left().as_millis() as u64;
+        request.headers_mut().insert(names.deadline.clone(), HeaderValue::from(left_ms));
+        request
+    }
+
     /// Builds the request to send to a target.
     pub fn target_request(
         &self,
@@ -293,9 +337,8 @@
         target: &Target,
         options: Options<'_>,
     ) -> Request<Full<Bytes>> {
-        let mut headers = self.headers.clone();
-        let left_ms = self.time_left().as_millis() as u64;
-        headers.insert(names.deadline.clone(), HeaderValue::from(left_ms));
+        let mut request = self.request(names);
+        let headers = request.headers_mut();
         if let Ok(id) = HeaderValue::from_str(&target.id) {
             headers.insert(names.expected_target.clone(), id);
         }
@@ -305,10 +348,6 @@
         if let Some(prefilled) = options.prefilled {
             headers.insert(names.cache_source.clone(), prefilled.source());
         }
-        let mut request = Request::new(Full::new(self.body.clone()));
-        *request.method_mut() = self.method.clone();
-        *request.uri_mut() = self.uri.clone();
-        *request.headers_mut() = headers;
         request
     }
 }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -3,10 +3,10 @@
 //! Everything runs on one thread. The modules that decide (`availability`, `balancer`,
 //! `body_memory`, `calls`, `configuration`, `deadline`, `dispatch`, `election`, `engine`,
 //! `event_stream`, `health`, `load`, `membership`, `poison`, `poison_part`, `prefix_cache`,
-//! `rate_limit`, `refusal`, `registry`, `retry_after`, `retry_budget`, `shortlist`, `slowness`,
+//! `rate_limit`, `reachability`, `refusal`, `registry`, `retry_after`, `retry_budget`, `shortlist`, `slowness`,
 //! `stream_origin`, `watch`) do no
-//! I/O and read no clock; `dispatcher`, `forward`, `http_server`, `notice`, `origin_lookup`, `peers`,
-//! `poison_reports`, `reservation`, `store_sync`, `stream_relay` and `upstream` call them. A
+//! I/O and read no clock; `dispatcher`, `forward`, `http_server`, `notice`, `origin_lookup`, `peer_proxy`, `peer_server`, `peers`,
+//! `poison_reports`, `probe`, `reservation`, `store_sync`, `stream_relay` and `upstream` call them. A
 //! deployment's platform supplies its names and formats through [`store::Store`],
 //! [`headers::HeaderNames`] and [`directory::Directory`].
 
@@ -36,14 +36,19 @@
 pub mod metrics;
 pub mod notice;
 pub mod origin_lookup;
+mod peer_proxy;
+pub mod peer_server;
+pub mod peer_ticket;
 pub mod peers;
 pub mod poison;
 pub mod poison_part;
 mod poison_reports;
 pub mod prefill;
 pub mod prefix_cache;
+mod probe;
 pub mod prompt;
 pub mod rate_limit;
+pub mod reachability;
 pub mod refusal;
 pub mod registry;
 pub mod reservation;
@@ -128,6 +133,7 @@
     tasks.spawn_local(run_peers(Rc::clone(&context)));
     tasks.spawn_local(peers::report_work(Rc::clone(&context)));
     tasks.spawn_local(dispatcher::run(Rc::clone(&context)));
+    tasks.spawn_local(probe::run(Rc::clone(&context)));
     tasks.spawn_local(reload_settings(
         Rc::clone(&context),
         signal(SignalKind::hangup())?,
@@ -164,7 +170,18 @@
     let forward_context = Rc::clone(context);
     let front = http_server::bind(context.settings.host.caller_address)?;
     spawn_local(http_server::serve(front, limits.clone(), phase.clone(), move |request| {
-        forward::handle(Rc::clone(&forward_context), request)
+        forward::handle(Rc::clone(&forward_context), request, None)
+    }));
+    let peer_context = Rc::clone(context);
+    let peer = http_server::bind(context.settings.host.peer_address)?;
+    let forward_limits = limits.clone();
+    let peer_limits = move || {
+        let limits = forward_limits();
+        let max_header_bytes = limits.max_header_bytes + peer_ticket::MAX_BYTES;
+        http_server::Limits { max_header_bytes, ..limits }
+    };
+    spawn_local(http_server::serve(peer, peer_limits, phase.clone(), move |request| {
+        peer_server::handle(Rc::clone(&peer_context), request)
     }));
     let ready_context = Rc::clone(context);
     let ready = http_server::bind(context.settings.ready_address)?;
--- a/gateway/src/membership.rs
+++ b/gateway/src/membership.rs
@@ -139,6 +139,8 @@
     /// The probe that is still unanswered.
     probe: Option<Probe>,
     up: bool,
+    /// Whether it reaches no target.
+    is_cut_off: bool,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -181,6 +183,7 @@
             known_at: now,
             probe: None,
             up: false,
+            is_cut_off: false,
         };
         let peer = self.peers.entry(host.name.clone()).or_insert(new_peer);
         if peer.last_heard.is_none() {
@@ -206,6 +209,7 @@
             known_at: now,
             probe: None,
             up: !heartbeat.leaving,
+            is_cut_off: false,
         };
         let before = self.peers.insert(name.clone(), peer);
         let was_up = before.is_some_and(|it| it.up);
@@ -216,6 +220,43 @@
         }
     }
 
+    /// Records whether a host reaches no target, as its last heartbeat says.
+    pub fn set_cut_off(&mut self, host: &id::Host, is_cut_off: bool) {
+        if let Some(peer) = self.peers.get_mut(host) {
+            peer.is_cut_off = is_cut_off;
+        }
+    }
+
+    /// Returns a host that can send a request on, and is not among `tried`; `draw` selects one of
+    /// them.
+    pub fn choose_proxy(&self, tried: &[id::Host], draw: u64) -> Option<Host> {
+        let hosts: Vec<&Host> = self.proxies().filter(|it| !tried.contains(&it.name)).collect();
+        let index = draw.checked_rem(u64::try_from(hosts.len()).ok()?)?;
+        hosts.get(usize::try_from(index).ok()?).map(|it| (*it).clone())
+    }
+
+    /// Returns whether there is a host that can send requests on.
+    pub fn has_proxy(&self) -> bool {
+        self.proxies().next().is_some()
+    }
+
+    /// Returns the hosts that serve callers and reach targets.
+    fn proxies(&self) -> impl Iterator<Item = &Host> {
+        self.peers.values().filter(|it| it.up && it.ready && !it.is_cut_off).map(|it| &it.host)
+    }
+
+    /// Returns whether this run of a host has ended or does not answer. One that shuts down still
+    /// completes its requests.
+    pub fn is_lost(&self, host: &id::Host, incarnation: id::Incarnation) -> bool {
+        let peer = self.peers.get(host).filter(|it| it.up || it.leaving);
+        peer.is_none_or(|it| it.host.incarnation != incarnation)
+    }
+
+    /// Returns whether this run of a host is known, up or not.
+    pub fn is_known(&self, host: &id::Host, incarnation: id::Incarnation) -> bool {
+        self.peers.get(host).is_some_and(|it| it.host.incarnation == incarnation)
+    }
+
     /// Marks hosts that did not answer a probe as down, and returns the hosts to probe.
     pub fn tick(&mut self, now: Moment) -> Tick {
         let interval = self.interval();
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -31,6 +31,12 @@
     pub callers_gone: IntCounter,
     /// Connections opened to targets.
     pub connections_opened: IntCounter,
+    /// Connections opened to other hosts.
+    pub peer_connections: IntCounter,
+    /// Requests that one host sends through another, by this host's role.
+    pub peer_requests: IntCounterVec,
+    /// Whether this host is cut off from all targets.
+    pub cut_off: IntGauge,
     /// Calls to the store, by outcome.
     pub store_calls: IntCounterVec,
     /// Duration of the stages of a request, in seconds: waiting for placement, until the first
@@ -101,6 +107,16 @@
             )?,
             callers_gone: counter("callers_gone_total", "Requests whose caller went away.")?,
             connections_opened: counter("connections_total", "Connections opened to targets.")?,
+            peer_connections: counter(
+                "peer_connections_total",
+                "Connections opened to other hosts.",
+            )?,
+            peer_requests: counters(
+                "peer_requests_total",
+                "Requests that one host sends through another, by this host's role.",
+                "role",
+            )?,
+            cut_off: gauge("cut_off", "Whether this host reaches no target.")?,
             store_calls: counters(
                 "store_calls_total",
                 "Calls to the store, by outcome.",
--- a/gateway/src/notice.rs
+++ b/gateway/src/notice.rs
@@ -143,7 +143,7 @@
         context.state_mut().availability.record_departure(key, departure.clone(), source, now);
     if is_new {
         context.metrics.target_notices.with_label_values(&["leaving"]).inc();
-        context.pool.close_idle(key);
+        context.pool.close_idle(&key);
         tracing::info!(code = 8049, notice = "leaving", target = %departure.target, source = source.as_str(), "target says that it is leaving; nothing new is sent to it");
     }
     is_new
--- /dev/null
+++ b/gateway/src/peer_proxy.rs
@@ -0,0 +1,236 @@
+//! Sends a job through another host while this one is cut off from the targets.
+//!
+//! The other host does everything that this one would do for its caller, and sends no request any
+//! further. Here the response is passed on as it arrives; a caller that leaves closes the connection
+//! to the other host, which then frees the target.
+
+use std::{rc::Rc, time::Duration};
+
+use fuchsiaknot_core::{id, verdict::Reason};
+use http_body_util::BodyExt;
+use hyper::{HeaderMap, Response, StatusCode, body::Incoming, header, http::response::Parts};
+use tokio::{
+    sync::mpsc,
+    time::{sleep, timeout},
+};
+
+use crate::{
+    context::Context,
+    headers::end_to_end,
+    job::Job,
+    membership::Host,
+    peer_ticket::{NOT_TAKEN_HEADER, Ticket},
+    response::{Body, STREAM_CHANNEL_CAPACITY, Truncated},
+    upstream::{Connection, RequestError},
+};
+
+/// Most hosts that are tried for one job.
+const MAX_HOSTS: u32 = 3;
+/// Interval at which is checked whether the other host is still up.
+const LIVENESS_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Why another host yielded no response to forward.
+enum Failure {
+    /// The host has not taken the job.
+    NotTaken,
+    /// The connection broke, or the host went down; the job may have run.
+    Broken,
+    /// The job's deadline passed.
+    Expired,
+}
+
+/// Sends a job through other hosts until one of them responds.
+///
+/// # Errors
+/// Returns the reason for giving the job up.
+pub(crate) async fn forward(
+    context: &Rc<Context>,
+    job: &Rc<Job>,
+    may_have_run: bool,
+) -> Result<Response<Body>, Reason> {
+    let mut tried: Vec<id::Host> = Vec::new();
+    for _ in 0..MAX_HOSTS {
+        let host = context.state().membership.choose_proxy(&tried, rand::random());
+        let Some(host) = host else { break };
+        tried.push(host.name.clone());
+        match send(context, job, &host).await {
+            Ok(response) => {
+                log_forwarded(job, &host, response.status());
+                return Ok(response);
+            }
+            Err(Failure::NotTaken) => {}
+            Err(Failure::Expired) => return Err(Reason::DeadlineExceeded),
+            // How many attempts the other host made is unknown, so there may be none left.
+            Err(Failure::Broken) => return Err(Reason::TargetFailed),
+        }
+    }
+    Err(if may_have_run { Reason::TargetFailed } else { Reason::NoTarget })
+}
+
+fn log_forwarded(job: &Job, host: &Host, status: StatusCode) {
+    tracing::info!(
+        code = 8062,
+        id = %job.id,
+        host = %host.name,
+        status = status.as_u16(),
+        "request sent through another host"
+    );
+}
+
+/// Sends a job to another host and returns its response, of which a stream goes on arriving.
+async fn send(
+    context: &Rc<Context>,
+    job: &Rc<Job>,
+    host: &Host,
+) -> Result<Response<Body>, Failure> {
+    let mut connection = match context.peer_pool.take_idle(&host.name) {
+        Some(connection) => connection,
+        None => context.peer_pool.open(host.peer_address).await.map_err(|_| Failure::NotTaken)?,
+    };
+    let ticket = Ticket {
+        from: context.settings.host.name.clone(),
+        from_incarnation: context.settings.host.incarnation,
+        to_incarnation: host.incarnation,
+        attempts_sent: job.attempts_sent.get(),
+        is_counted: job.is_counted.get(),
+        configuration_version: job.configuration_version,
+    };
+    let request = job.peer_request(&context.header_names, &ticket).ok_or(Failure::NotTaken)?;
+    context.metrics.peer_requests.with_label_values(&["sent"]).inc();
+    let sent = tokio::select! {
+        sent = timeout(job.time_left(), connection.send(request)) => sent,
+        () = host_lost(context, host) => return Err(Failure::Broken),
+    };
+    let response = match sent {
+        Err(_) => return Err(Failure::Expired),
+        Ok(Err(RequestError::NotSent)) => return Err(Failure::NotTaken),
+        Ok(Err(_)) => return Err(Failure::Broken),
+        Ok(Ok(response)) => response,
+    };
+    let (head, body) = response.into_parts();
+    if head.headers.contains_key(NOT_TAKEN_HEADER) {
+        return Err(Failure::NotTaken);
+    }
+    let exchange = Exchange {
+        context: Rc::clone(context),
+        job: Rc::clone(job),
+        host: host.clone(),
+        connection,
+        body,
+    };
+    exchange.forward(head).await
+}
+
+/// Completes once another host is down or was restarted.
+async fn host_lost(context: &Context, host: &Host) {
+    loop {
+        sleep(LIVENESS_INTERVAL).await;
+        if context.state().membership.is_lost(&host.name, host.incarnation) {
+            return;
+        }
+    }
+}
+
+/// A response of another host in progress. Dropping it closes the connection.
+struct Exchange {
+    context: Rc<Context>,
+    job: Rc<Job>,
+    host: Host,
+    connection: Connection,
+    body: Incoming,
+}
+
+impl Exchange {
+    /// Forwards the response: a stream as it arrives, any other once it is whole.
+    async fn forward(mut self, head: Parts) -> Result<Response<Body>, Failure> {
+        let content_type = head.headers.get(header::CONTENT_TYPE);
+        let is_stream =
+            content_type.is_some_and(|it| it.as_bytes().starts_with(b"text/event-stream"));
+        let body = if is_stream {
+            let (sender, receiver) = mpsc::channel(STREAM_CHANNEL_CAPACITY);
+            tokio::task::spawn_local(self.forward_stream(sender, closes(&head.headers)));
+            Body::Stream(receiver)
+        } else {
+            let mut bytes = Vec::new();
+            let mut memory = self.context.body_memory.share();
+            while let Some(chunk) = self.chunk().await? {
+                memory.take(chunk.len()).map_err(|_| Failure::Broken)?;
+                bytes.extend_from_slice(&chunk);
+            }
+            self.finish(closes(&head.headers));
+            Body::whole(bytes)
+        };
+        let mut response = Response::new(body);
+        *response.status_mut() = head.status;
+        *response.headers_mut() = end_to_end(&head.headers);
+        Ok(response)
+    }
+
+    /// Passes on the chunks of a stream. It is cut if the other host fails, so that it does not look
+    /// complete.
+    async fn forward_stream(
+        mut self,
+        sender: mpsc::Sender<Result<bytes::Bytes, Truncated>>,
+        closes: bool,
+    ) {
+        loop {
+            let chunk = tokio::select! {
+                chunk = self.chunk() => chunk,
+                () = sender.closed() => return,
+            };
+            match chunk {
+                Ok(Some(chunk)) => {
+                    if sender.send(Ok(chunk)).await.is_err() {
+                        return;
+                    }
+                }
+                Ok(None) => return self.finish(closes),
+                Err(_) => {
+                    tracing::warn!(code = 8063, id = %self.job.id, host = %self.host.name, "stream through another host broke off");
+                    // An error discards chunks that are not written yet.
+                    let drained = sender.reserve_many(sender.max_capacity());
+                    if timeout(self.job.time_left(), drained).await.is_err() {
+                        tracing::debug!(id = %self.job.id, "caller of a broken stream did not read it to the end");
+                    }
+                    if sender.send(Err(Truncated)).await.is_err() {
+                        tracing::debug!(id = %self.job.id, "caller of a broken stream had disconnected");
+                    }
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Returns the next chunk of the body; `None` at its end.
+    async fn chunk(&mut self) -> Result<Option<bytes::Bytes>, Failure> {
+        loop {
+            let frame = tokio::select! {
+                frame = timeout(self.job.time_left(), self.body.frame()) => frame,
+                () = host_lost(&self.context, &self.host) => return Err(Failure::Broken),
+            };
+            match frame {
+                Err(_) => return Err(Failure::Expired),
+                Ok(None) => return Ok(None),
+                Ok(Some(Err(_))) => return Err(Failure::Broken),
+                Ok(Some(Ok(frame))) => {
+                    if let Ok(bytes) = frame.into_data() {
+                        return Ok(Some(bytes));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Keeps the connection after a complete response.
+    fn finish(self, closes: bool) {
+        if !closes {
+            self.context.peer_pool.put_back(self.host.name, self.connection, None);
+        }
+    }
+}
+
+/// Returns whether the sender of a response closes its connection.
+fn closes(headers: &HeaderMap) -> bool {
+    let connection = headers.get(header::CONNECTION);
+    connection.is_some_and(|it| it.as_bytes().eq_ignore_ascii_case(b"close"))
+}
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -96,6 +96,12 @@
     }
 }
 
+/// Tells every other host of a change of this host's state, and elects the dispatcher anew.
+pub(crate) fn announce(context: &Context) {
+    elect_dispatcher(context);
+    send_to_all(context, &Packet::Heartbeat(heartbeat(context)));
+}
+
 /// Sends a datagram to a host that is up; returns whether it was sent.
 pub fn send(context: &Context, host: &id::Host, packet: &Packet) -> bool {
     let Some(address) = context.state().membership.peer_address(host) else { return false };
@@ -134,6 +140,8 @@
 struct Notices {
     departures: Vec<Departure>,
     limits: Vec<rate_limit::Report>,
+    /// Whether the sender reaches no target.
+    is_cut_off: bool,
 }
 
 impl Notices {
@@ -142,17 +150,22 @@
         Notices {
             departures: state.availability.recent_departures(now),
             limits: state.rate_limits.recent_reports(now),
+            is_cut_off: state.reachability.is_cut_off(),
         }
     }
 
     fn encode(&self) -> postcard::Result<Vec<u8>> {
-        if self.departures.is_empty() && self.limits.is_empty() {
+        let has_limits = !self.limits.is_empty() || self.is_cut_off;
+        if self.departures.is_empty() && !has_limits {
             return Ok(Vec::new());
         }
         let mut bytes = postcard::to_stdvec(&self.departures)?;
-        if !self.limits.is_empty() {
+        if has_limits {
             bytes.extend(postcard::to_stdvec(&self.limits)?);
         }
+        if self.is_cut_off {
+            bytes.extend(postcard::to_stdvec(&true)?);
+        }
         Ok(bytes)
     }
 
@@ -161,8 +174,12 @@
             return Ok(Notices::default());
         }
         let (departures, rest) = postcard::take_from_bytes(bytes)?;
-        let limits = if rest.is_empty() { Vec::new() } else { postcard::from_bytes(rest)? };
-        Ok(Notices { departures, limits })
+        if rest.is_empty() {
+            return Ok(Notices { departures, ..Notices::default() });
+        }
+        let (limits, rest) = postcard::take_from_bytes(rest)?;
+        let is_cut_off = !rest.is_empty() && postcard::from_bytes(rest)?;
+        Ok(Notices { departures, limits, is_cut_off })
     }
 }
 
@@ -291,7 +308,14 @@
         };
         match decode(&buffer[..length]) {
             Ok((packet, notices)) => {
+                let from = match &packet {
+                    Packet::Heartbeat(heartbeat) => Some(heartbeat.host.name.clone()),
+                    _ => None,
+                };
                 handle_packet(context, packet);
+                if let Some(host) = from {
+                    context.state_mut().membership.set_cut_off(&host, notices.is_cut_off);
+                }
                 for departure in notices.departures {
                     notice::handle_departure(context, departure);
                 }
--- a/gateway/src/prefill.rs
+++ b/gateway/src/prefill.rs
@@ -13,7 +13,7 @@
     calls::{Call, Ledger},
     context::Context,
     job::Job,
-    notice,
+    notice, probe,
     registry::Key,
     target::Target,
 };
@@ -87,7 +87,7 @@
     if !may_send() {
         return;
     }
-    let Ok(mut connection) = context.pool.connect(key, target.address).await else { return };
+    let Ok(mut connection) = probe::connect(context, key, target.address).await else { return };
     if !may_send() || !context.state().rate_limits.is_available(key, clock::now()) {
         return;
     }
--- a/gateway/src/registry.rs
+++ b/gateway/src/registry.rs
@@ -184,6 +184,11 @@
         self.entries.values().map(|it| &it.target)
     }
 
+    /// Returns the targets of all services that accept new requests.
+    pub fn all_usable(&self) -> impl Iterator<Item = Key> {
+        self.entries.iter().filter(|(_, it)| it.is_usable()).map(|(key, _)| key)
+    }
+
     /// Returns the number of known targets.
     pub fn len(&self) -> usize {
         self.entries.len()
--- a/gateway/src/response.rs
+++ b/gateway/src/response.rs
@@ -15,6 +15,10 @@
 };
 use tokio::sync::mpsc;
 
+/// Number of chunks of a stream buffered for a slow caller; a full channel stops reading from the
+/// target.
+pub const STREAM_CHANNEL_CAPACITY: usize = 16;
+
 /// Error that ends a stream early.
 ///
 /// The caller's connection is closed, so that the response does not look complete.
--- a/gateway/src/store_sync.rs
+++ b/gateway/src/store_sync.rs
@@ -527,6 +527,7 @@
             context.record_target_events(events);
         }
         context.pool.close_expired();
+        context.peer_pool.close_expired();
         let now = clock::now();
         let mut state = context.state_mut();
         state.load.expire(now);
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
+    hash::Hash,
     io,
     rc::Rc,
     time::Duration,
@@ -20,10 +21,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
 
-use crate::{
-    registry::Key,
-    tapped_stream::{Tap, TappedStream},
-};
+use crate::tapped_stream::{Tap, TappedStream};
 use fuchsiaknot_core::clock::{self, Moment};
 
 /// Time for establishing a connection; a round trip within a region takes a few milliseconds.
@@ -67,24 +65,27 @@
     }
 }
 
-/// Bytes that may still be read from a connection; clones share them.
+/// Bytes that may still be read from a connection, and when any were last read; clones share them.
 ///
 /// The client library skips any number of interim heads, so the size of its buffer alone does not
 /// bound what a target may send before its response.
 #[derive(Debug, Clone)]
-struct Allowance(Rc<Cell<usize>>);
+struct Allowance {
+    bytes: Rc<Cell<usize>>,
+    last_received: Rc<Cell<Moment>>,
+}
 
 impl Allowance {
-    fn unlimited() -> Allowance {
-        Allowance(Rc::new(Cell::new(usize::MAX)))
+    fn unlimited(last_received: Rc<Cell<Moment>>) -> Allowance {
+        Allowance { bytes: Rc::new(Cell::new(usize::MAX)), last_received }
     }
 
     fn set(&self, bytes: usize) {
-        self.0.set(bytes);
+        self.bytes.set(bytes);
     }
 
     fn is_used_up(&self) -> bool {
-        self.0.get() == 0
+        self.bytes.get() == 0
     }
 }
 
@@ -94,7 +95,8 @@
     }
 
     fn record_read(&self, bytes: usize) {
-        self.set(self.0.get().saturating_sub(bytes));
+        self.set(self.bytes.get().saturating_sub(bytes));
+        self.last_received.set(clock::now());
     }
 }
 
@@ -115,39 +117,42 @@
     }
 }
 
-/// Pool of idle connections by target.
+/// Pool of idle connections by the peer's key.
 #[derive(Debug)]
-pub struct Pool {
-    idle: RefCell<HashMap<Key, Vec<Connection>>>,
+pub struct Pool<K> {
+    idle: RefCell<HashMap<K, Vec<Connection>>>,
     opened: IntCounter,
+    last_received: Rc<Cell<Moment>>,
 }
 
-impl Pool {
+impl<K: Eq + Hash> Pool<K> {
     /// Creates an empty pool that counts opened connections in `opened`.
-    pub fn new(opened: IntCounter) -> Pool {
-        Pool { idle: RefCell::default(), opened }
+    pub fn new(opened: IntCounter) -> Pool<K> {
+        Pool { idle: RefCell::default(), opened, last_received: Rc::default() }
     }
 
-    /// Returns an idle connection to a target, or opens a new one.
+    /// Returns the time at which a connection was last established or received anything.
+    pub fn last_received(&self) -> Moment {
+        self.last_received.get()
+    }
+
+    /// Opens a new connection.
     ///
     /// # Errors
-    /// Fails when the target refuses the connection or does not accept it in time.
-    pub async fn connect(
-        &self,
-        key: Key,
-        address: std::net::SocketAddr,
-    ) -> Result<Connection, RequestError> {
-        if let Some(connection) = self.take_idle(key) {
-            return Ok(connection);
-        }
+    /// Fails when the peer refuses the connection or does not accept it in time.
+    pub async fn open(&self, address: std::net::SocketAddr) -> Result<Connection, RequestError> {
         self.opened.inc();
-        open(address).await.map_err(RequestError::Connect)
+        let opened = open_tapped(address, Rc::clone(&self.last_received)).await;
+        let connection = opened.map_err(RequestError::Connect)?;
+        self.last_received.set(clock::now());
+        Ok(connection)
     }
 
-    fn take_idle(&self, key: Key) -> Option<Connection> {
+    /// Returns an idle connection, if there is one.
+    pub fn take_idle(&self, key: &K) -> Option<Connection> {
         let now = clock::now();
         let mut idle = self.idle.borrow_mut();
-        let connections = idle.get_mut(&key)?;
+        let connections = idle.get_mut(key)?;
         while let Some(connection) = connections.pop() {
             if now < connection.idle_until && connection.sender.is_ready() {
                 return Some(connection);
@@ -160,7 +165,7 @@
     ///
     /// `keep_alive` is the time for which the target keeps the idle connection, if it sent one. The
     /// pool drops the connection earlier, so that no request meets the target's close.
-    pub fn put_back(&self, key: Key, mut connection: Connection, keep_alive: Option<Duration>) {
+    pub fn put_back(&self, key: K, mut connection: Connection, keep_alive: Option<Duration>) {
         if connection.sender.is_closed() {
             return;
         }
@@ -175,8 +180,13 @@
     }
 
     /// Closes the idle connections of a target.
-    pub fn close_idle(&self, key: Key) {
-        self.idle.borrow_mut().remove(&key);
+    pub fn close_idle(&self, key: &K) {
+        self.idle.borrow_mut().remove(key);
+    }
+
+    /// Closes all idle connections.
+    pub fn close_all(&self) {
+        self.idle.borrow_mut().clear();
     }
 
     /// Closes the connections whose idle time is over.
@@ -224,9 +234,17 @@
 /// # Errors
 /// Fails when the peer refuses the connection or does not accept it in time.
 pub async fn open(address: std::net::SocketAddr) -> io::Result<Connection> {
+    open_tapped(address, Rc::default()).await
+}
+
+/// Opens a connection that records when it last received anything.
+async fn open_tapped(
+    address: std::net::SocketAddr,
+    last_received: Rc<Cell<Moment>>,
+) -> io::Result<Connection> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
     set_silence_timeout(&stream, SILENCE_TIMEOUT)?;
-    let allowance = Allowance::unlimited();
+    let allowance = Allowance::unlimited(last_received);
     let stream = TappedStream::new(stream, allowance.clone());
     let handshake = http1::Builder::new()
         .max_buf_size(BUFFER_BYTES)
