fix(isolation): stay with other hosts until most targets are reachable

A cut now ends once as many targets accept connections as refuse them within a second, two at least.

--- a/gateway/src/probe.rs
+++ b/gateway/src/probe.rs
@@ -43,7 +43,7 @@
     let (change, refused) = {
         let mut state = context.state_mut();
         let target_count = state.registry.len();
-        let change = state.reachability.record_connected(key, target_count);
+        let change = state.reachability.record_connected(key, target_count, clock::now());
         let refused = state.reachability.take_refused();
         let targets = refused.into_iter().filter_map(|it| state.registry.get(it).cloned());
         (change, targets.collect::<Vec<_>>())
@@ -59,7 +59,7 @@
         if is_refused {
             state.reachability.record_refused(key);
         }
-        state.reachability.record_failed(key, target_count)
+        state.reachability.record_failed(key, target_count, clock::now())
     };
     context.connect_failed.notify_one();
     record_change(context, change);
@@ -89,13 +89,13 @@
 /// Probes targets while there is a reason to doubt that this host reaches any, forever.
 pub(crate) async fn run(context: Rc<Context>) {
     loop {
-        let interval = match context.is_cut_off() {
-            true => CUT_OFF_PROBE_INTERVAL,
-            false => PROBE_INTERVAL,
-        };
-        tokio::select! {
-            () = context.connect_failed.notified() => {}
-            () = sleep(interval) => {}
+        if context.is_cut_off() {
+            sleep(CUT_OFF_PROBE_INTERVAL).await;
+        } else {
+            tokio::select! {
+                () = context.connect_failed.notified() => {}
+                () = sleep(PROBE_INTERVAL) => {}
+            }
         }
         let keys = due_probes(&context);
         let mut probes = JoinSet::new();
@@ -103,10 +103,6 @@
             probes.spawn_local(probe(Rc::clone(&context), key));
         }
         while probes.join_next().await.is_some() {}
-        // A probe notifies of its own failure; the next round has its interval to wait.
-        if context.is_cut_off() {
-            sleep(CUT_OFF_PROBE_INTERVAL).await;
-        }
     }
 }
 
--- a/gateway/src/reachability.rs
+++ b/gateway/src/reachability.rs
@@ -5,15 +5,23 @@
 //! and old connections may outlive a cut. Until connections to several targets have failed and none
 //! has been established since, the host counts as connected.
 
-use std::{collections::BTreeSet, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use fuchsiaknot_core::clock::Moment;
 
 use crate::registry::Key;
 
 /// Number of targets to which connections must fail, one after the other, before the host counts as
 /// cut off.
 const MIN_FAILED: usize = 5;
-/// Number of targets that must accept connections before it counts as connected again.
+/// Number of targets that must accept connections before it counts as connected again; at least as
+/// many as fail, since a host that reaches a few targets only serves better through others.
 const MIN_RESTORED: usize = 2;
+/// Time for which a connection counts for this.
+const OUTCOME_TTL: Duration = Duration::from_secs(1);
 /// Number of failed targets from which on others are probed.
 const SUSPICIOUS_FAILED: usize = 2;
 /// Targets probed at once on a suspicion.
@@ -30,14 +38,21 @@
     Restored,
 }
 
+/// Outcome of a connection to a target.
+#[derive(Debug, Clone, Copy)]
+struct Outcome {
+    is_connected: bool,
+    at: Moment,
+}
+
 /// Reachability of the targets from this host.
 #[derive(Debug, Default)]
 pub struct Tracker {
     is_cut_off: bool,
     /// Targets to which a connection failed since the last one that was established.
     failed: BTreeSet<Key>,
-    /// Targets that accepted a connection since the last failure, while the host is cut off.
-    restored: BTreeSet<Key>,
+    /// Latest connection to each target while the host is cut off.
+    outcomes: BTreeMap<Key, Outcome>,
     /// Targets that refused a connection, of which the dispatcher has not been told.
     refused: Vec<Key>,
 }
@@ -49,28 +64,41 @@
     }
 
     /// Records a new connection to one of `target_count` known targets.
-    pub fn record_connected(&mut self, key: Key, target_count: usize) -> Option<Change> {
+    pub fn record_connected(
+        &mut self,
+        key: Key,
+        target_count: usize,
+        now: Moment,
+    ) -> Option<Change> {
         self.failed.clear();
         if !self.is_cut_off {
             return None;
         }
-        self.restored.insert(key);
-        if self.restored.len() < MIN_RESTORED.min(target_count) {
+        self.outcomes.insert(key, Outcome { is_connected: true, at: now });
+        self.outcomes.retain(|_, it| now < it.at + OUTCOME_TTL);
+        let connected = self.outcomes.values().filter(|it| it.is_connected).count();
+        let failed = self.outcomes.len() - connected;
+        if connected < failed.max(MIN_RESTORED.min(target_count)) {
             return None;
         }
         self.is_cut_off = false;
-        self.restored.clear();
+        self.outcomes.clear();
         Some(Change::Restored)
     }
 
     /// Records that one of `target_count` known targets could not be connected to.
-    pub fn record_failed(&mut self, key: Key, target_count: usize) -> Option<Change> {
-        self.restored.clear();
+    pub fn record_failed(&mut self, key: Key, target_count: usize, now: Moment) -> Option<Change> {
         self.failed.insert(key);
-        if self.is_cut_off || self.failed.len() < MIN_FAILED.min(target_count) {
+        if self.is_cut_off {
+            self.outcomes.insert(key, Outcome { is_connected: false, at: now });
+            return None;
+        }
+        if self.failed.len() < MIN_FAILED.min(target_count) {
             return None;
         }
         self.is_cut_off = true;
+        let outcome = Outcome { is_connected: false, at: now };
+        self.outcomes = self.failed.iter().map(|key| (*key, outcome)).collect();
         self.refused.clear();
         Some(Change::CutOff)
     }
@@ -109,7 +137,7 @@
     /// Drops the state of a target that left the registry.
     pub fn forget(&mut self, key: Key) {
         self.failed.remove(&key);
-        self.restored.remove(&key);
+        self.outcomes.remove(&key);
         self.refused.retain(|it| *it != key);
     }
 }
