--- a/gateway/src/headers.rs
+++ b/gateway/src/headers.rs
@@ -70,6 +70,18 @@
     kept.map(|(name, value)| (name.clone(), value.clone())).collect()
 }
 
+/// Returns whether a response is a stream of server-sent events.
+pub fn is_event_stream(headers: &HeaderMap) -> bool {
+    let content_type = headers.get(header::CONTENT_TYPE);
+    content_type.is_some_and(|it| it.as_bytes().starts_with(b"text/event-stream"))
+}
+
+/// Returns whether the sender of a response closes its connection.
+pub fn closes_connection(headers: &HeaderMap) -> bool {
+    let connection = headers.get(header::CONNECTION);
+    connection.is_some_and(|it| it.as_bytes().eq_ignore_ascii_case(b"close"))
+}
+
 /// Bytes of `: ` between name and value and of the line end after each header field.
 const FIELD_SEPARATOR_BYTES: usize = 4;
 
--- a/gateway/src/origin_lookup.rs
+++ b/gateway/src/origin_lookup.rs
@@ -56,14 +56,19 @@
 
 /// Queries of this host that wait for answers.
 #[derive(Debug, Default)]
-pub struct Pending(RefCell<HashMap<QueryNumber, mpsc::Sender<Answer>>>);
+pub struct Pending {
+    senders: RefCell<HashMap<QueryNumber, mpsc::Sender<Answer>>>,
+}
 
 /// Removes a pending query on drop, also when the caller disconnects while it waits.
-struct PendingGuard<'a>(&'a Pending, QueryNumber);
+struct PendingGuard<'a> {
+    pending: &'a Pending,
+    number: QueryNumber,
+}
 
 impl Drop for PendingGuard<'_> {
     fn drop(&mut self) {
-        self.0.0.borrow_mut().remove(&self.1);
+        self.pending.senders.borrow_mut().remove(&self.number);
     }
 }
 
@@ -121,8 +126,9 @@
     }
     let (sender, mut answers) = mpsc::channel(ANSWER_CAPACITY);
     let number = rand::random();
-    context.origin_queries.0.borrow_mut().insert(number, sender);
-    let _guard = PendingGuard(&context.origin_queries, number);
+    let pending = &context.origin_queries;
+    pending.senders.borrow_mut().insert(number, sender);
+    let _guard = PendingGuard { pending, number };
     let query = Query {
         host: context.settings.host.name.clone(),
         number,
@@ -157,7 +163,7 @@
 
 /// Passes an answer to the query that waits for it.
 pub fn handle_answer(context: &Context, answer: Answer) {
-    let pending = context.origin_queries.0.borrow().get(&answer.number).cloned();
+    let pending = context.origin_queries.senders.borrow().get(&answer.number).cloned();
     if pending.is_none_or(|it| it.try_send(answer).is_err()) {
         tracing::debug!("an answer about a stream's origin came too late");
     }
--- a/gateway/src/peer_proxy.rs
+++ b/gateway/src/peer_proxy.rs
@@ -8,7 +8,7 @@
 
 use fuchsiaknot_core::{id, verdict::Reason};
 use http_body_util::BodyExt;
-use hyper::{HeaderMap, Response, StatusCode, body::Incoming, header, http::response::Parts};
+use hyper::{Response, StatusCode, body::Incoming, http::response::Parts};
 use tokio::{
     sync::mpsc,
     time::{sleep, timeout},
@@ -16,11 +16,11 @@
 
 use crate::{
     context::Context,
-    headers::end_to_end,
+    headers::{closes_connection, end_to_end, is_event_stream},
     job::Job,
     membership::Host,
     peer_ticket::{NOT_TAKEN_HEADER, Ticket},
-    response::{Body, STREAM_CHANNEL_CAPACITY, Truncated},
+    response::{self, Body, STREAM_CHANNEL_CAPACITY, Truncated},
     upstream::{Connection, RequestError},
 };
 
@@ -143,12 +143,10 @@
 impl Exchange {
     /// Forwards the response: a stream as it arrives, any other once it is whole.
     async fn forward(mut self, head: Parts) -> Result<Response<Body>, Failure> {
-        let content_type = head.headers.get(header::CONTENT_TYPE);
-        let is_stream =
-            content_type.is_some_and(|it| it.as_bytes().starts_with(b"text/event-stream"));
-        let body = if is_stream {
+        let closes = closes_connection(&head.headers);
+        let body = if is_event_stream(&head.headers) {
             let (sender, receiver) = mpsc::channel(STREAM_CHANNEL_CAPACITY);
-            tokio::task::spawn_local(self.forward_stream(sender, closes(&head.headers)));
+            tokio::task::spawn_local(self.forward_stream(sender, closes));
             Body::Stream(receiver)
         } else {
             let mut bytes = Vec::new();
@@ -157,7 +155,7 @@
                 memory.take(chunk.len()).map_err(|_| Failure::Broken)?;
                 bytes.extend_from_slice(&chunk);
             }
-            self.finish(closes(&head.headers));
+            self.finish(closes);
             Body::whole(bytes)
         };
         let mut response = Response::new(body);
@@ -187,15 +185,7 @@
                 Ok(None) => return self.finish(closes),
                 Err(_) => {
                     tracing::warn!(code = 8063, id = %self.job.id, host = %self.host.name, "stream through another host broke off");
-                    // An error discards chunks that are not written yet.
-                    let drained = sender.reserve_many(sender.max_capacity());
-                    if timeout(self.job.time_left(), drained).await.is_err() {
-                        tracing::debug!(id = %self.job.id, "caller of a broken stream did not read it to the end");
-                    }
-                    if sender.send(Err(Truncated)).await.is_err() {
-                        tracing::debug!(id = %self.job.id, "caller of a broken stream had disconnected");
-                    }
-                    return;
+                    return response::cut_stream(&sender, self.job.time_left()).await;
                 }
             }
         }
@@ -228,9 +218,3 @@
         }
     }
 }
-
-/// Returns whether the sender of a response closes its connection.
-fn closes(headers: &HeaderMap) -> bool {
-    let connection = headers.get(header::CONNECTION);
-    connection.is_some_and(|it| it.as_bytes().eq_ignore_ascii_case(b"close"))
-}
--- a/gateway/src/response.rs
+++ b/gateway/src/response.rs
@@ -13,7 +13,7 @@
     body::{Body as HttpBody, Frame, SizeHint},
     header,
 };
-use tokio::sync::mpsc;
+use tokio::{sync::mpsc, time::timeout};
 
 /// Number of chunks of a stream buffered for a slow caller; a full channel stops reading from the
 /// target.
@@ -77,6 +77,21 @@
     }
 }
 
+/// Ends a stream with an error, once its caller has read all chunks or `time_left` has passed.
+pub(crate) async fn cut_stream(
+    sender: &mpsc::Sender<Result<Bytes, Truncated>>,
+    time_left: Duration,
+) {
+    // An error discards chunks that are not written yet.
+    let drained = sender.reserve_many(sender.max_capacity());
+    if timeout(time_left, drained).await.is_err() {
+        tracing::debug!("caller of a broken stream did not read it to the end");
+    }
+    if sender.send(Err(Truncated)).await.is_err() {
+        tracing::debug!("caller of a broken stream had disconnected");
+    }
+}
+
 /// Returns a plain-text response of this host itself, with a `Retry-After` header if given a delay.
 pub fn local(
     status: StatusCode,
--- a/gateway/src/stream_relay.rs
+++ b/gateway/src/stream_relay.rs
@@ -3,7 +3,7 @@
 use std::{pin::pin, rc::Rc, time::Duration};
 
 use fuchsiaknot_core::clock::{self, Moment};
-use tokio::{sync::mpsc, time::timeout};
+use tokio::sync::mpsc;
 
 use crate::{
     attempt::{Attempt, Failure},
@@ -11,7 +11,7 @@
     forward::{Forwarder, log_response},
     job::Job,
     registry::Key,
-    response::Truncated,
+    response::{self, Truncated},
 };
 
 /// Reads the next whole event; `None` at the end of a complete stream.
@@ -274,14 +274,7 @@
             sent = job.attempts_sent.get(),
             "stream broke off and cannot be resumed"
         );
-        // An error discards buffered events, so all events must be written before it.
-        let drained = self.sender.reserve_many(self.sender.max_capacity());
-        if timeout(job.time_left(), drained).await.is_err() {
-            tracing::debug!(id = %job.id, "caller of a broken stream did not read it to the end");
-        }
-        if self.sender.send(Err(Truncated)).await.is_err() {
-            tracing::debug!(id = %job.id, "caller of a broken stream had disconnected");
-        }
+        response::cut_stream(&self.sender, job.time_left()).await;
     }
 
     fn record_disconnect(&self) {
--- a/gateway/src/target_response.rs
+++ b/gateway/src/target_response.rs
@@ -9,8 +9,13 @@
 use tokio::time::timeout;
 
 use crate::{
-    attempt::Failure, context::Context, headers::end_to_end, job::Job, registry::Key,
-    target::Target, upstream::Connection,
+    attempt::Failure,
+    context::Context,
+    headers::{closes_connection, end_to_end, is_event_stream},
+    job::Job,
+    registry::Key,
+    target::Target,
+    upstream::Connection,
 };
 
 /// Time within which the rest of a discarded response must end.
@@ -89,8 +94,7 @@
 
     /// Returns whether the response is a stream of server-sent events.
     pub fn is_stream(&self) -> bool {
-        let content_type = self.head.headers.get(header::CONTENT_TYPE);
-        content_type.is_some_and(|it| it.as_bytes().starts_with(b"text/event-stream"))
+        is_event_stream(&self.head.headers)
     }
 
     /// Returns whether the response is a stream with a success status.
@@ -151,9 +155,7 @@
         let TargetResponse { key, head, connection, .. } = self;
         let is_framed = head.headers.contains_key(header::CONTENT_LENGTH)
             || head.headers.contains_key(header::TRANSFER_ENCODING);
-        let connection_header = head.headers.get(header::CONNECTION);
-        let closes =
-            connection_header.is_some_and(|it| it.as_bytes().eq_ignore_ascii_case(b"close"));
+        let closes = closes_connection(&head.headers);
         let is_leaving = context.state().availability.is_leaving(key);
         if is_framed && !closes && !is_leaving {
             context.pool.put_back(key, connection, keep_alive(&head.headers));
