fix(stream): bound the identifiers of recorded streams

Callers choose the identifiers, and a record of one with the size of a request head would take 16 KB, 800 MB with the most records. Identifiers of over 128 bytes are not recorded. An attempt at a target of another version than the stream's, which the dispatcher may grant by an older list, no longer counts against that target's health.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -16,7 +16,8 @@
 pub enum Failure {
     /// The request never reached the target.
     NotSent(String),
-    /// Nothing was sent, since the target is leaving or asked this host to back off.
+    /// Nothing was sent: the target is leaving, asked this host to back off, or has another software
+    /// version than the stream, or this host is cut off from the targets.
     Unavailable,
     /// The target answered that it did not run the request.
     NotRun(StatusCode),
@@ -179,11 +180,10 @@
     let target = target.filter(|it| !it.draining);
     let target =
         target.ok_or_else(|| Failure::NotSent("the target is draining or gone".to_owned()))?;
-    if !job.allows(&target) {
-        return Err(Failure::NotSent("the stream began at another software version".to_owned()));
-    }
     let may_send = || {
-        !context.should_use_proxies() && context.state().availability.may_send(key, clock::now())
+        job.allows(&target)
+            && !context.should_use_proxies()
+            && context.state().availability.may_send(key, clock::now())
     };
     if !may_send() {
         return Err(Failure::Unavailable);
--- a/gateway/src/stream_origin.rs
+++ b/gateway/src/stream_origin.rs
@@ -21,6 +21,8 @@
 const MAX_LIST_AGE: Duration = Duration::from_secs(2);
 /// Most records that are kept; the oldest are dropped first.
 const MAX_RECORDS: usize = 50_000;
+/// Longest identifier of a stream that is recorded; callers choose them.
+const MAX_STREAM_BYTES: usize = 128;
 
 /// Where a stream began.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -122,6 +124,9 @@
     /// Records where a stream began that this host forwards. Returns whether other hosts have to be
     /// told, since they cannot conclude it from the versions of the service.
     pub fn record_begin(&mut self, stream: id::Stream, origin: Origin, now: Moment) -> bool {
+        if MAX_STREAM_BYTES < stream.len() {
+            return false;
+        }
         let is_needed =
             self.knowledge(&stream, Some(&origin.service), now).sole_version().is_none();
         self.insert(stream, origin, !is_needed, now);
@@ -130,7 +135,9 @@
 
     /// Records what another host said of a stream.
     pub fn record_report(&mut self, stream: id::Stream, origin: Origin, now: Moment) {
-        self.insert(stream, origin, false, now);
+        if stream.len() <= MAX_STREAM_BYTES {
+            self.insert(stream, origin, false, now);
+        }
     }
 
     fn insert(&mut self, stream: id::Stream, origin: Origin, is_unpublished: bool, now: Moment) {
--- a/gateway/tests/stream_origin.rs
+++ b/gateway/tests/stream_origin.rs
@@ -126,6 +126,16 @@
     assert!(tracker.record_begin("r3".into(), origin("v1.1"), STREAM_LIFETIME));
 }
 
+/// Callers that choose long identifiers take no memory of the hosts.
+#[test]
+fn long_identifier() {
+    let mut tracker = Tracker::default();
+    let stream = "r".repeat(129);
+    assert!(!tracker.record_begin(stream.as_str().into(), origin("v1"), ms(0)));
+    tracker.record_report(stream.into(), origin("v1"), ms(0));
+    assert!(tracker.is_empty());
+}
+
 /// Callers that send many streams take a bounded number of records.
 #[test]
 fn records_bounded() {
