--- a/gateway/src/origin_lookup.rs
+++ b/gateway/src/origin_lookup.rs
@@ -1,4 +1,4 @@
-//! Tells other hosts where streams began, and asks them.
+//! Reports to other hosts where streams began, and asks them.
 
 use std::{
     cell::RefCell,
@@ -72,7 +72,7 @@
     }
 }
 
-/// Records where a stream began, and tells other hosts if they may need it.
+/// Records where a stream began, and reports it to other hosts if they may need it.
 pub fn record_begin(context: &Context, stream: id::Stream, origin: Origin) {
     let now = clock::now();
     let is_needed =
@@ -82,7 +82,7 @@
     }
 }
 
-/// Tells other hosts of the streams whose origin they could conclude until now.
+/// Reports the streams whose origin the other hosts could conclude until now.
 pub fn publish_pending(context: &Context) {
     let unpublished = context.state_mut().stream_origins.take_unpublished(clock::now());
     publish(context, unpublished);
@@ -111,7 +111,7 @@
     }
 }
 
-/// Returns where a stream began; `None` if neither this host nor those that keep its record can tell.
+/// Returns where a stream began; `None` if neither this host nor those that keep its record know.
 ///
 /// `service` is the only service that may have begun it, if there is only one.
 pub async fn find(
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -96,7 +96,7 @@
     }
 }
 
-/// Tells every other host of a change of this host's state, and elects the dispatcher anew.
+/// Sends every other host a change of this host's state, and elects the dispatcher anew.
 pub(crate) fn announce(context: &Context) {
     elect_dispatcher(context);
     send_to_all(context, &Packet::Heartbeat(heartbeat(context)));
--- a/gateway/src/reachability.rs
+++ b/gateway/src/reachability.rs
@@ -53,7 +53,7 @@
     failed: BTreeSet<Key>,
     /// Latest connection to each target while the host is cut off.
     outcomes: BTreeMap<Key, Outcome>,
-    /// Targets that refused a connection, of which the dispatcher has not been told.
+    /// Targets that refused a connection, not yet reported to the dispatcher.
     refused: Vec<Key>,
 }
 
--- a/gateway/src/stream_origin.rs
+++ b/gateway/src/stream_origin.rs
@@ -67,7 +67,7 @@
     }
 
     /// Returns where the stream of a service began; `None` if that is uncertain. Without a service,
-    /// only a record tells.
+    /// a record is needed.
     pub fn into_origin(self, service: Option<&id::Service>) -> Option<Origin> {
         if self.record.is_some() {
             return self.record;
@@ -87,7 +87,7 @@
 struct Record {
     origin: Origin,
     recorded_at: Moment,
-    /// Whether this host began the stream and has not told other hosts.
+    /// Whether this host began the stream and has not reported it to other hosts.
     is_unpublished: bool,
 }
 
@@ -121,8 +121,8 @@
         }
     }
 
-    /// Records where a stream began that this host forwards. Returns whether other hosts have to be
-    /// told, since they cannot conclude it from the versions of the service.
+    /// Records where a stream began that this host forwards. Returns whether it has to be
+    /// reported to other hosts, since they cannot conclude it from the versions of the service.
     pub fn record_begin(&mut self, stream: id::Stream, origin: Origin, now: Moment) -> bool {
         if MAX_STREAM_BYTES < stream.len() {
             return false;
@@ -172,8 +172,8 @@
         }
     }
 
-    /// Returns the streams that this host began and that other hosts now have to be told of, since
-    /// the versions of their service no longer tell their origin. Each is returned once.
+    /// Returns the streams that this host began and that now have to be reported to other hosts,
+    /// since the versions of their service no longer determine their origin. Each is returned once.
     pub fn take_unpublished(&mut self, now: Moment) -> Vec<(id::Stream, Origin)> {
         let services: Vec<id::Service> = self.versions.keys().cloned().collect();
         let none = id::Stream::default();
--- a/gateway/tests/stream_origin.rs
+++ b/gateway/tests/stream_origin.rs
@@ -35,11 +35,11 @@
     tracker.knowledge(&"r1".into(), Some(&service), now).into_origin(Some(&service))
 }
 
-/// A record tells where a stream began as long as the stream may be taken up.
+/// A record states where a stream began as long as the stream may be taken up.
 #[test]
 fn recorded_stream() {
     let mut tracker = Tracker::default();
-    assert!(tracker.record_begin("r1".into(), origin("v1"), ms(0)), "others are not told");
+    assert!(tracker.record_begin("r1".into(), origin("v1"), ms(0)), "not reported");
     tracker.expire(STREAM_LIFETIME - ms(1));
     assert_eq!(find(&tracker, STREAM_LIFETIME - ms(1)), Some(origin("v1")));
     tracker.expire(STREAM_LIFETIME);
@@ -112,9 +112,10 @@
     assert_eq!(own.into_origin(Some(&SERVICE.into())), expected.map(origin));
 }
 
-/// Other hosts are told of a stream once they can no longer conclude where it began, and only once.
+/// A stream is reported to other hosts once they can no longer conclude where it began, and only
+/// once.
 #[test]
-fn told_when_mixed() {
+fn reported_when_mixed() {
     let mut tracker = Tracker::default();
     observe(&mut tracker, &["v1"], ms(0), STREAM_LIFETIME);
     assert!(!tracker.record_begin("r1".into(), origin("v1"), STREAM_LIFETIME));
