refactor(gateway): sort the modules into folders along a request's way

Change: entry, placement, upstream, targets, cluster and store; upstream.rs is upstream/connection.rs, store_sync.rs is store/sync.rs. Imports only, no logic. The catalogue test reads the folders recursively, so that it sees every file as before.

--- a/gateway/src/membership.rs
+++ b/gateway/src/cluster/membership.rs
@@ -7,8 +7,8 @@
 use fuchsiaknot_core::{clock::Moment, id};
 
 use crate::{
-    balancer,
-    election::{self, Candidate},
+    cluster::election::{self, Candidate},
+    placement::balancer,
 };
 
 /// Most addresses in one directory response.
--- a/gateway/src/origin_lookup.rs
+++ b/gateway/src/cluster/origin_lookup.rs
@@ -15,9 +15,11 @@
 };
 
 use crate::{
+    cluster::{
+        peers::{self, Packet},
+        stream_origin::{Knowledge, Origin},
+    },
     context::Context,
-    peers::{self, Packet},
-    stream_origin::{Knowledge, Origin},
 };
 
 /// Number that identifies a query at the host that sends it.
--- a/gateway/src/peer_proxy.rs
+++ b/gateway/src/cluster/peer_proxy.rs
@@ -15,13 +15,17 @@
 };
 
 use crate::{
+    cluster::{
+        membership::Host,
+        peer_ticket::{NOT_TAKEN_HEADER, Ticket},
+    },
     context::Context,
-    headers::{closes_connection, end_to_end, is_event_stream},
-    job::Job,
-    membership::Host,
-    peer_ticket::{NOT_TAKEN_HEADER, Ticket},
-    response::{self, Body, STREAM_CHANNEL_CAPACITY, Truncated},
-    upstream::{Connection, RequestError},
+    entry::{
+        headers::{closes_connection, end_to_end, is_event_stream},
+        job::Job,
+        response::{self, Body, STREAM_CHANNEL_CAPACITY, Truncated},
+    },
+    upstream::connection::{Connection, RequestError},
 };
 
 /// Most hosts that are tried for one job.
--- a/gateway/src/peer_server.rs
+++ b/gateway/src/cluster/peer_server.rs
@@ -5,10 +5,12 @@
 use hyper::{Request, Response, StatusCode, body::Incoming, header::HeaderValue};
 
 use crate::{
+    cluster::peer_ticket::{NOT_TAKEN_HEADER, TICKET_HEADER, Ticket},
     context::Context,
-    forward,
-    peer_ticket::{NOT_TAKEN_HEADER, TICKET_HEADER, Ticket},
-    response::{self, Body},
+    entry::{
+        forward,
+        response::{self, Body},
+    },
 };
 
 /// Most requests of other hosts that are open at a time. Together with the bound on the memory for
--- a/gateway/src/peers.rs
+++ b/gateway/src/cluster/peers.rs
@@ -6,18 +6,23 @@
 use tokio::{net::UdpSocket, time::sleep};
 
 use crate::{
-    availability::Departure,
+    cluster::{
+        membership::{Change, Heartbeat, ROUND_INTERVAL},
+        origin_lookup,
+        stream_origin::Origin,
+    },
     context::Context,
-    dispatch::{Reply, Request, RequestNumber},
-    dispatcher,
-    load::Work,
-    membership::{Change, Heartbeat, ROUND_INTERVAL},
-    notice, origin_lookup,
-    poison_part::Block,
-    poison_reports, rate_limit, registry, slowness, store_sync,
-    stream_origin::Origin,
-    target::Run,
-    watch::Update,
+    placement::{
+        dispatch::{Reply, Request, RequestNumber},
+        dispatcher,
+        load::Work,
+        slowness,
+    },
+    store::{sync as store_sync, watch::Update},
+    targets::{
+        availability::Departure, notice, poison_part::Block, poison_reports, rate_limit, registry,
+        target::Run,
+    },
 };
 use fuchsiaknot_core::{
     clock::{self, Moment},
--- a/gateway/src/stream_origin.rs
+++ b/gateway/src/cluster/stream_origin.rs
@@ -13,7 +13,7 @@
 use fuchsiaknot_core::{clock::Moment, id};
 use serde::{Deserialize, Serialize};
 
-use crate::target::Target;
+use crate::targets::target::Target;
 
 /// Longest time from the first event of a stream to its last resumption.
 pub const STREAM_LIFETIME: Duration = Duration::from_secs(30);
--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -11,23 +11,35 @@
 use tokio::{net::UdpSocket, sync::Notify};
 
 use crate::{
-    availability, body_memory,
+    cluster::{
+        membership::{Host, Membership},
+        origin_lookup, stream_origin,
+    },
     configuration::Configuration,
-    deadline::Deadlines,
-    dispatcher::Dispatcher,
-    engine::LatencyModel,
-    headers::{HeaderNames, PrefillApi},
-    health::Health,
-    load::{self, Work},
+    entry::{
+        body_memory,
+        deadline::Deadlines,
+        headers::{HeaderNames, PrefillApi},
+    },
     logging::Log,
-    membership::{Host, Membership},
     metrics::Metrics,
-    notice, origin_lookup, poison, poison_part, prefix_cache, rate_limit, reachability, refusal,
-    registry::{Event, Key, Registry},
-    retry_budget::{self, Budget, Usage},
-    slowness, stream_origin,
-    upstream::Pool,
-    watch::Watch,
+    placement::{
+        dispatcher::Dispatcher,
+        engine::LatencyModel,
+        load::{self, Work},
+        prefix_cache, slowness,
+    },
+    store::watch::Watch,
+    targets::{
+        availability,
+        health::Health,
+        notice, poison, poison_part, rate_limit, reachability, refusal,
+        registry::{Event, Key, Registry},
+    },
+    upstream::{
+        connection::Pool,
+        retry_budget::{self, Budget, Usage},
+    },
 };
 use fuchsiaknot_core::{
     clock::{self, Moment},
--- a/gateway/src/directory.rs
+++ b/gateway/src/entry/directory.rs
@@ -6,8 +6,8 @@
 
 use crate::{
     context::Context,
+    entry::response::{self, Body},
     logging::Log,
-    response::{self, Body},
 };
 
 /// Longest TTL of a directory response; short, so that callers soon leave a host that shuts down.
--- a/gateway/src/forward.rs
+++ b/gateway/src/entry/forward.rs
@@ -11,20 +11,22 @@
 use tokio::{sync::mpsc, time::timeout};
 
 use crate::{
-    attempt::{self, Attempt, Failure, InFlight, Options},
+    cluster::{peer_proxy, peer_ticket::Ticket},
     configuration::RequestKind,
     context::Context,
-    event_stream::Splitter,
-    job::{self, Job, MAX_SILENCE_TIMEOUT},
-    peer_proxy,
-    peer_ticket::Ticket,
-    poison_reports,
-    prefill::Prefilled,
-    registry::Key,
-    response::{self, Body, STREAM_CHANNEL_CAPACITY},
-    retry_after, selection,
-    stream_relay::{Relay, next_event},
-    target::Target,
+    entry::{
+        job::{self, Job, MAX_SILENCE_TIMEOUT},
+        response::{self, Body, STREAM_CHANNEL_CAPACITY},
+        retry_after,
+        stream_relay::{Relay, next_event},
+    },
+    placement::selection,
+    targets::{poison_reports, registry::Key, target::Target},
+    upstream::{
+        attempt::{self, Attempt, Failure, InFlight, Options},
+        event_stream::Splitter,
+        prefill::Prefilled,
+    },
 };
 
 /// Retry delay sent to callers of a host that has no configuration yet.
--- a/gateway/src/http_server.rs
+++ b/gateway/src/entry/http_server.rs
@@ -13,8 +13,8 @@
 };
 
 use crate::{
-    response::Body,
-    upstream,
+    entry::response::Body,
+    upstream::connection,
     watchdog::{self, Watchdog, WatchedBody, WatchedStream},
 };
 
@@ -131,7 +131,7 @@
     H: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Response<Body>> + 'static,
 {
-    if let Err(err) = upstream::set_silence_timeout(&stream, CALLER_SILENCE_TIMEOUT) {
+    if let Err(err) = connection::set_silence_timeout(&stream, CALLER_SILENCE_TIMEOUT) {
         tracing::debug!(%err, "cannot configure a caller's connection");
         return;
     }
--- a/gateway/src/job.rs
+++ b/gateway/src/entry/job.rs
@@ -18,19 +18,24 @@
 use tokio::time::timeout;
 
 use crate::{
-    attempt::Options,
-    body_memory,
-    calls::{Call, Ledger},
+    cluster::{
+        origin_lookup,
+        peer_ticket::{TICKET_HEADER, Ticket},
+        stream_origin::Origin,
+    },
     configuration::{Configuration, RequestKind, Route},
     context::{Context, OpenRequest},
-    engine,
-    headers::{HeaderNames, end_to_end, head_bytes},
-    origin_lookup,
-    peer_ticket::{TICKET_HEADER, Ticket},
-    poison_part::MAX_PROMPT_PARTS,
-    prompt::Prompt,
-    stream_origin::Origin,
-    target::Target,
+    entry::{
+        body_memory,
+        headers::{HeaderNames, end_to_end, head_bytes},
+        prompt::Prompt,
+    },
+    placement::engine,
+    targets::{poison_part::MAX_PROMPT_PARTS, target::Target},
+    upstream::{
+        attempt::Options,
+        calls::{Call, Ledger},
+    },
 };
 use fuchsiaknot_core::{
     clock::{self, Moment},
--- /dev/null
+++ b/gateway/src/entry/mod.rs
@@ -0,0 +1,13 @@
+//! Takes callers' requests in and sends the responses back.
+
+pub mod body_memory;
+pub mod deadline;
+pub mod directory;
+pub mod forward;
+pub mod headers;
+pub mod http_server;
+pub mod job;
+pub mod prompt;
+pub mod response;
+pub mod retry_after;
+pub mod stream_relay;
--- a/gateway/src/prompt.rs
+++ b/gateway/src/entry/prompt.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::headers::HeaderNames;
+use crate::entry::headers::HeaderNames;
 
 /// Largest number of tokens that is read for a part or a whole request; larger ones count as this, so
 /// that sums cannot overflow.
--- a/gateway/src/stream_relay.rs
+++ b/gateway/src/entry/stream_relay.rs
@@ -6,12 +6,16 @@
 use tokio::sync::mpsc;
 
 use crate::{
-    attempt::{Attempt, Failure},
-    event_stream::{Event, Splitter},
-    forward::{Forwarder, log_response},
-    job::Job,
-    registry::Key,
-    response::{self, Truncated},
+    entry::{
+        forward::{Forwarder, log_response},
+        job::Job,
+        response::{self, Truncated},
+    },
+    targets::registry::Key,
+    upstream::{
+        attempt::{Attempt, Failure},
+        event_stream::{Event, Splitter},
+    },
 };
 
 /// Reads the next whole event; `None` at the end of a complete stream.
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -1,74 +1,24 @@
 //! Request path of an entry host in front of the services in the operators' configuration.
 //!
-//! Everything runs on one thread. The modules that decide (`availability`, `balancer`,
-//! `body_memory`, `calls`, `configuration`, `deadline`, `dispatch`, `election`, `engine`,
-//! `event_stream`, `health`, `load`, `membership`, `poison`, `poison_part`, `prefix_cache`,
-//! `rate_limit`, `reachability`, `refusal`, `registry`, `retry_after`, `retry_budget`, `shortlist`, `slowness`,
-//! `stream_origin`, `watch`) do no
-//! I/O and read no clock; `dispatcher`, `forward`, `http_server`, `notice`, `origin_lookup`, `peer_proxy`, `peer_server`, `peers`,
-//! `poison_reports`, `probe`, `reservation`, `store_sync`, `stream_relay` and `upstream` call them. A
-//! deployment's platform supplies its names and formats through [`store::Store`],
-//! [`headers::HeaderNames`] and [`directory::Directory`].
+//! Everything runs on one thread. The folders follow a request's way: [`entry`] reads it and writes
+//! the response, [`placement`] chooses its targets, [`upstream`] sends it there. [`targets`] is what
+//! this host knows of the targets, [`cluster`] what the hosts exchange, [`store`] the synchronisation
+//! with the platform's store. Modules that decide do no I/O and read no clock; the others call them.
+//! A deployment's platform supplies its names and formats through [`store::Store`],
+//! [`entry::headers::HeaderNames`] and [`entry::directory::Directory`].
 
-pub mod attempt;
-pub mod availability;
-pub mod balancer;
-pub mod body_memory;
-pub mod calls;
+pub mod cluster;
 pub mod configuration;
 pub mod context;
-pub mod deadline;
-pub mod directory;
-pub mod dispatch;
-pub mod dispatcher;
-pub mod election;
-pub mod engine;
-pub mod era;
-pub mod event_stream;
-pub mod forward;
-pub mod headers;
-pub mod health;
-pub mod http_server;
-pub mod job;
-pub mod load;
+pub mod entry;
 pub mod logging;
-pub mod membership;
 pub mod metrics;
-pub mod notice;
-pub mod origin_lookup;
-mod peer_proxy;
-pub mod peer_server;
-pub mod peer_ticket;
-pub mod peers;
-pub mod poison;
-pub mod poison_part;
-mod poison_reports;
-pub mod prefill;
-pub mod prefix_cache;
-mod probe;
-pub mod prompt;
-pub mod rate_limit;
-pub mod reachability;
-pub mod refusal;
-pub mod registry;
-pub mod reservation;
-pub mod response;
-pub mod retry_after;
-pub mod retry_budget;
-pub mod selection;
-mod shortlist;
-pub mod slowness;
+pub mod placement;
 pub mod store;
-pub mod store_sync;
-pub mod stream_origin;
-pub mod stream_relay;
-pub mod tapped_stream;
-pub mod target;
-pub mod target_response;
+pub mod targets;
 pub mod tasks;
 pub mod timeline;
 pub mod upstream;
-pub mod watch;
 pub mod watchdog;
 
 use std::{io, rc::Rc, time::Duration};
@@ -82,10 +32,17 @@
 };
 
 use crate::{
+    cluster::{peer_server, peer_ticket, peers},
     context::{Bounds, Context},
-    directory::Directory,
-    http_server::Phase,
-    store::Store,
+    entry::{
+        directory::{self, Directory},
+        forward,
+        http_server::{self, Phase},
+    },
+    placement::dispatcher,
+    store::{Store, sync as store_sync},
+    targets::poison_reports,
+    upstream::probe,
 };
 
 /// Time from the start of a shutdown to closing the ports. Until then the host still takes
--- a/gateway/src/balancer.rs
+++ b/gateway/src/placement/balancer.rs
@@ -2,7 +2,7 @@
 
 use std::hash::{Hash, Hasher};
 
-use crate::registry::Key;
+use crate::targets::registry::Key;
 
 /// Cost of a target in another data centre, in requests per slot.
 const REMOTE_COST: f64 = 0.1;
--- a/gateway/src/dispatch.rs
+++ b/gateway/src/placement/dispatch.rs
@@ -16,14 +16,15 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    balancer,
-    engine::{self, Candidate, Choice, Estimate, LatencyBudget, LatencyModel},
-    load::Work,
-    prefix_cache,
-    prompt::Prompt,
-    registry::Key,
-    shortlist::{Affinity, Ranking},
-    target::Stage,
+    entry::prompt::Prompt,
+    placement::{
+        balancer,
+        engine::{self, Candidate, Choice, Estimate, LatencyBudget, LatencyModel},
+        load::Work,
+        prefix_cache,
+        shortlist::{Affinity, Ranking},
+    },
+    targets::{registry::Key, target::Stage},
 };
 
 /// Number that identifies a request at the host that received it from its caller.
--- a/gateway/src/dispatcher.rs
+++ b/gateway/src/placement/dispatcher.rs
@@ -12,14 +12,20 @@
 };
 
 use crate::{
+    cluster::peers::{self, Packet},
     context::{Context, State},
-    dispatch::{DecidedRequest, Decision, Fleet, Placement, Queue, Reply, Request, RequestNumber},
-    engine::{Choice, Estimate},
-    peers::{self, Packet},
-    refusal,
-    registry::Key,
-    selection,
-    target::{Run, Stage, Target},
+    placement::{
+        dispatch::{
+            DecidedRequest, Decision, Fleet, Placement, Queue, Reply, Request, RequestNumber,
+        },
+        engine::{Choice, Estimate},
+        selection,
+    },
+    targets::{
+        refusal,
+        registry::Key,
+        target::{Run, Stage, Target},
+    },
 };
 
 /// Time for the dispatcher's first reply; a round trip takes a few milliseconds.
--- a/gateway/src/engine.rs
+++ b/gateway/src/placement/engine.rs
@@ -8,7 +8,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{prompt::Prompt, registry::Key, target::Stage};
+use crate::{
+    entry::prompt::Prompt,
+    targets::{registry::Key, target::Stage},
+};
 
 /// Weight of the time by which a prefill on a decode engine delays the streams running there, at a
 /// pause ratio of 1.
--- a/gateway/src/load.rs
+++ b/gateway/src/placement/load.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use slotmap::SecondaryMap;
 
-use crate::registry::Key;
+use crate::targets::registry::Key;
 use fuchsiaknot_core::{clock::Moment, id};
 
 /// Work in flight at one target.
@@ -17,7 +17,7 @@
     /// Requests sent and not yet completed.
     pub requests: u32,
     /// Prompt tokens sent and not yet prefilled, as counted by
-    /// [`crate::engine::LatencyModel::weighted_tokens`].
+    /// [`crate::placement::engine::LatencyModel::weighted_tokens`].
     pub prompt_tokens: u64,
     /// KV cache memory that the requests take once their answers are complete, in tokens.
     pub kv_tokens: u64,
--- a/gateway/src/prefix_cache.rs
+++ b/gateway/src/placement/prefix_cache.rs
@@ -6,8 +6,8 @@
 use smol_str::SmolStr;
 
 use crate::{
-    prompt::{Part, Prompt},
-    registry::Key,
+    entry::prompt::{Part, Prompt},
+    targets::registry::Key,
 };
 
 /// Superseded entries that an engine's log of uses may hold before it is compacted.
--- a/gateway/src/reservation.rs
+++ b/gateway/src/placement/reservation.rs
@@ -5,14 +5,16 @@
 use fuchsiaknot_core::{clock, verdict::Reason};
 
 use crate::{
-    attempt::{Attempt, Failure, InFlight, Options},
-    dispatch::{Placement, Request},
-    dispatcher, engine,
-    forward::Forwarder,
-    prefill::{self, Prefilled},
-    registry::Key,
-    selection,
-    target::Stage,
+    entry::forward::Forwarder,
+    placement::{
+        dispatch::{Placement, Request},
+        dispatcher, engine, selection,
+    },
+    targets::{registry::Key, target::Stage},
+    upstream::{
+        attempt::{Attempt, Failure, InFlight, Options},
+        prefill::{self, Prefilled},
+    },
 };
 
 /// Engines reserved for a job.
--- a/gateway/src/selection.rs
+++ b/gateway/src/placement/selection.rs
@@ -5,13 +5,17 @@
 use fuchsiaknot_core::{clock, id};
 
 use crate::{
-    balancer,
     context::{Context, State},
-    dispatch::{self, Engine, Fleet, Placement, Request},
-    engine::{self, LatencyBudget},
-    job::Job,
-    registry::Key,
-    target::{Stage, Target},
+    entry::job::Job,
+    placement::{
+        balancer,
+        dispatch::{self, Engine, Fleet, Placement, Request},
+        engine::{self, LatencyBudget},
+    },
+    targets::{
+        registry::Key,
+        target::{Stage, Target},
+    },
 };
 
 /// Returns the target of a plain service for a job's next attempt.
--- a/gateway/src/shortlist.rs
+++ b/gateway/src/placement/shortlist.rs
@@ -10,11 +10,12 @@
 use slotmap::SecondaryMap;
 
 use crate::{
-    balancer,
-    dispatch::{Engine, Request},
-    engine::{Candidate, LatencyModel},
-    registry::Key,
-    target::Stage,
+    placement::{
+        balancer,
+        dispatch::{Engine, Request},
+        engine::{Candidate, LatencyModel},
+    },
+    targets::{registry::Key, target::Stage},
 };
 
 /// Number of least loaded engines of each stage on a shortlist.
--- a/gateway/src/slowness.rs
+++ b/gateway/src/placement/slowness.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 use slotmap::SecondaryMap;
 
-use crate::registry::Key;
+use crate::targets::registry::Key;
 
 /// Weight of the newest measurement in an engine's moving average.
 const EWMA_WEIGHT: f64 = 0.05;
--- a/gateway/src/store.rs
+++ b/gateway/src/store/mod.rs
@@ -1,8 +1,16 @@
 //! Interface to the store of configuration, targets and hosts.
 
+pub mod era;
+pub mod sync;
+pub mod watch;
+
 use std::time::Duration;
 
-use crate::{configuration::Configuration, membership::Host, registry::Change, target::Target};
+use crate::{
+    cluster::membership::Host,
+    configuration::Configuration,
+    targets::{registry::Change, target::Target},
+};
 use fuchsiaknot_core::id;
 
 /// Error of a call to the store.
--- a/gateway/src/store_sync.rs
+++ b/gateway/src/store/sync.rs
@@ -5,15 +5,18 @@
 use tokio::time::sleep;
 
 use crate::{
+    cluster::peers::{self, Packet},
     configuration::Configuration,
     context::{Context, State},
-    era,
     logging::Log,
-    peers::{self, Packet},
-    registry::{Change, Event},
-    store::{Error, Snapshot, Store},
-    target::Target,
-    watch::{Effect, Step, Update, Watch},
+    store::{
+        Error, Snapshot, Store, era,
+        watch::{Effect, Step, Update, Watch},
+    },
+    targets::{
+        registry::{Change, Event},
+        target::Target,
+    },
 };
 use fuchsiaknot_core::{
     clock::{self, Moment},
--- a/gateway/src/watch.rs
+++ b/gateway/src/store/watch.rs
@@ -8,7 +8,7 @@
 //! The store may come back from an earlier copy, which starts a new era and gives out versions
 //! again. Versions are therefore only compared within one era. When a host learns of a later era,
 //! it keeps what it knows and reads the tables in full; the watchers do so at once, the others after
-//! a random delay ([`crate::era`]).
+//! a random delay ([`crate::store::era`]).
 
 use std::time::Duration;
 
--- a/gateway/src/availability.rs
+++ b/gateway/src/targets/availability.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use slotmap::SecondaryMap;
 
-use crate::{registry::Key, target::Target};
+use crate::targets::{registry::Key, target::Target};
 
 /// Longest backoff; a longer one would take a target out of service until its next run.
 const MAX_BACKOFF: Duration = Duration::from_secs(600);
--- a/gateway/src/health.rs
+++ b/gateway/src/targets/health.rs
@@ -4,7 +4,7 @@
 
 use slotmap::SecondaryMap;
 
-use crate::registry::Key;
+use crate::targets::registry::Key;
 use fuchsiaknot_core::clock::Moment;
 
 /// Pause after the first failure; doubles with each consecutive failure.
--- a/gateway/src/notice.rs
+++ b/gateway/src/targets/notice.rs
@@ -7,12 +7,14 @@
 use hyper::{HeaderMap, StatusCode, header};
 
 use crate::{
-    availability::{Backoff, Departure, Source},
+    cluster::peers::{self, Packet},
     context::Context,
-    peers::{self, Packet},
-    rate_limit::{self, Limit},
-    registry::Key,
-    target::Run,
+    targets::{
+        availability::{Backoff, Departure, Source},
+        rate_limit::{self, Limit},
+        registry::Key,
+        target::Run,
+    },
 };
 
 /// Records the notices in the head of a target's response.
--- a/gateway/src/poison.rs
+++ b/gateway/src/targets/poison.rs
@@ -8,7 +8,7 @@
 
 use fuchsiaknot_core::{clock::Moment, id};
 
-use crate::target::Run;
+use crate::targets::target::Run;
 
 /// Number of different targets at which a request must have been interrupted to be refused.
 const REFUSAL_THRESHOLD: usize = 3;
--- a/gateway/src/poison_part.rs
+++ b/gateway/src/targets/poison_part.rs
@@ -17,7 +17,7 @@
 
 use fuchsiaknot_core::{clock::Moment, id};
 
-use crate::target::Run;
+use crate::targets::target::Run;
 
 /// Number of moments at which targets must have crashed under a part for it to be blocked.
 const BLOCK_THRESHOLD: usize = 4;
--- a/gateway/src/poison_reports.rs
+++ b/gateway/src/targets/poison_reports.rs
@@ -8,13 +8,10 @@
 use tokio::time::sleep;
 
 use crate::{
+    cluster::peers::{self, Packet},
     context::Context,
-    forward::Forwarder,
-    job::Job,
-    peers::{self, Packet},
-    poison_part::Block,
-    registry::Key,
-    target::Run,
+    entry::{forward::Forwarder, job::Job},
+    targets::{poison_part::Block, registry::Key, target::Run},
 };
 
 /// Time from its first event on for which a run that breaks off may have crashed its target.
--- a/gateway/src/rate_limit.rs
+++ b/gateway/src/targets/rate_limit.rs
@@ -13,7 +13,10 @@
 use serde::{Deserialize, Serialize};
 use slotmap::SecondaryMap;
 
-use crate::{balancer, registry::Key, target::Run};
+use crate::{
+    placement::balancer,
+    targets::{registry::Key, target::Run},
+};
 
 /// Hosts among which a limit below one request a second is divided; one more for each further
 /// request a second. All of them may send at the same moment.
--- a/gateway/src/reachability.rs
+++ b/gateway/src/targets/reachability.rs
@@ -12,7 +12,7 @@
 
 use fuchsiaknot_core::clock::Moment;
 
-use crate::registry::Key;
+use crate::targets::registry::Key;
 
 /// Number of targets to which connections must fail, one after the other, before the host counts as
 /// cut off.
--- a/gateway/src/refusal.rs
+++ b/gateway/src/targets/refusal.rs
@@ -9,7 +9,7 @@
 use fuchsiaknot_core::{clock::Moment, id};
 use slotmap::SecondaryMap;
 
-use crate::registry::Key;
+use crate::targets::registry::Key;
 
 /// Time within which two hosts must report a target.
 const REPORT_TTL: Duration = Duration::from_secs(1);
--- a/gateway/src/registry.rs
+++ b/gateway/src/targets/registry.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
 
-use crate::target::Target;
+use crate::targets::target::Target;
 use fuchsiaknot_core::{clock::Moment, id};
 
 /// Time for which the run of a removed target is remembered; a copy from which the store comes back
--- a/gateway/src/attempt.rs
+++ b/gateway/src/upstream/attempt.rs
@@ -7,8 +7,14 @@
 use tokio::time::timeout;
 
 use crate::{
-    calls::Call, context::Context, dispatcher, job::Job, load::Work, notice, prefill::Prefilled,
-    probe, registry::Key, target_response::TargetResponse, upstream::RequestError,
+    context::Context,
+    entry::job::Job,
+    placement::{dispatcher, load::Work},
+    targets::{notice, registry::Key},
+    upstream::{
+        calls::Call, connection::RequestError, prefill::Prefilled, probe,
+        target_response::TargetResponse,
+    },
 };
 
 /// Why an attempt yielded no response to forward.
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream/connection.rs
@@ -21,7 +21,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
 
-use crate::tapped_stream::{Tap, TappedStream};
+use crate::upstream::tapped_stream::{Tap, TappedStream};
 use fuchsiaknot_core::clock::{self, Moment};
 
 /// Time for establishing a connection; a round trip within a region takes a few milliseconds.
--- a/gateway/src/prefill.rs
+++ b/gateway/src/upstream/prefill.rs
@@ -9,13 +9,14 @@
 use tokio::time::timeout;
 
 use crate::{
-    attempt::{self, Failure, InFlight, Options},
-    calls::{Call, Ledger},
     context::Context,
-    job::Job,
-    notice, probe,
-    registry::Key,
-    target::Target,
+    entry::job::Job,
+    targets::{notice, registry::Key, target::Target},
+    upstream::{
+        attempt::{self, Failure, InFlight, Options},
+        calls::{Call, Ledger},
+        probe,
+    },
 };
 use fuchsiaknot_core::clock;
 
--- a/gateway/src/probe.rs
+++ b/gateway/src/upstream/probe.rs
@@ -7,11 +7,11 @@
 use tokio::{task::JoinSet, time::sleep};
 
 use crate::{
+    cluster::peers,
     context::Context,
-    dispatcher, peers,
-    reachability::Change,
-    registry::Key,
-    upstream::{Connection, RequestError},
+    placement::dispatcher,
+    targets::{reachability::Change, registry::Key},
+    upstream::connection::{Connection, RequestError},
 };
 
 /// Interval at which targets are probed as long as it is necessary.
--- a/gateway/src/target_response.rs
+++ b/gateway/src/upstream/target_response.rs
@@ -9,13 +9,13 @@
 use tokio::time::timeout;
 
 use crate::{
-    attempt::Failure,
     context::Context,
-    headers::{closes_connection, end_to_end, is_event_stream},
-    job::Job,
-    registry::Key,
-    target::Target,
-    upstream::Connection,
+    entry::{
+        headers::{closes_connection, end_to_end, is_event_stream},
+        job::Job,
+    },
+    targets::{registry::Key, target::Target},
+    upstream::{attempt::Failure, connection::Connection},
 };
 
 /// Time within which the rest of a discarded response must end.
--- a/gateway/src/watchdog.rs
+++ b/gateway/src/watchdog.rs
@@ -18,8 +18,8 @@
 };
 
 use crate::{
-    http_server::Limits,
-    tapped_stream::{Tap, TappedStream},
+    entry::http_server::Limits,
+    upstream::tapped_stream::{Tap, TappedStream},
 };
 
 /// Time after the port has closed within which a connection that is new, or has sent a part of a
--- a/gateway/tests/availability.rs
+++ b/gateway/tests/availability.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use fuchsiaknot_gateway::{
+use fuchsiaknot_gateway::targets::{
     availability::{Backoff, Departure, InvalidBackoff, Source, Tracker},
     registry::Key,
 };
--- a/gateway/tests/body_memory.rs
+++ b/gateway/tests/body_memory.rs
@@ -1,6 +1,6 @@
 //! Memory of response bodies that are read whole.
 
-use fuchsiaknot_gateway::body_memory::{Exceeded, Memory};
+use fuchsiaknot_gateway::entry::body_memory::{Exceeded, Memory};
 
 const KB: usize = 1024;
 const MB: usize = 1024 * KB;
--- a/gateway/tests/calls.rs
+++ b/gateway/tests/calls.rs
@@ -1,6 +1,6 @@
 //! Calls of a request to targets are counted as the users' retry budget counts them.
 
-use fuchsiaknot_gateway::calls::Ledger;
+use fuchsiaknot_gateway::upstream::calls::Ledger;
 
 fn record_prefill(calls: &mut Ledger, accepted: bool) {
     calls.record_call();
--- a/gateway/tests/catalogue.rs
+++ b/gateway/tests/catalogue.rs
@@ -7,8 +7,16 @@
 fn sources() -> String {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).parent().unwrap();
     let dirs = [root.join("gateway/src"), root.join("platform/src")];
-    let files = dirs.iter().flat_map(|it| fs::read_dir(it).unwrap());
-    files.map(|it| fs::read_to_string(it.unwrap().path()).unwrap()).collect()
+    dirs.iter().map(|it| sources_in(it)).collect()
+}
+
+fn sources_in(dir: &Path) -> String {
+    let entries = fs::read_dir(dir).unwrap().map(|it| it.unwrap().path());
+    let texts = entries.map(|path| match path.is_dir() {
+        true => sources_in(&path),
+        false => fs::read_to_string(path).unwrap(),
+    });
+    texts.collect()
 }
 
 #[test]
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -5,16 +5,18 @@
 
 use fuchsiaknot_gateway::{
     configuration::{RequestKind, Route},
-    dispatch::{Engine, Fleet, Request, place},
-    engine::{Choice, LatencyBudget},
-    load::Work,
-    prefix_cache,
-    prompt::{Part, Prompt},
-    target::{Stage, Target},
+    entry::prompt::{Part, Prompt},
+    placement::{
+        dispatch::{Engine, Fleet, Request, place},
+        engine::{Choice, LatencyBudget},
+        load::Work,
+        prefix_cache,
+    },
+    targets::target::{Stage, Target},
 };
 use slotmap::SlotMap;
 
-use fuchsiaknot_gateway::registry::Key;
+use fuchsiaknot_gateway::targets::registry::Key;
 
 /// Service of all engines and requests here.
 pub(crate) const SERVICE: &str = "models";
--- a/gateway/tests/deadline.rs
+++ b/gateway/tests/deadline.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use fuchsiaknot_gateway::deadline::Deadlines;
+use fuchsiaknot_gateway::entry::deadline::Deadlines;
 
 use common::ms;
 
--- a/gateway/tests/decision_time.rs
+++ b/gateway/tests/decision_time.rs
@@ -6,10 +6,12 @@
 
 use fuchsiaknot_core::id;
 use fuchsiaknot_gateway::{
-    dispatch::{Fleet, Queue},
-    engine::LatencyModel,
-    prefix_cache,
-    target::Stage,
+    placement::{
+        dispatch::{Fleet, Queue},
+        engine::LatencyModel,
+        prefix_cache,
+    },
+    targets::target::Stage,
 };
 
 use common::{SERVICE, engine, keys, ms, prompt, request};
--- a/gateway/tests/dispatch.rs
+++ b/gateway/tests/dispatch.rs
@@ -6,11 +6,12 @@
 
 use fuchsiaknot_core::id;
 use fuchsiaknot_gateway::{
-    dispatch::{DecidedRequest, Decision, Engine, Fleet, Queue, Request},
-    engine::{LatencyModel, choose_decode_engine},
-    prefix_cache,
-    registry::Key,
-    target::Stage,
+    placement::{
+        dispatch::{DecidedRequest, Decision, Engine, Fleet, Queue, Request},
+        engine::{LatencyModel, choose_decode_engine},
+        prefix_cache,
+    },
+    targets::{registry::Key, target::Stage},
 };
 
 use common::{SERVICE, engine, keys, ms, prefill_engine, prompt, request};
--- a/gateway/tests/election.rs
+++ b/gateway/tests/election.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use fuchsiaknot_gateway::{
+use fuchsiaknot_gateway::cluster::{
     election::{Candidate, elect},
     membership::{Heartbeat, Host, Membership},
 };
--- a/gateway/tests/engine.rs
+++ b/gateway/tests/engine.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use fuchsiaknot_gateway::engine::LatencyModel;
+use fuchsiaknot_gateway::placement::engine::LatencyModel;
 
 use common::{ms, prompt};
 
--- a/gateway/tests/era.rs
+++ b/gateway/tests/era.rs
@@ -10,11 +10,14 @@
 
 use fuchsiaknot_core::id;
 use fuchsiaknot_gateway::{
-    era,
-    registry::{Change, Event, Registry},
-    store::Error,
-    target::Target,
-    watch::{Effect, Step, Update, Watch},
+    store::{
+        Error, era,
+        watch::{Effect, Step, Update, Watch},
+    },
+    targets::{
+        registry::{Change, Event, Registry},
+        target::Target,
+    },
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use rstest::rstest;
--- a/gateway/tests/event_stream.rs
+++ b/gateway/tests/event_stream.rs
@@ -1,6 +1,6 @@
 //! Splitting of an event stream into whole events.
 
-use fuchsiaknot_gateway::event_stream::{Event, Malformed, Splitter};
+use fuchsiaknot_gateway::upstream::event_stream::{Event, Malformed, Splitter};
 use rstest::rstest;
 
 const STREAM: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\nid:3\r\ndata: d\r\n\r\n";
--- a/gateway/tests/load.rs
+++ b/gateway/tests/load.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 use fuchsiaknot_core::id;
-use fuchsiaknot_gateway::load::{Tracker, Work};
+use fuchsiaknot_gateway::placement::load::{Tracker, Work};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 use common::{keys, ms};
--- a/gateway/tests/membership.rs
+++ b/gateway/tests/membership.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use fuchsiaknot_gateway::membership::{Change, Heartbeat, Host, Membership};
+use fuchsiaknot_gateway::cluster::membership::{Change, Heartbeat, Host, Membership};
 
 use common::ms;
 
--- a/gateway/tests/peer_ticket.rs
+++ b/gateway/tests/peer_ticket.rs
@@ -1,6 +1,6 @@
 //! Header of a request that one host sends through another.
 
-use fuchsiaknot_gateway::peer_ticket::{MAX_BYTES, TICKET_HEADER, Ticket};
+use fuchsiaknot_gateway::cluster::peer_ticket::{MAX_BYTES, TICKET_HEADER, Ticket};
 use hyper::header::HeaderValue;
 use rstest::rstest;
 
--- a/gateway/tests/poison.rs
+++ b/gateway/tests/poison.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use fuchsiaknot_gateway::{poison::Detector, target::Run};
+use fuchsiaknot_gateway::targets::{poison::Detector, target::Run};
 
 use common::ms;
 
--- a/gateway/tests/poison_part.rs
+++ b/gateway/tests/poison_part.rs
@@ -8,7 +8,7 @@
 };
 
 use fuchsiaknot_core::{clock::Moment, id::Fingerprint};
-use fuchsiaknot_gateway::{
+use fuchsiaknot_gateway::targets::{
     poison_part::{Block, Detector},
     target::Run,
 };
--- a/gateway/tests/prefix_cache.rs
+++ b/gateway/tests/prefix_cache.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use fuchsiaknot_gateway::prefix_cache::Index;
+use fuchsiaknot_gateway::placement::prefix_cache::Index;
 
 use common::{keys, prompt};
 
--- a/gateway/tests/prompt.rs
+++ b/gateway/tests/prompt.rs
@@ -1,6 +1,6 @@
 //! Reads the prompt's description from the headers of a request.
 
-use fuchsiaknot_gateway::{headers::HeaderNames, prompt::Prompt};
+use fuchsiaknot_gateway::entry::{headers::HeaderNames, prompt::Prompt};
 use hyper::{
     HeaderMap,
     header::{HeaderName, HeaderValue},
--- a/gateway/tests/rate_limit.rs
+++ b/gateway/tests/rate_limit.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use fuchsiaknot_core::id;
-use fuchsiaknot_gateway::{
+use fuchsiaknot_gateway::targets::{
     rate_limit::{InvalidLimit, Limit, Report, Tracker},
     registry::Key,
     target::Run,
--- a/gateway/tests/reachability.rs
+++ b/gateway/tests/reachability.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{keys, ms};
-use fuchsiaknot_gateway::reachability::{Change, Tracker};
+use fuchsiaknot_gateway::targets::reachability::{Change, Tracker};
 use rstest::rstest;
 
 /// A host counts as cut off once connections to several targets have failed, fewer if there are
--- a/gateway/tests/refusal.rs
+++ b/gateway/tests/refusal.rs
@@ -5,7 +5,7 @@
 use std::{collections::VecDeque, time::Duration};
 
 use fuchsiaknot_core::id;
-use fuchsiaknot_gateway::{
+use fuchsiaknot_gateway::targets::{
     health::Health,
     refusal::{PAUSE, Tracker},
 };
--- a/gateway/tests/registry.rs
+++ b/gateway/tests/registry.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use fuchsiaknot_gateway::registry::{Change, Event, Registry};
+use fuchsiaknot_gateway::targets::registry::{Change, Event, Registry};
 
 use common::{ms, target};
 
--- a/gateway/tests/retry_after.rs
+++ b/gateway/tests/retry_after.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use fuchsiaknot_gateway::retry_after::delay;
+use fuchsiaknot_gateway::entry::retry_after::delay;
 use rstest::rstest;
 
 use common::ms;
--- a/gateway/tests/retry_budget.rs
+++ b/gateway/tests/retry_budget.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use fuchsiaknot_gateway::retry_budget::{Budget, Config};
+use fuchsiaknot_gateway::upstream::retry_budget::{Budget, Config};
 use rstest::rstest;
 
 use common::ms;
--- a/gateway/tests/slowness.rs
+++ b/gateway/tests/slowness.rs
@@ -5,13 +5,14 @@
 use std::time::Duration;
 
 use fuchsiaknot_gateway::{
-    dispatch::{Engine, Fleet},
-    engine::LatencyModel,
-    load::Work,
-    prefix_cache,
-    registry::Key,
-    slowness::{Summary, Tracker},
-    target::Stage,
+    placement::{
+        dispatch::{Engine, Fleet},
+        engine::LatencyModel,
+        load::Work,
+        prefix_cache,
+        slowness::{Summary, Tracker},
+    },
+    targets::{registry::Key, target::Stage},
 };
 
 use common::{engine, keys, ms, prefill_engine, prompt, request};
--- a/gateway/tests/stream_origin.rs
+++ b/gateway/tests/stream_origin.rs
@@ -6,8 +6,8 @@
 
 use common::{SERVICE, ms, target};
 use fuchsiaknot_gateway::{
-    stream_origin::{Knowledge, Origin, STREAM_LIFETIME, Tracker},
-    target::Target,
+    cluster::stream_origin::{Knowledge, Origin, STREAM_LIFETIME, Tracker},
+    targets::target::Target,
 };
 use rstest::rstest;
 
--- a/gateway/tests/watch.rs
+++ b/gateway/tests/watch.rs
@@ -4,8 +4,8 @@
 
 use std::time::Duration;
 
-use fuchsiaknot_gateway::{
-    store::Error,
+use fuchsiaknot_gateway::store::{
+    Error,
     watch::{Effect, Step, Update, Watch},
 };
 
--- a/gateway/tests/watchdog.rs
+++ b/gateway/tests/watchdog.rs
@@ -8,7 +8,7 @@
 };
 
 use fuchsiaknot_gateway::{
-    http_server::Limits,
+    entry::http_server::Limits,
     watchdog::{Phase, Watchdog},
 };
 use tokio::time::{Instant, sleep};
--- a/src/link/http_server/mod.rs
+++ b/src/link/http_server/mod.rs
@@ -38,7 +38,7 @@
 pub use self::response::{BodySender, CallerPresence, Disconnected, Head, Responder, Response};
 use crate::{
     gateway::{
-        headers, http_server,
+        entry::{headers, http_server},
         watchdog::{Phase, Watchdog, WatchedBody, WatchedStream},
     },
     link::runtime,
