feat(gateway): places for accounts, duties, usage, scaling and limits of targets, and messages by part

Cause: several parts are built side by side, and each needs state, configuration and messages of its own. Change: types that the parts share (account, duty, scaling, usage, concurrency), empty where a part is not built yet; src/lease moves to core, so that the gateway's duties use the product's lease; hosts exchange messages of a part through cluster::messages, and a datagram that cannot be read is counted and logged once.

--- a/core/src/id.rs
+++ b/core/src/id.rs
@@ -18,6 +18,8 @@
 pub type Plan = SmolStr;
 /// Name of a customer account.
 pub type Customer = SmolStr;
+/// Name of a client account, to which keys of callers belong.
+pub type Account = SmolStr;
 /// Version of the software that a target runs; versions have no order.
 pub type SoftwareVersion = SmolStr;
 /// Identifier of a stream: that of the caller's request which got its first event.
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -1,5 +1,6 @@
-//! Types shared by the product and the gateway: time, identifiers and verdicts.
+//! Types shared by the product and the gateway: time, identifiers, leases and verdicts.
 
 pub mod clock;
 pub mod id;
+pub mod lease;
 pub mod verdict;
--- a/gateway/src/cluster/mod.rs
+++ b/gateway/src/cluster/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod election;
 pub mod membership;
+pub mod messages;
 pub mod origin_lookup;
 pub(crate) mod peer_proxy;
 pub mod peer_server;
--- a/gateway/src/cluster/peers.rs
+++ b/gateway/src/cluster/peers.rs
@@ -8,7 +8,7 @@
 use crate::{
     cluster::{
         membership::{Change, Heartbeat, ROUND_INTERVAL},
-        origin_lookup,
+        messages, origin_lookup,
         stream_origin::Origin,
     },
     context::Context,
@@ -84,6 +84,8 @@
     OriginQuery(origin_lookup::Query),
     /// What the sender knows of that.
     OriginAnswer(origin_lookup::Answer),
+    /// A message of one part of the gateway, and its sender.
+    Message(messages::Kind, id::Host, Vec<u8>),
 }
 
 /// Returns the current heartbeat of this host.
@@ -328,7 +330,10 @@
                     notice::handle_limit(context, &report);
                 }
             }
-            Err(err) => tracing::debug!(%sender, %err, "cannot decode a datagram"),
+            Err(err) => {
+                messages::record_unreadable(context, &err.to_string());
+                tracing::debug!(%sender, %err, "cannot decode a datagram");
+            }
         }
     }
 }
@@ -367,6 +372,7 @@
             store_sync::handle_configuration_update(context, &update)
         }
         Packet::EarlierTargetUpdate | Packet::EarlierDispatchRequest => {}
+        Packet::Message(kind, sender, bytes) => messages::handle(context, kind, sender, &bytes),
         Packet::TargetUpdate(update) => store_sync::handle_target_update(context, update),
         Packet::AttemptBroken(request, target) => {
             let (mut state, now) = (context.state_mut(), clock::now());
--- a/gateway/src/configuration.rs
+++ b/gateway/src/configuration.rs
@@ -4,6 +4,7 @@
 
 use smol_str::SmolStr;
 
+use crate::{account::Accounts, scaling};
 use fuchsiaknot_core::id;
 
 /// One version of the configuration.
@@ -17,6 +18,8 @@
     pub services: HashMap<id::Service, Service>,
     /// Limits on callers.
     pub limits: Limits,
+    /// Client accounts; `None` if callers need no key.
+    pub accounts: Option<Accounts>,
 }
 
 /// Limits on a caller's requests and connections.
@@ -93,6 +96,8 @@
     pub traffic_split: Vec<(id::Service, u32)>,
     /// Number of targets to which one request may be sent.
     pub max_attempts: u32,
+    /// Whether callers without a key are served.
+    pub allows_anonymous: bool,
 }
 
 impl Route {
@@ -159,6 +164,8 @@
     pub max_connections: u32,
     /// Properties of its engines; `None` for a plain service.
     pub engine: Option<Engine>,
+    /// Bounds on the number of its targets; `None` if the number is fixed.
+    pub scaling: Option<scaling::Config>,
 }
 
 /// Properties of a service's engines.
--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -11,11 +11,14 @@
 use tokio::{net::UdpSocket, sync::Notify};
 
 use crate::{
+    account,
     cluster::{
         membership::{Host, Membership},
-        origin_lookup, stream_origin,
+        messages, origin_lookup, stream_origin,
     },
+    concurrency,
     configuration::Configuration,
+    duty,
     entry::{
         body_memory,
         deadline::Deadlines,
@@ -29,6 +32,7 @@
         load::{self, Work},
         prefix_cache, slowness,
     },
+    scaling,
     store::watch::Watch,
     targets::{
         availability,
@@ -40,6 +44,7 @@
         connection::Pool,
         retry_budget::{self, Budget, Usage},
     },
+    usage,
 };
 use fuchsiaknot_core::{
     clock::{self, Moment},
@@ -105,6 +110,8 @@
     pub dispatcher: Dispatcher,
     /// This host's queries for the origins of streams.
     pub origin_queries: origin_lookup::Pending,
+    /// Handlers of the messages from other hosts.
+    pub handlers: messages::Handlers,
     /// Notified when a connection to a target failed.
     pub connect_failed: Notify,
     /// Notified when this host's own work at targets changed.
@@ -186,6 +193,16 @@
     pub deadlines: Deadlines,
     /// Software versions at which streams began.
     pub stream_origins: stream_origin::Tracker,
+    /// Client accounts.
+    pub accounts: account::State,
+    /// Concurrency limits of the targets.
+    pub concurrency: concurrency::Tracker,
+    /// Duties that one host performs for all.
+    pub duties: duty::State,
+    /// Number of targets that each service needs.
+    pub scaling: scaling::State,
+    /// Requests that began to run, by account.
+    pub usage: usage::State,
 }
 
 impl State {
@@ -283,6 +300,11 @@
             poison_parts: poison_part::Detector::new(rand::random()),
             deadlines: Deadlines::default(),
             stream_origins: stream_origin::Tracker::default(),
+            accounts: account::State::default(),
+            concurrency: concurrency::Tracker::default(),
+            duties: duty::State::default(),
+            scaling: scaling::State::default(),
+            usage: usage::State::default(),
         };
         let pool = Pool::new(metrics.connections_opened.clone());
         let peer_pool = Pool::new(metrics.peer_connections.clone());
@@ -299,6 +321,7 @@
             log,
             dispatcher: Dispatcher::default(),
             origin_queries: origin_lookup::Pending::default(),
+            handlers: messages::Handlers::default(),
             connect_failed: Notify::new(),
             work_changed: Notify::new(),
             update_missed: Notify::new(),
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -3,22 +3,28 @@
 //! Everything runs on one thread. The folders follow a request's way: [`entry`] reads it and writes
 //! the response, [`placement`] chooses its targets, [`upstream`] sends it there. [`targets`] is what
 //! this host knows of the targets, [`cluster`] what the hosts exchange, [`store`] the synchronisation
-//! with the platform's store. Modules that decide do no I/O and read no clock; the others call them.
+//! with the platform's store. [`account`], [`duty`], [`usage`], [`scaling`] and [`concurrency`] are
+//! parts that a configuration switches on. Modules that decide do no I/O and read no clock; the others call them.
 //! A deployment's platform supplies its names and formats through [`store::Store`],
 //! [`entry::headers::HeaderNames`] and [`entry::directory::Directory`].
 
+pub mod account;
 pub mod cluster;
+pub mod concurrency;
 pub mod configuration;
 pub mod context;
+pub mod duty;
 pub mod entry;
 pub mod logging;
 pub mod metrics;
 pub mod placement;
+pub mod scaling;
 pub mod store;
 pub mod targets;
 pub mod tasks;
 pub mod timeline;
 pub mod upstream;
+pub mod usage;
 pub mod watchdog;
 
 use std::{io, rc::Rc, time::Duration};
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -37,6 +37,8 @@
     pub peer_requests: IntCounterVec,
     /// Whether this host is cut off from all targets.
     pub cut_off: IntGauge,
+    /// Datagrams from other hosts that this one cannot read.
+    pub unreadable_messages: IntCounter,
     /// Calls to the store, by outcome.
     pub store_calls: IntCounterVec,
     /// Duration of the stages of a request, in seconds: waiting for placement, until the first
@@ -117,6 +119,10 @@
                 "role",
             )?,
             cut_off: gauge("cut_off", "Whether this host reaches no target.")?,
+            unreadable_messages: counter(
+                "unreadable_messages_total",
+                "Datagrams from other hosts that this one cannot read.",
+            )?,
             store_calls: counters(
                 "store_calls_total",
                 "Calls to the store, by outcome.",
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -58,6 +58,7 @@
         priority: 0,
         traffic_split: split.iter().map(|(name, weight)| ((*name).into(), *weight)).collect(),
         max_attempts: 2,
+        allows_anonymous: false,
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,7 +6,7 @@
 //! `daemon` run them. `standin`, `demo`, `load`, `overhead` and `slopes` are for demonstrations,
 //! tests and measurements.
 
-pub use fuchsiaknot_core::{clock, id, verdict};
+pub use fuchsiaknot_core::{clock, id, lease, verdict};
 pub use fuchsiaknot_gateway as gateway;
 
 pub mod admit;
@@ -21,7 +21,6 @@
 pub mod drain;
 pub mod event;
 pub mod host;
-pub mod lease;
 pub mod link;
 pub mod load;
 pub mod metric;
