feat(account): recognise client accounts by their callers' keys

Change: the configuration holds digests of the accounts' keys; a request's Authorization header is read and removed, its account's name goes to the target, and digest and account travel in the ticket of a request that another host sends on. Each send to a target checks the key again. Hosts map the store's steady clock to their own and pass proofs of the newest configuration on, where revocation is strict.

--- a/gateway/src/cluster/peer_proxy.rs
+++ b/gateway/src/cluster/peer_proxy.rs
@@ -98,6 +98,7 @@
         attempts_sent: job.attempts_sent.get(),
         is_counted: job.is_counted.get(),
         configuration_version: job.configuration_version,
+        key: job.key(),
     };
     let request = job.peer_request(&context.header_names, &ticket).ok_or(Failure::NotTaken)?;
     context.metrics.peer_requests.with_label_values(&["sent"]).inc();
--- a/gateway/src/cluster/peer_ticket.rs
+++ b/gateway/src/cluster/peer_ticket.rs
@@ -3,6 +3,8 @@
 use fuchsiaknot_core::id;
 use hyper::header::{HeaderName, HeaderValue};
 
+use crate::account::Digest;
+
 /// Header with the [`Ticket`].
 pub const TICKET_HEADER: HeaderName = HeaderName::from_static("fuchsiaknot-ticket");
 /// Size of the header at most, its name included.
@@ -28,6 +30,8 @@
     pub is_counted: bool,
     /// Version of the configuration in which the request has its route.
     pub configuration_version: id::Version,
+    /// Digest of the caller's key; `None` for a request without one.
+    pub key: Option<Digest>,
 }
 
 /// A header value that is no ticket.
@@ -41,18 +45,24 @@
     fn try_from(value: &HeaderValue) -> Result<Ticket, Malformed> {
         let text = value.to_str().map_err(|_| Malformed)?;
         let fields: Vec<&str> = text.split(' ').collect();
-        let [from, from_incarnation, to_incarnation, attempts_sent, is_counted, version] =
-            fields[..]
+        let [from, from_incarnation, to_incarnation, attempts_sent, is_counted, version, key @ ..] =
+            &fields[..]
         else {
             return Err(Malformed);
         };
+        let key = match key {
+            [] => None,
+            [digest] => Some(Digest::try_from(*digest).map_err(|_| Malformed)?),
+            _ => return Err(Malformed),
+        };
         Ok(Ticket {
-            from: from.into(),
+            from: id::Host::new(from),
             from_incarnation: from_incarnation.parse().map_err(|_| Malformed)?,
             to_incarnation: to_incarnation.parse().map_err(|_| Malformed)?,
             attempts_sent: attempts_sent.parse().map_err(|_| Malformed)?,
             is_counted: is_counted.parse().map_err(|_| Malformed)?,
             configuration_version: version.parse().map_err(|_| Malformed)?,
+            key,
         })
     }
 }
@@ -63,8 +73,12 @@
     fn try_from(ticket: &Ticket) -> Result<HeaderValue, Self::Error> {
         let Ticket { from, from_incarnation, to_incarnation, .. } = ticket;
         let Ticket { attempts_sent, is_counted, configuration_version, .. } = ticket;
-        HeaderValue::from_str(&format!(
+        let mut text = format!(
             "{from} {from_incarnation} {to_incarnation} {attempts_sent} {is_counted} {configuration_version}"
-        ))
+        );
+        if let Some(key) = ticket.key {
+            text.push_str(&format!(" {key}"));
+        }
+        HeaderValue::from_str(&text)
     }
 }
--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -11,7 +11,7 @@
 use tokio::{net::UdpSocket, sync::Notify};
 
 use crate::{
-    account,
+    account::{self, recognition::Knowledge},
     cluster::{
         membership::{Host, Membership},
         messages, origin_lookup, stream_origin,
@@ -80,6 +80,9 @@
     pub grace: Duration,
     /// Longest time for which callers may cache a directory response.
     pub directory_time: Duration,
+    /// Time after which no request with a revoked key may run, whatever this host is cut off from;
+    /// `None` if a revocation takes effect like any other change of the configuration.
+    pub revocation: Option<Duration>,
 }
 
 /// Shared state of the request path, used from a single thread.
@@ -268,6 +271,9 @@
     }
 }
 
+/// Age of the configuration up to which a key that it lacks is refused for good. It is below the time
+/// within which a new key must be accepted.
+const RECENT_AGE: Duration = Duration::from_millis(1500);
 /// Time for which a peer's report of its own work is used; a few heartbeat intervals.
 const PEER_WORK_TTL: Duration = Duration::from_secs(1);
 
@@ -464,6 +470,30 @@
         self.with_budget(service, |budget, _, now| budget.count_request(now));
     }
 
+    /// Returns how far this host may rely on the accounts of the configuration in force.
+    pub fn account_knowledge(&self) -> Knowledge {
+        let (state, now) = (self.state(), clock::now());
+        let watch = &state.configuration_watch;
+        let freshness = &state.accounts.freshness;
+        let revocation = self.bounds().revocation;
+        let age = match revocation {
+            Some(_) => freshness.age(now).unwrap_or(Duration::MAX),
+            None => watch.age(now),
+        };
+        Knowledge {
+            is_proven: revocation.is_none_or(|bound| freshness.is_within(bound, now)),
+            is_recent: age < RECENT_AGE && !watch.is_behind(),
+        }
+    }
+
+    /// Returns the age of the proof that the configuration in force is the newest, in milliseconds;
+    /// `None` without one.
+    pub fn proven_age_ms(&self) -> Option<u64> {
+        self.bounds().revocation?;
+        let age = self.state().accounts.freshness.age(clock::now())?;
+        Some(age.as_millis() as u64)
+    }
+
     /// Applies an operation to the retry budget of a service, with the bounds in force, given the
     /// number of hosts that share the budget and the time.
     fn with_budget<T>(
--- a/gateway/src/entry/forward.rs
+++ b/gateway/src/entry/forward.rs
@@ -33,6 +33,12 @@
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Retry delay sent to callers whose body had no room; another host is likely to have some.
 const OUT_OF_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Retry delay sent to callers whose key this host cannot check while it hears of no other host;
+/// another one is likely to be able to.
+const ALONE_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Retry delay sent to such callers while the other hosts cannot check keys either. By then each of
+/// them has called the store again.
+const STALE_RETRY_AFTER: Duration = Duration::from_millis(1000);
 /// Maximum number of attempts whose request could not be sent, after which no further target is
 /// tried.
 const MAX_FAILED_CONNECTS: u32 = 4;
@@ -94,6 +100,7 @@
         %id,
         reason = reason.code(),
         version,
+        proven_age_ms = context.proven_age_ms(),
         waited_ms = waited.as_millis() as u64,
         "request refused before it had a route"
     );
@@ -101,11 +108,20 @@
     let retry_after = match reason {
         Reason::NotReady => Some(NOT_READY_RETRY_AFTER),
         Reason::OutOfMemory => Some(OUT_OF_MEMORY_RETRY_AFTER),
+        Reason::Stale => Some(stale_retry_after(context)),
         _ => None,
     };
     response::local(status, reason.code(), retry_after)
 }
 
+/// Returns the delay after which a caller's key can probably be checked.
+fn stale_retry_after(context: &Context) -> Duration {
+    match context.state().membership.live_count() {
+        0 | 1 => ALONE_RETRY_AFTER,
+        _ => STALE_RETRY_AFTER.mul_f64(1.0 + 0.5 * rand::random::<f64>()),
+    }
+}
+
 /// Counts and logs a caller's disconnect when dropped before the response has begun.
 struct DisconnectGuard<'a> {
     context: &'a Context,
@@ -260,6 +276,7 @@
             if let Some(reason) = self.poison_reason() {
                 return Err(reason);
             }
+            self.job.check_account(&self.context).map_err(|it| self.account_reason(it))?;
             if self.context.should_use_proxies() {
                 return Err(self.no_target_reason());
             }
@@ -447,6 +464,7 @@
     /// Returns the reason for making no further attempt, if any.
     fn stop_reason(&mut self, failure: &Failure) -> Option<Reason> {
         match failure {
+            Failure::Unauthorised(reason) => return Some(self.account_reason(*reason)),
             Failure::Expired => return Some(Reason::DeadlineExceeded),
             Failure::Broken(_) | Failure::Silent if !self.job.route.kind.allows_rerun() => {
                 return Some(Reason::TargetFailed);
@@ -467,6 +485,11 @@
         if self.may_have_run { Reason::TargetFailed } else { Reason::NoTarget }
     }
 
+    /// Returns the reason for giving up when the caller's key cannot be relied on any more.
+    fn account_reason(&self, reason: Reason) -> Reason {
+        if self.may_have_run { Reason::TargetFailed } else { reason }
+    }
+
     /// Returns the reason for giving up at the deadline.
     fn expired_reason(&self) -> Reason {
         if self.may_have_run { Reason::DeadlineExceeded } else { Reason::Expired }
@@ -549,7 +572,9 @@
             id = %self.job.id,
             route = %self.job.route.name,
             service = %self.job.service,
+            account = self.job.account.as_ref().map(|it| it.name.as_str()),
             version = self.job.configuration_version,
+            proven_age_ms = context.proven_age_ms(),
             version_age_ms = context.state().configuration_age_ms(),
             targets_age_ms = context.state().targets_age_ms(),
             reason = reason.code(),
@@ -563,8 +588,13 @@
         );
         let status = StatusCode::from_u16(reason.status()).unwrap_or(StatusCode::BAD_GATEWAY);
         let not_run = reason.verdict() == Verdict::NotRun && !self.may_have_run;
-        let (status, retry_after) = if not_run {
-            let wait = selection::time_until_available(&context.state(), &self.job.service);
+        let (status, retry_after) = if reason == Reason::Unauthorised {
+            (status, None)
+        } else if not_run {
+            let wait = match reason {
+                Reason::Stale => stale_retry_after(context),
+                _ => selection::time_until_available(&context.state(), &self.job.service),
+            };
             let wait = wait.max(self.queue_time);
             (
                 StatusCode::SERVICE_UNAVAILABLE,
@@ -593,7 +623,9 @@
         id = %job.id,
         route = %job.route.name,
         service = %job.service,
+        account = job.account.as_ref().map(|it| it.name.as_str()),
         version = job.configuration_version,
+        proven_age_ms = context.proven_age_ms(),
         version_age_ms = context.state().configuration_age_ms(),
         targets_age_ms = context.state().targets_age_ms(),
         target = %target.id,
--- a/gateway/src/entry/headers.rs
+++ b/gateway/src/entry/headers.rs
@@ -38,6 +38,8 @@
     pub cache_source: HeaderName,
     /// Value of the stage header that requests a prefill for another engine.
     pub prefill_stage: HeaderValue,
+    /// Name of the client account, which targets are given where the configuration has accounts.
+    pub account: HeaderName,
     /// Headers that only hosts may set; they are removed from callers' requests.
     pub reserved: HashSet<HeaderName>,
 }
--- a/gateway/src/entry/job.rs
+++ b/gateway/src/entry/job.rs
@@ -18,6 +18,10 @@
 use tokio::time::timeout;
 
 use crate::{
+    account::{
+        Account, Digest,
+        recognition::{self, Identity},
+    },
     cluster::{
         origin_lookup,
         peer_ticket::{TICKET_HEADER, Ticket},
@@ -71,6 +75,8 @@
     pub on_engines: bool,
     /// Version of the configuration from which route and service were chosen.
     pub configuration_version: id::Version,
+    /// Client account of the caller; `None` if the caller is anonymous.
+    pub account: Option<Rc<Account>>,
     /// Prompt description from the headers.
     pub prompt: Prompt,
     /// Hash of path, query and body, equal for all of the caller's attempts at the same request.
@@ -106,6 +112,8 @@
     pub origin: RefCell<Option<Origin>>,
     /// Time from `arrived` to the first event of the stream.
     pub time_to_first_event: Cell<Option<Duration>>,
+    /// Digest of the key that showed the account.
+    key: Option<Digest>,
     method: Method,
     uri: Uri,
     headers: HeaderMap,
@@ -127,7 +135,12 @@
         let (arrived, open) = (clock::now(), context.open_request());
         let configuration = context.state().configuration.clone();
         let (parts, body) = request.into_parts();
-        let (configuration, route, service) = match choose_route(configuration.as_ref(), &parts) {
+        let chosen = choose_route(configuration.as_ref(), &parts).and_then(|chosen| {
+            let (configuration, route, _) = &chosen;
+            let identity = identify(context, configuration, route, &parts.headers, ticket)?;
+            Ok((chosen, identity))
+        });
+        let ((configuration, route, service), identity) = match chosen {
             Ok(chosen) => chosen,
             Err(reason) => {
                 let limits = configuration.map(|it| it.limits).unwrap_or_default();
@@ -155,6 +168,14 @@
         }
         headers.remove(header::EXPECT);
         headers.remove(TICKET_HEADER);
+        if configuration.accounts.is_some() {
+            headers.remove(header::AUTHORIZATION);
+            headers.remove(&names.account);
+        }
+        let (account, key) = identity.map(|it| (it.account, it.key)).unzip();
+        if let Some(name) = account.as_ref().and_then(|it| HeaderValue::from_str(&it.name).ok()) {
+            headers.insert(names.account.clone(), name);
+        }
         let attempts_sent = ticket.map_or(0, |it| it.attempts_sent);
         let mut calls = Ledger::default();
         (0..attempts_sent).for_each(|_| calls.record_call());
@@ -167,6 +188,7 @@
             service,
             on_engines,
             configuration_version: configuration.version,
+            account,
             prompt,
             fingerprint: hasher.finish(),
             parts: part_fingerprints,
@@ -184,6 +206,7 @@
             is_from_peer: ticket.is_some(),
             resumed_stream,
             origin: RefCell::default(),
+            key,
             method: parts.method,
             uri: parts.uri,
             headers,
@@ -242,6 +265,31 @@
         self.origin.borrow().as_ref()?.version.clone()
     }
 
+    /// Returns the priority of the job, which is that of its account if that has one.
+    pub fn priority(&self) -> u8 {
+        let priority = self.account.as_ref().and_then(|it| it.priority);
+        priority.unwrap_or(self.route.priority)
+    }
+
+    /// Returns the digest of the caller's key; `None` if the caller is anonymous.
+    pub(crate) fn key(&self) -> Option<Digest> {
+        self.key
+    }
+
+    /// Checks that the job may still be sent to a target: its key was not revoked, and this host can
+    /// tell.
+    ///
+    /// # Errors
+    /// Returns the reason for not sending it.
+    pub fn check_account(&self, context: &Context) -> Result<(), Reason> {
+        let (Some(account), Some(key)) = (&self.account, self.key) else { return Ok(()) };
+        let knowledge = context.account_knowledge();
+        let configuration = context.state().configuration.clone();
+        let accounts = configuration.as_ref().and_then(|it| it.accounts.as_ref());
+        let identity = Identity { account: Rc::clone(account), key };
+        recognition::check(&identity, accounts, knowledge)
+    }
+
     /// Returns the time left until the job's deadline.
     pub fn time_left(&self) -> Duration {
         self.expires_at.saturating_sub(clock::now())
@@ -384,6 +432,23 @@
     Ok((Rc::clone(configuration), route, service))
 }
 
+/// Returns the identity of a request's sender, or of the caller for whom another host sends it; `None`
+/// if it is anonymous or the configuration has no accounts.
+fn identify(
+    context: &Context,
+    configuration: &Configuration,
+    route: &Route,
+    headers: &HeaderMap,
+    ticket: Option<&Ticket>,
+) -> Result<Option<Identity>, Reason> {
+    let Some(accounts) = &configuration.accounts else { return Ok(None) };
+    let key = match ticket {
+        Some(ticket) => Ok(ticket.key),
+        None => recognition::read_key(headers),
+    };
+    recognition::identify(accounts, route, key, context.account_knowledge())
+}
+
 /// Returns hashes of the first shared parts of a prompt to a service.
 fn fingerprints(service: &id::Service, prompt: &Prompt) -> Vec<id::Fingerprint> {
     let parts = prompt.shared_parts().iter().take(MAX_PROMPT_PARTS);
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -38,6 +38,7 @@
 };
 
 use crate::{
+    account::proof,
     cluster::{peer_server, peer_ticket, peers},
     context::{Bounds, Context},
     entry::{
@@ -78,6 +79,7 @@
     read_bounds: impl Fn() -> Result<Bounds, String> + 'static,
 ) -> io::Result<()> {
     let (phase, phase_watch) = sync::watch::channel(Phase::Open);
+    proof::register(&context);
     serve_ports(&context, directory, &phase_watch)?;
     drop(phase_watch);
     let mut tasks = JoinSet::new();
--- a/gateway/src/placement/reservation.rs
+++ b/gateway/src/placement/reservation.rs
@@ -108,7 +108,7 @@
             number: rand::random(),
             service: job.service.clone(),
             prompt: job.prompt.clone(),
-            priority: job.route.priority,
+            priority: job.priority(),
             objective: job.route.latency_objective,
             elapsed: job.elapsed(),
             max_wait: max_wait.min(job.time_left()),
--- a/gateway/src/store/mod.rs
+++ b/gateway/src/store/mod.rs
@@ -40,14 +40,20 @@
     pub era: Option<id::Era>,
     /// Version of the store at which the contents were read.
     pub version: id::Version,
+    /// Time of the store's steady clock at which the contents were read; `None` if the answer does
+    /// not name it.
+    pub read_at: Option<Duration>,
+    /// Whether all of the contents could be decoded.
+    pub is_complete: bool,
     /// The contents.
     pub contents: T,
 }
 
 impl<T> Snapshot<T> {
-    /// Converts the contents and keeps era and version.
+    /// Converts the contents and keeps the rest.
     pub fn map<U>(self, change: impl FnOnce(T) -> U) -> Snapshot<U> {
-        Snapshot { era: self.era, version: self.version, contents: change(self.contents) }
+        let Snapshot { era, version, read_at, is_complete, contents } = self;
+        Snapshot { era, version, read_at, is_complete, contents: change(contents) }
     }
 }
 
--- a/gateway/src/store/sync.rs
+++ b/gateway/src/store/sync.rs
@@ -5,6 +5,7 @@
 use tokio::time::sleep;
 
 use crate::{
+    account::proof,
     cluster::peers::{self, Packet},
     configuration::Configuration,
     context::{Context, State},
@@ -148,6 +149,10 @@
     age: Duration,
     /// Whether this host forwards the changes to the others.
     is_watcher: bool,
+    /// Time of the store's clock at which the answer was read; `None` if it does not name it.
+    read_at: Option<Duration>,
+    /// Whether all of the answer could be decoded.
+    is_complete: bool,
 }
 
 impl Coverage {
@@ -190,13 +195,22 @@
                 let result = T::read_all(&store).await;
                 observe_era(&context, store.newest_era());
                 match check_answer::<T, _>(&context, result, true, call_era) {
-                    Ok(Snapshot { version, contents, .. }) => {
+                    Ok(snapshot) => {
                         observe_call(&context, T::NAME, started);
+                        proof::record_call(&context, &snapshot, call_era, started);
+                        let Snapshot { version, read_at, is_complete, contents, .. } = snapshot;
                         record_answer::<T>(&context, &mut backoff, version);
                         let era = T::watch(&mut context.state_mut()).era();
                         let age = Duration::ZERO;
-                        let coverage =
-                            Coverage { era, after: version, up_to: version, age, is_watcher };
+                        let coverage = Coverage {
+                            era,
+                            after: version,
+                            up_to: version,
+                            age,
+                            is_watcher,
+                            read_at,
+                            is_complete,
+                        };
                         T::apply_contents(&context, contents, coverage);
                         continue;
                     }
@@ -209,8 +223,10 @@
                 let result = T::changes_after(&store, after, wait).await;
                 observe_era(&context, store.newest_era());
                 match check_answer::<T, _>(&context, result, false, call_era) {
-                    Ok(Snapshot { version, contents, .. }) => {
+                    Ok(snapshot) => {
                         observe_call(&context, T::NAME, started);
+                        proof::record_call(&context, &snapshot, call_era, started);
+                        let Snapshot { version, read_at, is_complete, contents, .. } = snapshot;
                         let known = record_answer::<T>(&context, &mut backoff, version);
                         let took = clock::now().saturating_sub(started);
                         let age =
@@ -219,7 +235,15 @@
                             &context,
                             contents,
                             known,
-                            Coverage { era: call_era, after, up_to: version, age, is_watcher },
+                            Coverage {
+                                era: call_era,
+                                after,
+                                up_to: version,
+                                age,
+                                is_watcher,
+                                read_at,
+                                is_complete,
+                            },
                         );
                         continue;
                     }
@@ -331,9 +355,15 @@
     }
 
     fn apply_contents(context: &Context, contents: Self::Contents, coverage: Coverage) {
+        if !coverage.is_complete || contents.is_some() {
+            let freshness = &mut context.state_mut().accounts.freshness;
+            freshness.set_readable(coverage.is_complete);
+        }
         if let Some(configuration) = contents {
             activate(context, configuration);
         }
+        let Coverage { era, read_at, is_watcher, .. } = coverage;
+        proof::record_configuration(context, era, read_at, is_watcher);
         if coverage.is_watcher {
             let version = context.state().configuration.as_ref().map(|it| it.version);
             peers::send_to_all(context, &Packet::ConfigurationUpdate(coverage.update(version)));
@@ -529,6 +559,7 @@
         if !events.is_empty() {
             context.record_target_events(events);
         }
+        proof::renew_call(&context);
         context.pool.close_expired();
         context.peer_pool.close_expired();
         let now = clock::now();
--- a/gateway/src/store/watch.rs
+++ b/gateway/src/store/watch.rs
@@ -239,6 +239,11 @@
         self.behind = true;
     }
 
+    /// Returns whether a later version exists that this host has yet to read.
+    pub fn is_behind(&self) -> bool {
+        self.behind
+    }
+
     /// Records that the state was current `age` ago, and detects the end of an outage.
     fn confirm(&mut self, age: Duration, reannounce_grace: Duration, now: Moment) {
         let at = now.saturating_sub(age);
--- a/gateway/src/upstream/attempt.rs
+++ b/gateway/src/upstream/attempt.rs
@@ -2,7 +2,10 @@
 
 use std::{rc::Rc, time::Duration};
 
-use fuchsiaknot_core::{clock, verdict::RetryReason};
+use fuchsiaknot_core::{
+    clock,
+    verdict::{Reason, RetryReason},
+};
 use hyper::{HeaderMap, StatusCode};
 use tokio::time::timeout;
 
@@ -25,6 +28,8 @@
     /// Nothing was sent: the target is leaving, asked this host to back off, or has another software
     /// version than the stream, or this host is cut off from the targets.
     Unavailable,
+    /// Nothing was sent: the caller's key was revoked, or this host cannot tell.
+    Unauthorised(Reason),
     /// The target answered that it did not run the request.
     NotRun(StatusCode),
     /// The connection broke or the response is unusable; the target may have run part of the
@@ -54,7 +59,9 @@
     pub fn retry_reason(&self) -> RetryReason {
         match self {
             Failure::NotSent(_) => RetryReason::ConnectRefused,
-            Failure::NotRun(_) | Failure::Unavailable => RetryReason::TargetRefused,
+            Failure::NotRun(_) | Failure::Unavailable | Failure::Unauthorised(_) => {
+                RetryReason::TargetRefused
+            }
             Failure::Broken(_) => RetryReason::TargetFailed,
             Failure::Silent | Failure::Expired => RetryReason::Silent,
         }
@@ -199,6 +206,7 @@
     if !may_send() {
         return Err(Failure::Unavailable);
     }
+    job.check_account(context).map_err(Failure::Unauthorised)?;
     let mut request = job.target_request(&context.header_names, &target, options);
     request.headers_mut().extend(headers);
     if job.record_call(options.call) {
@@ -230,6 +238,6 @@
             state.health.record_failure(key, clock::now());
         }
         Failure::NotRun(_) | Failure::Expired => state.health.record_error(key),
-        Failure::Unavailable => {}
+        Failure::Unavailable | Failure::Unauthorised(_) => {}
     }
 }
