fix(upstream): late copies, requests at the close, trickling streams and silent hosts

A late copy of a response that names no request passed as the next one, also a refusal. A request that had arrived on a kept connection when the port closed was cut off. A stream whose target sent bytes, but no event, had no second attempt before its deadline. A host gave up what it had sent through another once that one had been silent for about a second.

Change: a response without a name fails on a kept connection whose earlier responses had one, and its connection is not kept; the runtime sees what has arrived before a connection is shut down; only an event ends a silence; a silent host has a further second.

--- a/gateway/src/cluster/peer_proxy.rs
+++ b/gateway/src/cluster/peer_proxy.rs
@@ -6,7 +6,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use fuchsiaknot_core::{id, verdict::Reason};
+use fuchsiaknot_core::{clock, id, verdict::Reason};
 use http_body_util::BodyExt;
 use hyper::{Response, StatusCode, body::Incoming, http::response::Parts};
 use tokio::{
@@ -33,6 +33,10 @@
 /// Interval at which is checked whether the other host is still up.
 const LIVENESS_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time for which a host counts as down before the work that it does for this one is given up. A
+/// host that was only silent goes on with it; one that has stopped closes its connections.
+const MAX_SILENCE: Duration = Duration::from_secs(1);
+
 /// Why another host yielded no response to forward.
 enum Failure {
     /// The host has not taken the job.
@@ -125,11 +129,21 @@
     exchange.forward(head).await
 }
 
-/// Completes once another host is down or was restarted.
+/// Completes once another host was restarted, or has been down for [`MAX_SILENCE`].
 async fn host_lost(context: &Context, host: &Host) {
+    let mut down_since = None;
     loop {
         sleep(LIVENESS_INTERVAL).await;
-        if context.state().membership.is_lost(&host.name, host.incarnation) {
+        let state = context.state();
+        if !state.membership.is_known(&host.name, host.incarnation) {
+            return;
+        }
+        if !state.membership.is_lost(&host.name, host.incarnation) {
+            down_since = None;
+            continue;
+        }
+        let now = clock::now();
+        if *down_since.get_or_insert(now) + MAX_SILENCE <= now {
             return;
         }
     }
--- a/gateway/src/entry/http_server.rs
+++ b/gateway/src/entry/http_server.rs
@@ -9,6 +9,7 @@
 use tokio::{
     net::{TcpListener, TcpSocket, TcpStream},
     sync::watch,
+    task::yield_now,
     time::{Instant, sleep},
 };
 
@@ -163,6 +164,13 @@
             return;
         }
         _ = phase.wait_for(|it| *it == Phase::Closing) => {
+            tokio::select! {
+                biased;
+                _ = connection.as_mut() => return,
+                () = watchdog.last_request_begun() => {}
+            }
+            // Bytes that have arrived count as begun only once the runtime has seen them.
+            yield_now().await;
             tokio::select! {
                 biased;
                 _ = connection.as_mut() => return,
--- a/gateway/src/entry/stream_relay.rs
+++ b/gateway/src/entry/stream_relay.rs
@@ -20,20 +20,23 @@
 
 /// Reads the next whole event; `None` at the end of a complete stream.
 ///
-/// Fails with [`Failure::Silent`] when the target sends nothing for `max_silence`; without one, waits
-/// until the job's deadline.
+/// Fails with [`Failure::Silent`] when the target completes no event within `max_silence`, whatever
+/// bytes arrive; without one, waits until the job's deadline.
 pub(crate) async fn next_event(
     attempt: &mut Attempt,
     splitter: &mut Splitter,
     job: &Job,
     max_silence: Option<Duration>,
 ) -> Result<Option<Event>, Failure> {
+    let started = clock::now();
     loop {
         let event = splitter.next_event().map_err(|err| Failure::Broken(err.to_string()))?;
         if event.is_some() {
             return Ok(event);
         }
-        let (silence, time_left) = (max_silence.unwrap_or(Duration::MAX), job.time_left());
+        let silence = max_silence.unwrap_or(Duration::MAX);
+        let silence = silence.saturating_sub(clock::now().saturating_sub(started));
+        let time_left = job.time_left();
         let chunk = match attempt.response.chunk(silence.min(time_left)).await {
             Err(Failure::Expired) if silence < time_left => return Err(Failure::Silent),
             other => other?,
--- a/gateway/src/upstream/connection.rs
+++ b/gateway/src/upstream/connection.rs
@@ -109,6 +109,8 @@
     /// Bytes that may be read from the socket.
     allowance: Allowance,
     idle_until: Moment,
+    /// Number of requests that were sent on it.
+    request_count: u32,
 }
 
 impl Drop for Connection {
@@ -201,6 +203,12 @@
 }
 
 impl Connection {
+    /// Returns whether the connection has carried an earlier request, of which a late copy of the
+    /// response may still arrive.
+    pub fn is_reused(&self) -> bool {
+        1 < self.request_count
+    }
+
     /// Returns whether another request can be sent.
     pub fn is_usable(&self) -> bool {
         self.sender.is_ready()
@@ -214,6 +222,7 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, RequestError> {
+        self.request_count = self.request_count.saturating_add(1);
         self.allowance.set(MAX_BYTES_TO_HEAD);
         match self.sender.try_send_request(request).await {
             Ok(response) => {
@@ -257,7 +266,7 @@
             tracing::debug!(%err, "connection to a target failed");
         }
     });
-    Ok(Connection { sender, driver, allowance, idle_until: Moment::ZERO })
+    Ok(Connection { sender, driver, allowance, idle_until: Moment::ZERO, request_count: 0 })
 }
 
 /// Makes a connection fail when the peer acknowledges no data for `timeout` or no keep-alive
--- a/gateway/src/upstream/target_response.rs
+++ b/gateway/src/upstream/target_response.rs
@@ -75,6 +75,10 @@
         if self.head.headers.contains_key(&names.not_run) || misdirected {
             return Err(Failure::NotRun(status));
         }
+        // The earlier responses on the connection named their requests.
+        if echoed_id.is_none() && self.connection.is_reused() && !job.id.is_empty() {
+            return Err(Failure::Broken("the response does not name its request".to_owned()));
+        }
         Ok(())
     }
 
@@ -157,7 +161,9 @@
             || head.headers.contains_key(header::TRANSFER_ENCODING);
         let closes = closes_connection(&head.headers);
         let is_leaving = context.state().availability.is_leaving(key);
-        if is_framed && !closes && !is_leaving {
+        // A late copy of a response that doesn't name its request could not be told apart.
+        let names_request = head.headers.contains_key(&context.header_names.request_id);
+        if is_framed && names_request && !closes && !is_leaving {
             context.pool.put_back(key, connection, keep_alive(&head.headers));
         }
     }
