--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -69,6 +69,8 @@
     pub reannounce_grace: Duration,
     /// Time that the store may hold one call while there is no change.
     pub long_poll_timeout: Duration,
+    /// Duties of the deployment; `None` if it has none.
+    pub duties: Option<duty::Settings>,
 }
 
 /// Bounds that can be reloaded while the process runs.
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -40,6 +40,7 @@
 use crate::{
     cluster::{peer_server, peer_ticket, peers},
     context::{Bounds, Context},
+    duty::Endpoint,
     entry::{
         directory::{self, Directory},
         forward,
@@ -66,15 +67,17 @@
 
 /// Serves requests until `SIGTERM`, then shuts down gracefully.
 ///
+/// `endpoint` is the platform's interface for duties; `None` if the deployment has none.
 /// `read_bounds` is called to reload the settings, on `SIGHUP` and at an interval.
 ///
 /// # Errors
 /// Fails when a port cannot be bound, a signal handler cannot be installed, or a background task
 /// fails.
-pub async fn run<S: Store, D: Directory + 'static>(
+pub async fn run<S: Store, D: Directory + 'static, E: Endpoint>(
     context: Rc<Context>,
     store: S,
     directory: D,
+    endpoint: Option<E>,
     read_bounds: impl Fn() -> Result<Bounds, String> + 'static,
 ) -> io::Result<()> {
     let (phase, phase_watch) = sync::watch::channel(Phase::Open);
@@ -97,6 +100,9 @@
     tasks.spawn_local(peers::report_work(Rc::clone(&context)));
     tasks.spawn_local(dispatcher::run(Rc::clone(&context)));
     tasks.spawn_local(probe::run(Rc::clone(&context)));
+    if let Some(endpoint) = endpoint {
+        tasks.spawn_local(scaling::run(Rc::clone(&context), store.clone(), endpoint));
+    }
     tasks.spawn_local(reload_settings(
         Rc::clone(&context),
         signal(SignalKind::hangup())?,
--- a/gateway/src/scaling/mod.rs
+++ b/gateway/src/scaling/mod.rs
@@ -1,9 +1,11 @@
 //! Number of targets of each service and data centre.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
 use fuchsiaknot_core::id;
 
+use crate::{context::Context, duty::Endpoint, store::Store};
+
 /// Bounds on the number of targets of a service.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Config {
@@ -36,3 +38,6 @@
 /// State of the scaling on this host.
 #[derive(Debug, Default)]
 pub struct State {}
+
+/// Orders the targets that the services need while this host holds the duty, forever.
+pub async fn run<S: Store, E: Endpoint>(_context: Rc<Context>, _store: S, _endpoint: E) {}
--- a/gateway/src/store/mod.rs
+++ b/gateway/src/store/mod.rs
@@ -51,6 +51,24 @@
     }
 }
 
+/// One of this project's own records.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Record {
+    /// Version of the last write; 0 if the record does not exist.
+    pub version: id::Version,
+    /// The contents; `None` if the record does not exist.
+    pub contents: Option<Vec<u8>>,
+}
+
+/// Outcome of a conditional write.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Outcome {
+    /// The write took effect as this version.
+    Committed(id::Version),
+    /// The record has another version, and the write had no effect.
+    Conflict(Record),
+}
+
 /// The store of configuration, targets and hosts.
 ///
 /// Calls return when the store has answered or their timeout has passed. `wait` is the time for
@@ -110,4 +128,22 @@
     /// # Errors
     /// Fails when the store refuses the call or does not answer.
     async fn withdraw(&self, host: &id::Host) -> Result<(), Error>;
+
+    /// Reads one of this project's own records.
+    ///
+    /// # Errors
+    /// Fails when the store refuses the call, does not answer, or its answer is invalid.
+    async fn record(&self, key: &str) -> Result<Snapshot<Record>, Error>;
+
+    /// Writes one of this project's own records if it still has version `expected`; 0 if it must
+    /// not exist. A call without an answer may take effect later, if its condition still holds.
+    ///
+    /// # Errors
+    /// Fails when the store refuses the call, does not answer, or its answer is invalid.
+    async fn write_record(
+        &self,
+        key: &str,
+        expected: id::Version,
+        contents: &[u8],
+    ) -> Result<Snapshot<Outcome>, Error>;
 }
