--- a/gateway/src/scaling/driver.rs
+++ b/gateway/src/scaling/driver.rs
@@ -6,15 +6,12 @@
     clock::{self, Moment},
     id,
 };
-use tokio::{
-    task::JoinSet,
-    time::{sleep, timeout},
-};
+use tokio::{task::JoinSet, time::sleep};
 
 use crate::{
     cluster::messages,
     context::{Context, State},
-    duty::{self, Credential},
+    duty::{self, Tenure},
     scaling::{
         Config, Order,
         demand::{Load, Query, Report, Sample},
@@ -25,8 +22,6 @@
 
 /// Interval at which the demand is asked for and the number of targets decided.
 const INTERVAL: Duration = Duration::from_secs(1);
-/// Longest time that a call may take; a later answer no longer fits the demand.
-const CALL_TIMEOUT: Duration = Duration::from_secs(4);
 /// Most calls at a time, so that reports of usage find room beside them.
 const MAX_CALLS: usize = 4;
 
@@ -48,6 +43,7 @@
     let mut planners: BTreeMap<id::Service, Planner> = BTreeMap::new();
     let mut calls: JoinSet<Answer> = JoinSet::new();
     let mut open: Vec<(id::Service, Pool)> = Vec::new();
+    let mut epoch: Option<id::Epoch> = None;
     loop {
         tokio::select! {
             () = sleep(INTERVAL) => {}
@@ -63,13 +59,11 @@
         let now = clock::now();
         let tenure = context.state().duties.tenure(now).cloned();
         let services = scaled_services(&context.state());
-        let Some(tenure) = tenure.filter(|_| !services.is_empty()) else {
-            if !planners.is_empty() {
-                planners.clear();
-                context.state_mut().scaling.reports.clear();
-            }
-            continue;
-        };
+        let Some(tenure) = tenure.filter(|_| !services.is_empty()) else { continue };
+        if epoch.replace(tenure.credential.epoch) != Some(tenure.credential.epoch) {
+            planners.clear();
+            context.state_mut().scaling.reports.clear();
+        }
         ask_dispatcher(&context, now);
         planners.retain(|service, _| services.contains_key(service));
         for (service, demand) in context.state_mut().scaling.reports.take() {
@@ -90,24 +84,16 @@
                 log_step(&service, &step);
                 planner.record_order(&step, now);
                 open.push((service.clone(), step.pool.clone()));
-                let call = call(
-                    endpoint.clone(),
-                    tenure.credential.clone(),
-                    tenure.ends_at.saturating_sub(now),
-                    service.clone(),
-                    step,
-                );
-                calls.spawn_local(call);
+                calls.spawn_local(call(endpoint.clone(), tenure.clone(), service.clone(), step));
             }
         }
     }
 }
 
-/// Makes the call for a step; it ends before the tenure does.
+/// Makes the call for a step.
 async fn call<E: duty::Endpoint>(
     endpoint: E,
-    credential: Credential,
-    time_left: Duration,
+    tenure: Tenure,
     service: id::Service,
     step: Step,
 ) -> Answer {
@@ -117,9 +103,8 @@
         count: step.count,
         withdrawable: step.pool.1 == Kind::Withdrawable,
     };
-    let call = endpoint.order_targets(&credential, &order);
-    let outcome = timeout(time_left.min(CALL_TIMEOUT), call).await;
-    (service, step, outcome.unwrap_or_else(|_| Err(duty::Error::Lost("timed out".to_owned()))))
+    let outcome = endpoint.order_targets(&tenure, &order).await;
+    (service, step, outcome)
 }
 
 fn record_outcome(
@@ -135,11 +120,14 @@
         Ok(()) => {
             tracing::info!(code = 8141, %service, %data_centre, withdrawable, count = step.count, "targets ordered");
         }
-        Err(duty::Error::Refused(fault)) => {
+        Err(err @ (duty::Error::Unavailable | duty::Error::Refused(_))) => {
+            let is_unavailable = err == duty::Error::Unavailable;
             let services = scaled_services(&context.state());
-            let boot_time = services.get(service).map_or(CALL_TIMEOUT, |it| it.boot_time);
-            planner.record_refusal(&step.pool, boot_time, clock::now());
-            tracing::warn!(code = 8142, %service, %data_centre, withdrawable, count = step.count, fault, "order for targets refused; asking elsewhere");
+            // A call that was refused for another reason may succeed in a moment.
+            let config = services.get(service).filter(|_| is_unavailable);
+            let pause = config.map(|it| it.boot_time).unwrap_or_default();
+            planner.record_refusal(&step.pool, pause, clock::now());
+            tracing::warn!(code = 8142, %service, %data_centre, withdrawable, count = step.count, %err, "order for targets refused; asking elsewhere");
         }
         Err(err) => {
             // What the platform did shows in the list of targets.
--- a/gateway/src/scaling/plan.rs
+++ b/gateway/src/scaling/plan.rs
@@ -283,10 +283,11 @@
         }
     }
 
-    /// Records that an order had no effect because there are no such targets at the moment.
-    pub fn record_refusal(&mut self, pool: &Pool, boot_time: Duration, now: Moment) {
+    /// Records that an order had no effect; no more targets are asked for there for some time, from
+    /// `pause` on longer each time.
+    pub fn record_refusal(&mut self, pool: &Pool, pause: Duration, now: Moment) {
         self.ordered.remove(pool);
-        self.pause(pool, boot_time, now);
+        self.pause(pool, pause, now);
     }
 
     fn pause(&mut self, pool: &Pool, boot_time: Duration, now: Moment) {
