--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -102,8 +102,10 @@
     tasks.spawn_local(peers::report_work(Rc::clone(&context)));
     tasks.spawn_local(dispatcher::run(Rc::clone(&context)));
     tasks.spawn_local(probe::run(Rc::clone(&context)));
-    if let Some(endpoint) = endpoint {
-        tasks.spawn_local(scaling::run(Rc::clone(&context), store.clone(), endpoint));
+    scaling::driver::register(&context);
+    let orders_targets = context.settings.duties.as_ref().is_some_and(|it| it.orders_targets);
+    if let Some(endpoint) = endpoint.filter(|_| orders_targets) {
+        tasks.spawn_local(scaling::driver::run(Rc::clone(&context), endpoint));
     }
     tasks.spawn_local(reload_settings(
         Rc::clone(&context),
