--- a/gateway/src/account/mod.rs
+++ b/gateway/src/account/mod.rs
@@ -6,7 +6,7 @@
 
 use std::{collections::HashMap, fmt, rc::Rc};
 
-use fuchsiaknot_core::id;
+use fuchsiaknot_core::{clock::Moment, id};
 use smol_str::SmolStr;
 
 /// A client account.
@@ -145,4 +145,6 @@
 pub struct State {
     /// How lately the configuration in force was the newest one.
     pub freshness: freshness::Tracker,
+    /// Time from which on requests with a key are refused, since no proof is young enough.
+    pub(crate) unproven_since: Option<Moment>,
 }
--- a/gateway/src/account/proof.rs
+++ b/gateway/src/account/proof.rs
@@ -83,6 +83,33 @@
     }
 }
 
+/// Logs when requests with a key begin to be refused, and when they are served again.
+pub(crate) fn log_validity(context: &Context) {
+    let Some(bound) = context.bounds().revocation else { return };
+    let now = clock::now();
+    let mut state = context.state_mut();
+    let has_accounts = state.configuration.as_ref().is_some_and(|it| it.accounts.is_some());
+    let accounts = &mut state.accounts;
+    let age = accounts.freshness.age(now);
+    match (accounts.freshness.is_within(bound, now), accounts.unproven_since) {
+        (false, None) if has_accounts => {
+            accounts.unproven_since = Some(now);
+            tracing::warn!(
+                code = 8100,
+                matter = "keys",
+                proven_age_ms = age.map(|it| it.as_millis() as u64),
+                "cannot prove that keys are still valid; refusing requests that carry one"
+            );
+        }
+        (true, Some(since)) => {
+            accounts.unproven_since = None;
+            let away_ms = now.saturating_sub(since).as_millis() as u64;
+            tracing::info!(code = 8101, matter = "keys", away_ms, "keys proven valid again");
+        }
+        _ => {}
+    }
+}
+
 /// Has this host call the store if its clock may have drifted too far from the store's to place
 /// proofs in time.
 pub(crate) fn renew_call(context: &Context) {
--- a/gateway/src/entry/directory.rs
+++ b/gateway/src/entry/directory.rs
@@ -54,6 +54,10 @@
         let gauge = context.metrics.table_age.with_label_values(&[table]);
         gauge.set(i64::try_from(age).unwrap_or(i64::MAX));
     }
+    if let Some(age) = context.proven_age_ms() {
+        let gauge = context.metrics.table_age.with_label_values(&["keys"]);
+        gauge.set(i64::try_from(age).unwrap_or(i64::MAX));
+    }
     let dropped = context.log.as_ref().map_or(0, Log::dropped_lines);
     context.metrics.dropped_lines.set(i64::try_from(dropped).unwrap_or(i64::MAX));
     match context.metrics.text() {
--- a/gateway/src/store/sync.rs
+++ b/gateway/src/store/sync.rs
@@ -560,6 +560,7 @@
             context.record_target_events(events);
         }
         proof::renew_call(&context);
+        proof::log_validity(&context);
         context.pool.close_expired();
         context.peer_pool.close_expired();
         let now = clock::now();
