feat(duty): one holder of all duties, by a lease in the store

Cause: calls to the platform are the duty of one host at a time, and nothing said which. Change: duty::lease wraps core::lease: the fencing token includes the store's era and exceeds every token that this host has heard of; a record of an earlier era or none counts as that of an unknown holder; a restarted host waits for a turn interval. duty::runner reads and writes the record and tells the candidates of each renewal, all hosts of every fourth. Hosts that are no candidates make no call.

--- a/core/src/lease/controller.rs
+++ b/core/src/lease/controller.rs
@@ -80,6 +80,11 @@
         (now < held.renewed + self.config.duration).then_some(held.epoch)
     }
 
+    /// Returns the end of the lease that the host holds or held last; `None` if it has lost it.
+    pub fn held_until(&self) -> Option<Moment> {
+        Some(self.held.as_ref()?.renewed + self.config.duration)
+    }
+
     /// Returns the last observed record; `None` when no row was read or the row is absent.
     pub fn record(&self) -> Option<&Record> {
         self.observed.as_ref()?.record.as_ref()
--- a/gateway/src/cluster/membership.rs
+++ b/gateway/src/cluster/membership.rs
@@ -25,6 +25,8 @@
 /// Number of first cycles in which hosts that are not up yet are sent a heartbeat each time: the
 /// first heartbeat is lost when its receiver has not started.
 const INITIAL_CYCLES: u64 = 3;
+/// Number of hosts that compete for the duties when their holder is gone.
+const DUTY_CANDIDATES: usize = 3;
 /// Time by which a dispatcher's list of targets may be older than the newest list of any host.
 const MAX_TARGETS_LAG: Duration = Duration::from_millis(2200);
 /// Time by which a heartbeat may be late before its host is probed.
@@ -410,6 +412,18 @@
         self.registered && !own_store_unreachable && before < WATCHER_COUNT
     }
 
+    /// Returns the hosts that compete for the duties, the preferred one first: those with the largest
+    /// CPU share that reach the store, the dispatcher last, since it has the most other work.
+    pub fn duty_candidates(&self, own_store_unreachable: bool) -> Vec<id::Host> {
+        let own = (self.registered && !own_store_unreachable).then_some(&self.own);
+        let peers = self.peers.values().filter(|it| it.up && !it.store_unreachable);
+        let mut hosts: Vec<&Host> = own.into_iter().chain(peers.map(|it| &it.host)).collect();
+        let order =
+            |it: &Host| (it.name == self.dispatcher, Reverse(it.cpu_millicores), it.name.clone());
+        hosts.sort_by_cached_key(|it| order(it));
+        hosts.into_iter().take(DUTY_CANDIDATES).map(|it| it.name.clone()).collect()
+    }
+
     /// Returns the time for which this host has claimed to be the dispatcher.
     pub fn claim_age(&self, now: Moment) -> Option<Duration> {
         self.claimed_at.map(|it| now.saturating_sub(it))
--- a/gateway/src/duty/mod.rs
+++ b/gateway/src/duty/mod.rs
@@ -1,11 +1,19 @@
 //! Duties that one host at a time performs for the deployment, under a lease.
 
+pub mod lease;
+pub mod runner;
+
 use std::time::Duration;
 
 use fuchsiaknot_core::{clock::Moment, id};
 
+use self::lease::Lease;
+
 use crate::{scaling, usage};
 
+/// Longest time of a call on a duty.
+pub const MAX_CALL_TIME: Duration = Duration::from_millis(900);
+
 /// Which duties a deployment has, and their bounds.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
@@ -76,7 +84,13 @@
 /// State of the duties on this host.
 #[derive(Debug, Default)]
 pub struct State {
+    /// This host's view of the lease; `None` without duties.
+    lease: Option<Lease>,
     tenure: Option<Tenure>,
+    /// Host that holds the duties, as far as this one knows, and its fencing token.
+    holder: Option<Credential>,
+    /// Whether this host shuts down and makes no further calls.
+    is_leaving: bool,
 }
 
 impl State {
@@ -84,4 +98,32 @@
     pub fn tenure(&self, now: Moment) -> Option<&Tenure> {
         self.tenure.as_ref().filter(|it| now < it.ends_at)
     }
+
+    /// Returns the host that holds the duties, as far as this one knows, and its fencing token.
+    pub fn holder(&self) -> Option<&Credential> {
+        self.holder.as_ref()
+    }
+
+    /// Handles the platform's refusal of a call under a tenure, since another host has used a higher
+    /// fencing token: this host stops at once.
+    pub fn handle_fenced(&mut self, tenure: &Tenure, now: Moment) {
+        let is_current = self.tenure.as_ref().is_some_and(|it| it.credential == tenure.credential);
+        if let Some(lease) = self.lease.as_mut().filter(|_| is_current) {
+            lease.fenced(now);
+            self.tenure = None;
+            let epoch = tenure.credential.epoch;
+            tracing::warn!(
+                code = 8122,
+                epoch,
+                "another host has used a higher fencing token; giving the duties up"
+            );
+        }
+    }
+
+    /// Records the holder of a fencing token, unless a higher one is known.
+    fn set_holder(&mut self, holder: Credential) {
+        if self.holder.as_ref().is_none_or(|it| it.epoch <= holder.epoch) {
+            self.holder = Some(holder);
+        }
+    }
 }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -101,6 +101,7 @@
     tasks.spawn_local(dispatcher::run(Rc::clone(&context)));
     tasks.spawn_local(probe::run(Rc::clone(&context)));
     if let Some(endpoint) = endpoint {
+        tasks.spawn_local(duty::runner::run(Rc::clone(&context), store.clone()));
         tasks.spawn_local(scaling::run(Rc::clone(&context), store.clone(), endpoint));
     }
     tasks.spawn_local(reload_settings(
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -54,6 +54,10 @@
     pub configuration_version: IntGauge,
     /// Era of the store: how often it came back from an earlier copy.
     pub store_era: IntGauge,
+    /// Whether this host holds the duties.
+    pub duty_held: IntGauge,
+    /// Fencing token of the duties' holder, as far as this host knows.
+    pub duty_epoch: IntGauge,
     /// Number of known targets.
     pub target_count: IntGauge,
     /// Number of hosts that are up, including this one.
@@ -138,6 +142,8 @@
             dropped_lines: gauge("log_lines_dropped", "Log lines dropped since the start.")?,
             configuration_version: gauge("configuration_version", "Configuration in force.")?,
             store_era: gauge("store_era", "Times that the store came back from a copy.")?,
+            duty_held: gauge("duty_held", "Whether this host holds the duties.")?,
+            duty_epoch: gauge("duty_epoch", "Fencing token of the duties' holder.")?,
             target_count: gauge("targets", "Targets known.")?,
             host_count: gauge("hosts", "Hosts that are there.")?,
             registry,
