--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -38,6 +38,7 @@
 };
 
 use crate::{
+    account::proof,
     cluster::{peer_server, peer_ticket, peers},
     context::{Bounds, Context},
     duty::Endpoint,
@@ -81,6 +82,7 @@
     read_bounds: impl Fn() -> Result<Bounds, String> + 'static,
 ) -> io::Result<()> {
     let (phase, phase_watch) = sync::watch::channel(Phase::Open);
+    proof::register(&context);
     serve_ports(&context, directory, &phase_watch)?;
     drop(phase_watch);
     let mut tasks = JoinSet::new();
@@ -100,9 +102,14 @@
     tasks.spawn_local(peers::report_work(Rc::clone(&context)));
     tasks.spawn_local(dispatcher::run(Rc::clone(&context)));
     tasks.spawn_local(probe::run(Rc::clone(&context)));
-    if let Some(endpoint) = endpoint {
+    scaling::driver::register(&context);
+    let duties = context.settings.duties.as_ref();
+    let orders_targets = duties.is_some_and(|it| it.orders_targets);
+    if duties.is_some() {
         tasks.spawn_local(duty::runner::run(Rc::clone(&context), store.clone()));
-        tasks.spawn_local(scaling::run(Rc::clone(&context), store.clone(), endpoint));
+    }
+    if let Some(endpoint) = endpoint.filter(|_| orders_targets) {
+        tasks.spawn_local(scaling::driver::run(Rc::clone(&context), endpoint));
     }
     tasks.spawn_local(reload_settings(
         Rc::clone(&context),
--- a/gateway/src/scaling/mod.rs
+++ b/gateway/src/scaling/mod.rs
@@ -1,10 +1,15 @@
 //! Number of targets of each service and data centre.
+//!
+//! Every host counts the work that it places ([`demand`]). The host that holds the duty asks the
+//! dispatcher for these counts ([`driver`]) and decides from them what to order ([`plan`]).
 
-use std::{collections::BTreeMap, rc::Rc, time::Duration};
+pub mod demand;
+pub mod driver;
+pub mod plan;
 
-use fuchsiaknot_core::id;
+use std::{collections::BTreeMap, time::Duration};
 
-use crate::{context::Context, duty::Endpoint, store::Store};
+use fuchsiaknot_core::id;
 
 /// Bounds on the number of targets of a service.
 #[derive(Debug, Clone, PartialEq)]
@@ -37,7 +42,9 @@
 
 /// State of the scaling on this host.
 #[derive(Debug, Default)]
-pub struct State {}
-
-/// Orders the targets that the services need while this host holds the duty, forever.
-pub async fn run<S: Store, E: Endpoint>(_context: Rc<Context>, _store: S, _endpoint: E) {}
+pub struct State {
+    /// Work that this host placed.
+    pub demand: demand::Tracker,
+    /// Last reports that other hosts sent to this one while it holds the duty.
+    pub reports: demand::Inbox,
+}
