--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -103,7 +103,11 @@
     tasks.spawn_local(dispatcher::run(Rc::clone(&context)));
     tasks.spawn_local(probe::run(Rc::clone(&context)));
     scaling::driver::register(&context);
-    let orders_targets = context.settings.duties.as_ref().is_some_and(|it| it.orders_targets);
+    let duties = context.settings.duties.as_ref();
+    let orders_targets = duties.is_some_and(|it| it.orders_targets);
+    if duties.is_some() {
+        tasks.spawn_local(duty::runner::run(Rc::clone(&context), store.clone()));
+    }
     if let Some(endpoint) = endpoint.filter(|_| orders_targets) {
         tasks.spawn_local(scaling::driver::run(Rc::clone(&context), endpoint));
     }
