feat(placement): fair shares among accounts in the queue for engines

Change: the dispatcher compares what each account got lately with its max-min share of the engine time, and serves requests beyond it last. The water level moved to core::share; the product's admission uses it too.

--- a/gateway/src/cluster/peers.rs
+++ b/gateway/src/cluster/peers.rs
@@ -190,20 +190,27 @@
     }
 }
 
-/// Encodes a packet and the notices that follow a heartbeat.
+/// Encodes a packet and what follows it: the notices of a heartbeat, the account of a request.
 fn encode(context: &Context, packet: &Packet) -> postcard::Result<Vec<u8>> {
     let mut bytes = postcard::to_stdvec(packet)?;
     if matches!(packet, Packet::Heartbeat(_)) {
         bytes.extend(Notices::recent(context).encode()?);
     }
+    if let Packet::DispatchRequest(_, Request { account: Some(account), .. }) = packet {
+        bytes.extend(postcard::to_stdvec(account)?);
+    }
     Ok(bytes)
 }
 
-/// Decodes a packet and the notices that follow it.
+/// Decodes a packet and what follows it.
 fn decode(bytes: &[u8]) -> postcard::Result<(Packet, Notices)> {
-    let (packet, rest) = postcard::take_from_bytes(bytes)?;
-    let notices = match packet {
+    let (mut packet, rest) = postcard::take_from_bytes(bytes)?;
+    let notices = match &mut packet {
         Packet::Heartbeat(_) => Notices::decode(rest)?,
+        Packet::DispatchRequest(_, request) if !rest.is_empty() => {
+            request.account = Some(postcard::from_bytes(rest)?);
+            Notices::default()
+        }
         _ => Notices::default(),
     };
     Ok((packet, notices))
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -35,6 +35,8 @@
     pub peer_connections: IntCounter,
     /// Requests that one host sends through another, by this host's role.
     pub peer_requests: IntCounterVec,
+    /// Requests beyond their account's share, by the dispatcher's decision.
+    pub excess_requests: IntCounterVec,
     /// Whether this host is cut off from all targets.
     pub cut_off: IntGauge,
     /// Datagrams from other hosts that this one cannot read.
@@ -132,6 +134,11 @@
                 "Requests that one host sends through another, by this host's role.",
                 "role",
             )?,
+            excess_requests: counters(
+                "excess_requests_total",
+                "Requests beyond their account's share that this host decided as the dispatcher.",
+                "decision",
+            )?,
             cut_off: gauge("cut_off", "Whether this host reaches no target.")?,
             unreadable_messages: counter(
                 "unreadable_messages_total",
--- a/gateway/src/placement/dispatch.rs
+++ b/gateway/src/placement/dispatch.rs
@@ -4,7 +4,8 @@
 //! time and all send to it. Instead one host, the dispatcher, places the prompts of all hosts. It
 //! keeps only a short backlog at each engine and the rest in one queue: first the requests that can
 //! still be on time, ordered by the latest time at which they must start and then by priority; then
-//! those that are already late. Placement is an optimisation and needs no consensus: hosts that
+//! those that are already late. Where the callers have accounts, requests beyond their account's share
+//! go after those within ([`crate::placement::share`]). Placement is an optimisation and needs no consensus: hosts that
 //! can't reach the dispatcher place their prompts themselves.
 
 use std::{
@@ -21,7 +22,7 @@
         balancer,
         engine::{self, Candidate, Choice, Estimate, LatencyBudget, LatencyModel},
         load::Work,
-        prefix_cache,
+        prefix_cache, share,
         shortlist::{Affinity, Ranking},
     },
     targets::{registry::Key, target::Stage},
@@ -63,6 +64,9 @@
     pub avoid: Vec<id::Target>,
     /// Software version that the engines must have; `None` for any.
     pub version: Option<id::SoftwareVersion>,
+    /// Client account of the caller, which follows the request on the wire only if there is one.
+    #[serde(skip)]
+    pub account: Option<id::Account>,
 }
 
 impl Request {
@@ -102,6 +106,8 @@
     late_share: LateShare,
     /// Homes of the prompts, by service.
     homes: HashMap<id::Service, Affinity>,
+    /// What the accounts got, by service; none before a caller with an account has come.
+    shares: HashMap<id::Service, share::Tracker>,
 }
 
 /// Recently placed tokens, of all requests and of late ones, with exponential decay.
@@ -136,6 +142,13 @@
         LatencyBudget { objective: self.request.objective, elapsed }
     }
 
+    /// Returns the tokens whose engine time the request takes: those of its prompt that no other
+    /// request shares, and those that are generated.
+    fn tokens(&self) -> u64 {
+        let prompt = &self.request.prompt;
+        prompt.unshared_tokens() + prompt.max_output_tokens
+    }
+
     /// Returns the sort key in the queue: whether the request is late, the latest start and the
     /// priority.
     ///
@@ -164,7 +177,15 @@
     /// Adds a request of a host.
     pub fn add(&mut self, host: id::Host, request: Request, now: Moment) {
         let key = (host, request.number);
-        self.requests.insert(key, QueuedRequest { request, arrived: now });
+        let queued = QueuedRequest { request, arrived: now };
+        let QueuedRequest { request, .. } = &queued;
+        if request.account.is_some() && !self.shares.contains_key(&request.service) {
+            self.shares.insert(request.service.clone(), share::Tracker::default());
+        }
+        if let Some(tracker) = self.shares.get_mut(&request.service) {
+            tracker.record_offer(&request.account, queued.tokens(), now);
+        }
+        self.requests.insert(key, queued);
     }
 
     /// Returns whether a request is queued.
@@ -199,7 +220,7 @@
         let refused = keys.into_iter().filter_map(|key| {
             let QueuedRequest { request, .. } = self.requests.remove(&key)?;
             let decision = Decision::Refuse(Duration::ZERO);
-            Some(DecidedRequest { host: key.0, request, decision })
+            Some(DecidedRequest { host: key.0, request, decision, is_excess: false })
         });
         refused.collect()
     }
@@ -213,7 +234,7 @@
         cache: &prefix_cache::Index,
         now: Moment,
     ) -> Vec<DecidedRequest> {
-        let Queue { requests, late_share, homes } = self;
+        let Queue { requests, late_share, homes, shares } = self;
         let mut order: Vec<_> = requests
             .iter()
             .filter_map(|(key, it)| {
@@ -227,6 +248,8 @@
             let a_sort_key = (*a_late != late_first, a_start, a_priority, a);
             a_sort_key.cmp(&(*b_late != late_first, b_start, b_priority, b))
         });
+        let excess = find_excess(&order, requests, shares, now);
+        order.sort_by_key(|((is_late, ..), key)| (*is_late != late_first, excess.contains(key)));
         let runs = fleets.iter_mut().map(|(service, fleet)| {
             let homes = homes.remove(service).unwrap_or_default();
             (service.clone(), Run::new(fleet, homes))
@@ -240,9 +263,13 @@
             let Some(decision) = decision else { continue };
             if matches!(decision, Decision::Place(_)) {
                 late_share.record_placement(queued.request.prompt.unshared_tokens(), is_late);
+                if let Some(tracker) = shares.get_mut(&queued.request.service) {
+                    tracker.record_placement(&queued.request.account, queued.tokens(), now);
+                }
             }
-            if let Some(queued) = requests.remove(&key) {
-                decided.push(DecidedRequest { host: key.0, request: queued.request, decision });
+            if let Some(QueuedRequest { request, .. }) = requests.remove(&key) {
+                let is_excess = excess.contains(&key);
+                decided.push(DecidedRequest { host: key.0, request, decision, is_excess });
             }
         }
         homes.extend(runs.into_iter().map(|(service, run)| (service, run.homes)));
@@ -250,6 +277,32 @@
     }
 }
 
+/// Sort key in the queue, and identity of the request.
+type Entry = ((bool, Moment, u8), (id::Host, RequestNumber));
+
+/// Returns the requests with which an account gets more than its share, given the order in which they
+/// would be served.
+fn find_excess(
+    order: &[Entry],
+    requests: &BTreeMap<(id::Host, RequestNumber), QueuedRequest>,
+    shares: &mut HashMap<id::Service, share::Tracker>,
+    now: Moment,
+) -> BTreeSet<(id::Host, RequestNumber)> {
+    let queued = || order.iter().filter_map(|(_, key)| Some((key, requests.get(key)?)));
+    let mut excess = BTreeSet::new();
+    for (service, tracker) in shares {
+        let of_service = queued().filter(|(_, it)| it.request.service == *service);
+        let (keys, waiting): (Vec<_>, Vec<_>) = of_service
+            .filter(|(_, it)| !it.request.resumes)
+            .map(|(key, it)| (key, (&it.request.account, it.tokens())))
+            .unzip();
+        let flags = tracker.find_excess(&waiting, now);
+        excess
+            .extend(keys.into_iter().zip(flags).filter(|(_, it)| *it).map(|(key, _)| key.clone()));
+    }
+    excess
+}
+
 /// A request taken from the queue.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DecidedRequest {
@@ -259,6 +312,8 @@
     pub request: Request,
     /// What the dispatcher decided.
     pub decision: Decision,
+    /// Whether its account got more than its share with it.
+    pub is_excess: bool,
 }
 
 /// Engines of a service with their load.
--- a/gateway/src/placement/dispatcher.rs
+++ b/gateway/src/placement/dispatcher.rs
@@ -274,7 +274,12 @@
         decided.extend(unserved.iter().flat_map(|it| queue.refuse_service(it)));
         decided
     };
-    for DecidedRequest { host, request, decision } in decided {
+    for DecidedRequest { host, request, decision, is_excess } in decided {
+        if is_excess {
+            let decision =
+                if matches!(decision, Decision::Place(_)) { "placed" } else { "refused" };
+            context.metrics.excess_requests.with_label_values(&[decision]).inc();
+        }
         let reply = match decision {
             Decision::Refuse(queue_time) => {
                 record_refusal(&mut context.state_mut(), &host, &request);
--- a/gateway/src/placement/mod.rs
+++ b/gateway/src/placement/mod.rs
@@ -8,5 +8,6 @@
 pub mod prefix_cache;
 pub mod reservation;
 pub mod selection;
+pub mod share;
 pub(crate) mod shortlist;
 pub mod slowness;
--- a/gateway/src/placement/reservation.rs
+++ b/gateway/src/placement/reservation.rs
@@ -115,6 +115,7 @@
             resumes,
             avoid: avoided.map(|(_, it)| it.id.clone()).collect(),
             version: job.required_version(),
+            account: job.account.as_ref().map(|it| it.name.clone()),
         }
     }
 
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -105,6 +105,7 @@
         resumes: false,
         avoid: Vec::new(),
         version: None,
+        account: None,
     }
 }
 
--- a/gateway/tests/decision_time.rs
+++ b/gateway/tests/decision_time.rs
@@ -6,10 +6,12 @@
 
 use fuchsiaknot_core::id;
 use fuchsiaknot_gateway::{
+    account::{Account, Accounts, Digest, freshness},
     placement::{
         dispatch::{Fleet, Queue},
         engine::LatencyModel,
         prefix_cache,
+        share::{self, Party},
     },
     scaling::{
         self,
@@ -110,3 +112,52 @@
         println!("{case}: {:.0} us for 12 services in 10 data centres", slowest * 1e6);
     }
 }
+
+/// Prints the time of a decision about 1,000 waiting requests of competing accounts, for each request.
+#[test]
+#[ignore = "measures time"]
+fn by_accounts() {
+    for accounts in [80, 10_000] {
+        let parties: Vec<Party> = (0..accounts).map(|it| Some(format!("a{it}").into())).collect();
+        let mut tracker = share::Tracker::default();
+        for (at, party) in parties.iter().enumerate() {
+            tracker.record_offer(party, 3000 + at as u64, ms(0));
+            tracker.record_placement(party, 1000, ms(0));
+        }
+        let waiting: Vec<(&Party, u64)> =
+            (0..1000).map(|it| (&parties[it * 7 % accounts], 1500)).collect();
+        for now in [10, 11] {
+            let start = Instant::now();
+            let excess = tracker.find_excess(&waiting, ms(now));
+            let took = start.elapsed().as_secs_f64() * 1e6 / excess.len() as f64;
+            println!("{accounts} accounts, at {now} ms: {took:.2} us a request");
+        }
+    }
+}
+
+/// Prints the time of looking a key up among 100,000, and of the check of a proof's age.
+#[test]
+#[ignore = "measures time"]
+fn by_keys() {
+    const LOOKUPS: usize = 100_000;
+    let entries = (0..1000).map(|account| {
+        let keys = (0..100).map(|it| format!("key-{account}-{it}").into()).collect();
+        (Account { name: format!("a{account}").into(), priority: None }, keys)
+    });
+    let accounts = Accounts::try_from(entries.collect::<Vec<_>>()).unwrap();
+    let start = Instant::now();
+    let found = (0..LOOKUPS).filter(|it| {
+        let key = format!("key-{}-{}", it % 1000, it % 100);
+        accounts.find(&Digest::from(key.as_bytes())).is_some()
+    });
+    let found = found.count();
+    let took = start.elapsed().as_nanos() / LOOKUPS as u128;
+    println!("{found} keys: {took} ns each");
+    let mut tracker = freshness::Tracker::default();
+    tracker.record_call(0, ms(0), ms(10), ms(1));
+    tracker.record_proof(0, ms(10), ms(1));
+    let start = Instant::now();
+    let fresh = (0..LOOKUPS).filter(|it| tracker.is_within(ms(5000), ms(*it as u64)));
+    let fresh = fresh.count();
+    println!("{fresh} fresh: {} ns each", start.elapsed().as_nanos() / LOOKUPS as u128);
+}
--- a/src/admit/share.rs
+++ b/src/admit/share.rs
@@ -3,13 +3,13 @@
 
 use std::collections::{BTreeMap, HashMap};
 
+use fuchsiaknot_core::share::{self, Claim};
+
 use crate::id;
 
 /// Fraction of a plan's entitlement that is split evenly, so that a host without demand so far can
 /// serve the plan at once.
 const EVEN_FRACTION: f64 = 0.2;
-/// Bound on the rounds of water-filling; each round satisfies at least one plan.
-const MAX_ROUNDS: usize = 1_024;
 
 /// One host's share of one plan.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -47,26 +47,16 @@
             *it += demand.rate.max(0.0);
         }
     }
+    let claims =
+        demanded.iter().map(|(plan, demand)| Claim { weight: weights[*plan], demand: *demand });
+    let level = share::level(capacity, claims);
+    let amount = |plan: &id::Plan, demand: f64| match weights[plan].max(0.0) {
+        0.0 => 0.0,
+        weight => demand.min(level * weight),
+    };
     let mut entitled: BTreeMap<id::Plan, f64> =
-        weights.keys().map(|it| (it.clone(), 0.0)).collect();
-    let mut remaining = capacity.max(0.0);
-    let mut unsettled: Vec<&id::Plan> = demanded.keys().copied().collect();
-    for _ in 0..MAX_ROUNDS {
-        let sum: f64 = unsettled.iter().map(|it| weights[*it].max(0.0)).sum();
-        if unsettled.is_empty() || sum <= 0.0 {
-            break;
-        }
-        let per_weight = remaining / sum;
-        let (satisfied, limited): (Vec<&id::Plan>, Vec<&id::Plan>) =
-            unsettled.iter().partition(|it| demanded[**it] <= per_weight * weights[**it].max(0.0));
-        let settled = if satisfied.is_empty() { &limited } else { &satisfied };
-        for plan in settled {
-            let amount = demanded[*plan].min(per_weight * weights[*plan].max(0.0));
-            remaining -= amount;
-            entitled.insert((*plan).clone(), amount);
-        }
-        unsettled = if satisfied.is_empty() { Vec::new() } else { limited };
-    }
+        demanded.iter().map(|(plan, demand)| ((*plan).clone(), amount(plan, *demand))).collect();
+    let remaining = capacity - entitled.values().sum::<f64>();
     let sum: f64 = weights.values().map(|it| it.max(0.0)).sum();
     for (plan, amount) in &mut entitled {
         *amount += remaining.max(0.0) * weights[plan].max(0.0) / sum.max(1e-9);
