feat(usage): one report of each window, from the counts of all hosts

Cause: the usage of each window is due to the platform, and nothing counted requests by account. Change: hosts count a request when its run shows (first event, or the head of another response), and send cumulative counts to the holder of the duties each second; the holder commits a report to the record `usage` of the store before it sends it, so that a successor sends the same counts. Windows that may have been reported before the store came back from an earlier copy are passed over.

--- a/gateway/src/cluster/membership.rs
+++ b/gateway/src/cluster/membership.rs
@@ -452,6 +452,12 @@
         ranked.into_iter().take(RECORD_KEEPERS).map(|(_, name)| name.clone()).collect()
     }
 
+    /// Returns the hosts that are up, including this one.
+    pub fn up_hosts(&self) -> impl Iterator<Item = &id::Host> {
+        let peers = self.peers.iter().filter(|(_, it)| it.up).map(|(name, _)| name);
+        std::iter::once(&self.own.name).chain(peers)
+    }
+
     /// Returns the number of hosts that are up, including this one.
     pub fn live_count(&self) -> usize {
         1 + self.peers.values().filter(|it| it.up).count()
--- a/gateway/src/entry/forward.rs
+++ b/gateway/src/entry/forward.rs
@@ -498,6 +498,7 @@
     /// Reads and forwards a response that is not a stream.
     async fn forward_whole(&mut self, attempt: Attempt) -> Result<Response<Body>, Failure> {
         let (key, target) = (attempt.response.key, attempt.response.target.clone());
+        self.job.count_run(&self.context);
         let (status, headers, bytes) =
             attempt.response.read_whole(&self.context, &self.job).await?;
         self.context.state_mut().health.record_success(key);
@@ -516,6 +517,7 @@
         let mut splitter = Splitter::default();
         let first = next_event(&mut attempt, &mut splitter, &self.job, None).await?;
         attempt.in_flight.finish_prefill();
+        self.job.count_run(&self.context);
         self.job.record_origin(&self.context, &attempt.response.target);
         let time_to_first_event = clock::now().saturating_sub(self.job.arrived);
         self.job.time_to_first_event.set(Some(time_to_first_event));
--- a/gateway/src/entry/job.rs
+++ b/gateway/src/entry/job.rs
@@ -103,6 +103,8 @@
     pub prefilled_at: Cell<Option<Moment>>,
     /// Whether the job is counted in the retry budget of its service.
     pub is_counted: Cell<bool>,
+    /// Whether the job is counted in the usage of its account.
+    pub is_run_counted: Cell<bool>,
     /// Whether another host sends the job through this one.
     pub is_from_peer: bool,
     /// Stream that the caller takes up after some events; empty when it doesn't name the stream, and
@@ -203,6 +205,7 @@
             prefilled_at: Cell::new(None),
             time_to_first_event: Cell::new(None),
             is_counted: Cell::new(ticket.is_some_and(|it| it.is_counted)),
+            is_run_counted: Cell::new(false),
             is_from_peer: ticket.is_some(),
             resumed_stream,
             origin: RefCell::default(),
@@ -265,6 +268,15 @@
         self.origin.borrow().as_ref()?.version.clone()
     }
 
+    /// Counts the job, once, as one of its account's that began to run.
+    pub fn count_run(&self, context: &Context) {
+        let Some(account) = self.account.as_ref().filter(|_| !self.is_run_counted.get()) else {
+            return;
+        };
+        self.is_run_counted.set(true);
+        context.state_mut().usage.record(&account.name, clock::now());
+    }
+
     /// Returns the priority of the job, which is that of its account if that has one.
     pub fn priority(&self) -> u8 {
         let priority = self.account.as_ref().and_then(|it| it.priority);
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -108,6 +108,9 @@
     if duties.is_some() {
         tasks.spawn_local(duty::runner::run(Rc::clone(&context), store.clone()));
     }
+    if let Some(endpoint) = endpoint.clone() {
+        tasks.spawn_local(usage::runner::run(Rc::clone(&context), store.clone(), endpoint));
+    }
     if let Some(endpoint) = endpoint.filter(|_| orders_targets) {
         tasks.spawn_local(scaling::driver::run(Rc::clone(&context), endpoint));
     }
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -63,6 +63,12 @@
     pub duty_held: IntGauge,
     /// Fencing token of the duties' holder, as far as this host knows.
     pub duty_epoch: IntGauge,
+    /// Usage reports sent to the platform, by outcome.
+    pub usage_reports: IntCounterVec,
+    /// Last window whose usage report the platform accepted from this host.
+    pub usage_window: IntGauge,
+    /// Windows whose usage this host passed over as the holder of the duties.
+    pub usage_missed: IntCounter,
     /// Number of known targets.
     pub target_count: IntGauge,
     /// Number of hosts that are up, including this one.
@@ -164,6 +170,13 @@
             store_era: gauge("store_era", "Times that the store came back from a copy.")?,
             duty_held: gauge("duty_held", "Whether this host holds the duties.")?,
             duty_epoch: gauge("duty_epoch", "Fencing token of the duties' holder.")?,
+            usage_reports: counters(
+                "usage_reports_total",
+                "Usage reports sent to the platform, by outcome.",
+                "outcome",
+            )?,
+            usage_window: gauge("usage_window", "Last window whose report was accepted.")?,
+            usage_missed: counter("usage_missed_total", "Windows without a usage report.")?,
             target_count: gauge("targets", "Targets known.")?,
             host_count: gauge("hosts", "Hosts that are there.")?,
             registry,
--- a/gateway/tests/catalogue.rs
+++ b/gateway/tests/catalogue.rs
@@ -66,6 +66,7 @@
     metrics.further_calls.with_label_values(&["run"]);
     metrics.target_notices.with_label_values(&["leaving"]);
     metrics.peer_requests.with_label_values(&["sent"]);
+    metrics.usage_reports.with_label_values(&["accepted"]);
     metrics.store_calls.with_label_values(&["answered"]);
     metrics.store_call_time.with_label_values(&["targets"]);
     metrics.latency.with_label_values(&["first"]);
