--- a/gateway/tests/usage.rs
+++ b/gateway/tests/usage.rs
@@ -78,6 +78,31 @@
     }
 }
 
+/// Counts take a small part of the bytes that a host has for control, 5 KB a second, at 640 requests a
+/// second in all.
+#[rstest]
+fn sent_bytes(#[values(9, 95, 300)] hosts: usize, #[values(80, 10_000)] accounts: usize) {
+    const HEADERS: usize = 28 + 45;
+    let mut rng = StdRng::seed_from_u64(1);
+    let (mut counter, mut bytes) = (Counter::default(), 0);
+    for second in 0..50 {
+        let window = 100 + second / 5;
+        for batch in counter.batches(window, window, false).iter().chain(
+            // Final counts, sent twice.
+            &counter.batches(window - u64::from(second % 5 < 2), window, false),
+        ) {
+            bytes += HEADERS + postcard::to_stdvec(batch).unwrap().len();
+        }
+        for _ in 0..640 {
+            if rng.random_range(0..hosts) == 0 {
+                counter.record(&account(rng.random_range(0..accounts)), window);
+            }
+        }
+    }
+    println!("{hosts} hosts, {accounts} accounts: {} bytes a second", bytes / 50);
+    assert!(bytes / 50 < 5000);
+}
+
 /// The last counts of a killed host are reported beside those of its next run.
 #[test]
 fn killed_host() {
