feat(entry): a budget of buffered bytes a host, for callers that read slowly

Cause: a response was counted in memory only while it was read from its target, not while it waited for its caller, and a stream held up to 16 chunks whatever their size, then left its target's response unread. On a host of 112 MB, 500 callers with responses of 256 KB took 165 MB. Nothing ended a caller that takes a byte now and then.

When all is in use, the caller that has read nothing for longest is cut; without one, a response of known length is relayed as it arrives. A caller must read 4 KB in 10 s of what waits for it.

--- a/core/src/verdict.rs
+++ b/core/src/verdict.rs
@@ -93,6 +93,8 @@
     OutOfMemory = ("out-of-memory", 503, NotRun);
     /// The caller's connection was idle for too long. No request was open on the connection.
     IdleTimeout = ("idle-timeout", 408, NotRun);
+    /// The caller reads its response too slowly. The connection was closed.
+    SlowReader = ("slow-reader", 408, Ran);
     /// The host is shutting down. Checked before admission.
     Leaving = ("leaving", 503, NotRun);
     /// The host's configuration is older than allowed, and a later one may be in force. Checked
--- a/gateway/src/cluster/peer_proxy.rs
+++ b/gateway/src/cluster/peer_proxy.rs
@@ -6,13 +6,15 @@
 
 use std::{rc::Rc, time::Duration};
 
+use bytes::Bytes;
 use fuchsiaknot_core::{clock, id, verdict::Reason};
 use http_body_util::BodyExt;
-use hyper::{Response, StatusCode, body::Incoming, http::response::Parts};
-use tokio::{
-    sync::mpsc,
-    time::{sleep, timeout},
+use hyper::{
+    Response, StatusCode,
+    body::{Body as _, Incoming},
+    http::response::Parts,
 };
+use tokio::time::{sleep, timeout};
 
 use crate::{
     cluster::{
@@ -21,9 +23,10 @@
     },
     context::Context,
     entry::{
+        body_memory::{Exceeded, MAX_BODY_BYTES},
         headers::{closes_connection, end_to_end, is_event_stream},
         job::Job,
-        response::{self, Body, STREAM_CHANNEL_CAPACITY, Truncated},
+        response::{self, Body, Chunks, Sender},
     },
     upstream::connection::{Connection, RequestError},
 };
@@ -162,19 +165,26 @@
     /// Forwards the response: a stream as it arrives, any other once it is whole.
     async fn forward(mut self, head: Parts) -> Result<Response<Body>, Failure> {
         let closes = closes_connection(&head.headers);
-        let body = if is_event_stream(&head.headers) {
-            let (sender, receiver) = mpsc::channel(STREAM_CHANNEL_CAPACITY);
-            tokio::task::spawn_local(self.forward_stream(sender, closes));
+        let mut body = Chunks::new(self.context.body_memory.share());
+        let mut next = None;
+        let is_stream = is_event_stream(&head.headers);
+        while !is_stream && let Some(chunk) = self.chunk().await? {
+            match body.push(chunk) {
+                Ok(()) => {}
+                Err((Exceeded::Shared, chunk)) if self.has_bounded_length() => {
+                    next = Some(chunk);
+                    break;
+                }
+                Err(_) => return Err(Failure::Broken),
+            }
+        }
+        let body = if is_stream || next.is_some() {
+            let (sender, receiver) = response::stream_from(body);
+            tokio::task::spawn_local(self.forward_stream(sender, next, closes));
             Body::Stream(receiver)
         } else {
-            let mut bytes = Vec::new();
-            let mut memory = self.context.body_memory.share();
-            while let Some(chunk) = self.chunk().await? {
-                memory.take(chunk.len()).map_err(|_| Failure::Broken)?;
-                bytes.extend_from_slice(&chunk);
-            }
             self.finish(closes);
-            Body::whole(bytes)
+            Body::Chunks(body)
         };
         let mut response = Response::new(body);
         *response.status_mut() = head.status;
@@ -184,33 +194,37 @@
 
     /// Passes on the chunks of a stream. It is cut if the other host fails, so that it does not look
     /// complete.
-    async fn forward_stream(
-        mut self,
-        sender: mpsc::Sender<Result<bytes::Bytes, Truncated>>,
-        closes: bool,
-    ) {
+    async fn forward_stream(mut self, sender: Sender, mut next: Option<Bytes>, closes: bool) {
         loop {
-            let chunk = tokio::select! {
-                chunk = self.chunk() => chunk,
-                () = sender.closed() => return,
+            let chunk = match next.take() {
+                Some(chunk) => Ok(Some(chunk)),
+                None => tokio::select! {
+                    chunk = self.chunk() => chunk,
+                    () = sender.closed() => return,
+                },
             };
             match chunk {
                 Ok(Some(chunk)) => {
-                    if sender.send(Ok(chunk)).await.is_err() {
+                    if sender.send(chunk).await.is_err() {
                         return;
                     }
                 }
                 Ok(None) => return self.finish(closes),
                 Err(_) => {
                     tracing::warn!(code = 8063, id = %self.job.id, host = %self.host.name, "stream through another host broke off");
-                    return response::cut_stream(&sender, self.job.time_left()).await;
+                    return sender.cut(self.job.time_left()).await;
                 }
             }
         }
     }
 
+    fn has_bounded_length(&self) -> bool {
+        let length = self.body.size_hint().exact();
+        length.is_some_and(|it| it <= MAX_BODY_BYTES as u64)
+    }
+
     /// Returns the next chunk of the body; `None` at its end.
-    async fn chunk(&mut self) -> Result<Option<bytes::Bytes>, Failure> {
+    async fn chunk(&mut self) -> Result<Option<Bytes>, Failure> {
         loop {
             let frame = tokio::select! {
                 frame = timeout(self.job.time_left(), self.body.frame()) => frame,
--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -69,6 +69,8 @@
     pub reannounce_grace: Duration,
     /// Time that the store may hold one call while there is no change.
     pub long_poll_timeout: Duration,
+    /// Memory of this process in bytes; `None` when it is not stated.
+    pub memory_bytes: Option<usize>,
 }
 
 /// Bounds that can be reloaded while the process runs.
@@ -97,7 +99,7 @@
     pub pool: Pool<Key>,
     /// Pool of connections to other hosts, for requests that are sent through them.
     pub peer_pool: Pool<id::Host>,
-    /// Memory for response bodies that are read whole.
+    /// Memory for the bodies of responses.
     pub body_memory: body_memory::Memory,
     /// Memory for the bodies of callers' requests, apart from that of the responses, so that neither
     /// takes all of it.
@@ -306,6 +308,8 @@
             scaling: scaling::State::default(),
             usage: usage::State::default(),
         };
+        let body_memory =
+            settings.memory_bytes.map(body_memory::Config::for_host).unwrap_or_default();
         let pool = Pool::new(metrics.connections_opened.clone());
         let peer_pool = Pool::new(metrics.peer_connections.clone());
         Context {
@@ -316,8 +320,8 @@
             metrics,
             pool,
             peer_pool,
-            body_memory: body_memory::Memory::default(),
-            request_memory: body_memory::Memory::default(),
+            body_memory: body_memory::Memory::new(body_memory),
+            request_memory: body_memory::Memory::new(body_memory),
             log,
             dispatcher: Dispatcher::default(),
             origin_queries: origin_lookup::Pending::default(),
--- a/gateway/src/entry/directory.rs
+++ b/gateway/src/entry/directory.rs
@@ -54,6 +54,14 @@
         let gauge = context.metrics.table_age.with_label_values(&[table]);
         gauge.set(i64::try_from(age).unwrap_or(i64::MAX));
     }
+    for (direction, memory) in
+        [("requests", &context.request_memory), ("responses", &context.body_memory)]
+    {
+        let gauge = context.metrics.body_bytes.with_label_values(&[direction]);
+        gauge.set(i64::try_from(memory.used()).unwrap_or(i64::MAX));
+    }
+    let evicted = context.body_memory.evicted();
+    context.metrics.evicted_callers.set(i64::try_from(evicted).unwrap_or(i64::MAX));
     let dropped = context.log.as_ref().map_or(0, Log::dropped_lines);
     context.metrics.dropped_lines.set(i64::try_from(dropped).unwrap_or(i64::MAX));
     match context.metrics.text() {
--- a/gateway/src/entry/forward.rs
+++ b/gateway/src/entry/forward.rs
@@ -2,13 +2,14 @@
 
 use std::{pin::pin, rc::Rc, time::Duration};
 
+use bytes::Bytes;
 use fuchsiaknot_core::{
     clock::{self, Moment},
     verdict::{Reason, RetryReason, Verdict},
 };
 use hyper::{Request, Response, StatusCode, body::Incoming, header};
 use smol_str::SmolStr;
-use tokio::{sync::mpsc, time::timeout};
+use tokio::time::timeout;
 
 use crate::{
     cluster::{peer_proxy, peer_ticket::Ticket},
@@ -16,9 +17,9 @@
     context::Context,
     entry::{
         job::{self, Job, MAX_SILENCE_TIMEOUT},
-        response::{self, Body, STREAM_CHANNEL_CAPACITY},
+        response::{self, Body, Chunks},
         retry_after,
-        stream_relay::{Relay, next_event},
+        stream_relay::{self, Relay, next_event},
     },
     placement::selection,
     targets::{poison_reports, registry::Key, target::Target},
@@ -26,6 +27,7 @@
         attempt::{self, Attempt, Failure, InFlight, Options},
         event_stream::Splitter,
         prefill::Prefilled,
+        target_response::Read,
     },
 };
 
@@ -475,19 +477,36 @@
     /// Reads and forwards a response that is not a stream.
     async fn forward_whole(&mut self, attempt: Attempt) -> Result<Response<Body>, Failure> {
         let (key, target) = (attempt.response.key, attempt.response.target.clone());
-        let (status, headers, bytes) =
-            attempt.response.read_whole(&self.context, &self.job).await?;
+        let read = attempt.response.read_whole(&self.context, &self.job).await?;
+        let (status, headers, body) = match read {
+            Read::Whole { status, headers, body } => (status, headers, body),
+            Read::Partial { response, body, next } => {
+                let attempt = Attempt { response: *response, in_flight: attempt.in_flight };
+                return Ok(self.relay_rest(attempt, body, next));
+            }
+        };
         self.context.state_mut().health.record_success(key);
         if status.is_success() {
             self.record_answer();
         }
-        let mut response = Response::new(Body::whole(bytes));
+        let mut response = Response::new(Body::Chunks(body));
         *response.status_mut() = status;
         *response.headers_mut() = headers;
         log_response(&self.context, &self.job, &target, status, "whole");
         Ok(response)
     }
 
+    /// Forwards a response for which there is no memory as it arrives, from what has been read on.
+    fn relay_rest(&self, attempt: Attempt, body: Chunks, next: Bytes) -> Response<Body> {
+        let (sender, receiver) = response::stream_from(body);
+        let mut response = Response::new(Body::Stream(receiver));
+        *response.status_mut() = attempt.response.head.status;
+        *response.headers_mut() = attempt.response.headers();
+        let (context, job) = (Rc::clone(&self.context), Rc::clone(&self.job));
+        tokio::task::spawn_local(stream_relay::relay_rest(context, job, attempt, sender, next));
+        response
+    }
+
     /// Waits for the first event of a stream and spawns a task that relays the events.
     async fn begin_stream(&mut self, mut attempt: Attempt) -> Result<Response<Body>, Failure> {
         let mut splitter = Splitter::default();
@@ -502,7 +521,7 @@
             .latency
             .with_label_values(&["first"])
             .observe(time_to_first_event.as_secs_f64());
-        let (sender, receiver) = mpsc::channel(STREAM_CHANNEL_CAPACITY);
+        let (sender, receiver) = response::stream(self.context.body_memory.share());
         let mut response = Response::new(Body::Stream(receiver));
         *response.status_mut() = attempt.response.head.status;
         *response.headers_mut() = attempt.response.headers();
--- a/gateway/src/entry/http_server.rs
+++ b/gateway/src/entry/http_server.rs
@@ -4,6 +4,7 @@
     convert::Infallible, future::Future, io, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
 };
 
+use fuchsiaknot_core::verdict::Reason;
 use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
@@ -142,7 +143,11 @@
     let service = service_fn(move |request| {
         request_watchdog.enter(watchdog::Phase::Busy);
         let (response, watchdog) = (handle(request), Arc::clone(&request_watchdog));
-        async move { Ok::<_, Infallible>(response.await.map(|it| WatchedBody::new(it, watchdog))) }
+        async move {
+            let response = response.await;
+            response.body().attach(&watchdog);
+            Ok::<_, Infallible>(response.map(|it| WatchedBody::new(it, watchdog)))
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -154,15 +159,7 @@
         // Polled first, so that a request that has arrived is read before a timeout is considered.
         biased;
         result = connection.as_mut() => result,
-        reason = watchdog.expired(&limits) => {
-            tracing::info!(
-                code = 8053,
-                reason = reason.code(),
-                open_request = watchdog.has_open_request(),
-                "caller's connection closed after a timeout"
-            );
-            return;
-        }
+        reason = watchdog.expired(&limits) => return log_closed(&watchdog, reason),
         _ = phase.wait_for(|it| *it == Phase::Closing) => {
             tokio::select! {
                 biased;
@@ -177,10 +174,31 @@
                 () = watchdog.last_request_begun() => {}
             }
             connection.as_mut().graceful_shutdown();
-            connection.await
+            tokio::select! {
+                biased;
+                result = connection => result,
+                reason = watchdog.reader_stalled() => return log_closed(&watchdog, reason),
+            }
         }
     };
     if let Err(err) = result {
         tracing::debug!(%err, "caller's connection failed");
     }
 }
+
+fn log_closed(watchdog: &Watchdog, reason: Reason) {
+    if reason == Reason::SlowReader {
+        tracing::info!(
+            code = 8180,
+            evicted = watchdog.is_evicted(),
+            "caller's connection closed, since the caller does not read its response"
+        );
+        return;
+    }
+    tracing::info!(
+        code = 8053,
+        reason = reason.code(),
+        open_request = watchdog.has_open_request(),
+        "caller's connection closed after a timeout"
+    );
+}
--- a/gateway/src/entry/stream_relay.rs
+++ b/gateway/src/entry/stream_relay.rs
@@ -2,18 +2,19 @@
 
 use std::{pin::pin, rc::Rc, time::Duration};
 
+use bytes::Bytes;
 use fuchsiaknot_core::clock::{self, Moment};
-use tokio::sync::mpsc;
 
 use crate::{
+    context::Context,
     entry::{
         forward::{Forwarder, log_response},
         job::Job,
-        response::{self, Truncated},
+        response::Sender,
     },
     targets::registry::Key,
     upstream::{
-        attempt::{Attempt, Failure},
+        attempt::{self, Attempt, Failure},
         event_stream::{Event, Splitter},
     },
 };
@@ -74,7 +75,7 @@
 /// Relay of one stream to its caller.
 pub(crate) struct Relay {
     forwarder: Forwarder,
-    sender: mpsc::Sender<Result<bytes::Bytes, Truncated>>,
+    sender: Sender,
     /// Identifier of the last event sent to the caller.
     last_event_id: Option<u64>,
     /// Arrival time of the last event; `None` after a failure, so that no pause spans two targets.
@@ -86,10 +87,7 @@
 
 impl Relay {
     /// Creates a relay that has sent no event yet.
-    pub(crate) fn new(
-        forwarder: Forwarder,
-        sender: mpsc::Sender<Result<bytes::Bytes, Truncated>>,
-    ) -> Relay {
+    pub(crate) fn new(forwarder: Forwarder, sender: Sender) -> Relay {
         Relay {
             forwarder,
             sender,
@@ -117,7 +115,7 @@
                     if event.is_complete {
                         self.last_event_id = event.id.or(self.last_event_id);
                     }
-                    if self.sender.send(Ok(event.bytes)).await.is_err() {
+                    if self.sender.send(event.bytes).await.is_err() {
                         self.record_disconnect();
                         return;
                     }
@@ -272,21 +270,13 @@
     /// Ends the stream with an error, once the caller has read all events or the deadline has
     /// passed.
     async fn abort(&self, reason: &str) {
-        let job = &self.forwarder.job;
-        self.forwarder.context.metrics.refused.with_label_values(&["stream-cut"]).inc();
-        tracing::warn!(code = 8032,
-            id = %job.id,
-            reason,
-            last = self.last_event_id,
-            sent = job.attempts_sent.get(),
-            "stream broke off and cannot be resumed"
-        );
-        response::cut_stream(&self.sender, job.time_left()).await;
+        let (context, job) = (&self.forwarder.context, &self.forwarder.job);
+        log_cut(context, job, reason, self.last_event_id);
+        self.sender.cut(job.time_left()).await;
     }
 
     fn record_disconnect(&self) {
-        self.forwarder.context.metrics.callers_gone.inc();
-        tracing::info!(code = 8033, id = %self.forwarder.job.id, last = self.last_event_id, "caller disconnected during the stream");
+        record_disconnect(&self.forwarder.context, &self.forwarder.job, self.last_event_id);
     }
 
     /// Records and logs a complete stream.
@@ -330,3 +320,53 @@
         }
     }
 }
+
+/// Relays the rest of a response that is not a stream, from the chunk `next` on.
+pub(crate) async fn relay_rest(
+    context: Rc<Context>,
+    job: Rc<Job>,
+    mut attempt: Attempt,
+    sender: Sender,
+    mut next: Bytes,
+) {
+    loop {
+        if sender.send(next).await.is_err() {
+            return record_disconnect(&context, &job, None);
+        }
+        let chunk = tokio::select! {
+            chunk = attempt.response.chunk(job.time_left()) => chunk,
+            () = sender.closed() => return record_disconnect(&context, &job, None),
+        };
+        next = match chunk {
+            Ok(Some(chunk)) => chunk,
+            Ok(None) => break,
+            Err(failure) => {
+                attempt::record_health(&context, attempt.response.key, &failure);
+                drop(attempt);
+                log_cut(&context, &job, "without-memory", None);
+                return sender.cut(job.time_left()).await;
+            }
+        };
+    }
+    let Attempt { response, in_flight } = attempt;
+    drop(in_flight);
+    context.state_mut().health.record_success(response.key);
+    log_response(&context, &job, &response.target, response.head.status, "relayed");
+    response.finish(&context);
+}
+
+fn record_disconnect(context: &Context, job: &Job, last_event_id: Option<u64>) {
+    context.metrics.callers_gone.inc();
+    tracing::info!(code = 8033, id = %job.id, last = last_event_id, "caller disconnected during the stream");
+}
+
+fn log_cut(context: &Context, job: &Job, reason: &str, last_event_id: Option<u64>) {
+    context.metrics.refused.with_label_values(&["stream-cut"]).inc();
+    tracing::warn!(code = 8032,
+        id = %job.id,
+        reason,
+        last = last_event_id,
+        sent = job.attempts_sent.get(),
+        "stream broke off and cannot be resumed"
+    );
+}
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -50,6 +50,10 @@
     pub table_age: IntGaugeVec,
     /// Log lines dropped since the start.
     pub dropped_lines: IntGauge,
+    /// Bytes of bodies in memory beyond those that each may have, by direction.
+    pub body_bytes: IntGaugeVec,
+    /// Callers that were cut for the memory that they held.
+    pub evicted_callers: IntGauge,
     /// Version of the configuration in force.
     pub configuration_version: IntGauge,
     /// Era of the store: how often it came back from an earlier copy.
@@ -92,7 +96,11 @@
             Opts::new("belief_age_milliseconds", "Time since a belief was last confirmed.");
         let table_age = IntGaugeVec::new(table_age, &["matter"])?;
         registry.register(Box::new(table_age.clone()))?;
+        let body_bytes = Opts::new("body_bytes", "Memory that bodies share, by direction.");
+        let body_bytes = IntGaugeVec::new(body_bytes, &["direction"])?;
+        registry.register(Box::new(body_bytes.clone()))?;
         let metrics = Metrics {
+            body_bytes,
             answered: counters("answered_total", "Requests answered, by status.", "status")?,
             refused: counters("refused_total", "Requests refused, by reason.", "reason")?,
             attempts: counters("attempts_total", "Requests sent, by outcome.", "outcome")?,
@@ -136,12 +144,16 @@
             )?,
             table_age,
             dropped_lines: gauge("log_lines_dropped", "Log lines dropped since the start.")?,
+            evicted_callers: gauge("evicted_callers", "Callers cut for the memory they held.")?,
             configuration_version: gauge("configuration_version", "Configuration in force.")?,
             store_era: gauge("store_era", "Times that the store came back from a copy.")?,
             target_count: gauge("targets", "Targets known.")?,
             host_count: gauge("hosts", "Hosts that are there.")?,
             registry,
         };
+        for direction in ["requests", "responses"] {
+            metrics.body_bytes.with_label_values(&[direction]);
+        }
         for reason in Reason::ALL {
             metrics.refused.with_label_values(&[reason.code()]);
         }
--- a/gateway/src/upstream/prefill.rs
+++ b/gateway/src/upstream/prefill.rs
@@ -16,6 +16,7 @@
         attempt::{self, Failure, InFlight, Options},
         calls::{Call, Ledger},
         probe,
+        target_response::Read,
     },
 };
 use fuchsiaknot_core::clock;
@@ -130,7 +131,10 @@
     let options = Options { call: Call::Prefill, head_timeout, ..Options::default() };
     let response = attempt::send_request(context, job, key, options, headers).await?;
     let target = response.target.clone();
-    let (status, _, body) = response.read_whole(context, job).await?;
+    let Read::Whole { status, body, .. } = response.read_whole(context, job).await? else {
+        return Err(Failure::Broken("no memory for the response".to_owned()));
+    };
+    let body = body.concat();
     let handle = (context.prefill_api.parse_handle)(&body).filter(|_| status.is_success());
     let handle =
         handle.ok_or_else(|| Failure::Broken(format!("engine returned no KV handle: {status}")))?;
--- a/gateway/src/upstream/target_response.rs
+++ b/gateway/src/upstream/target_response.rs
@@ -5,14 +5,21 @@
 use bytes::Bytes;
 use fuchsiaknot_core::clock;
 use http_body_util::BodyExt;
-use hyper::{HeaderMap, Response, StatusCode, body::Incoming, header, http::response};
+use hyper::{
+    HeaderMap, Response, StatusCode,
+    body::{Body, Incoming},
+    header,
+    http::response,
+};
 use tokio::time::timeout;
 
 use crate::{
     context::Context,
     entry::{
+        body_memory::{Exceeded, MAX_BODY_BYTES},
         headers::{closes_connection, end_to_end, is_event_stream},
         job::Job,
+        response::Chunks,
     },
     targets::{registry::Key, target::Target},
     upstream::{attempt::Failure, connection::Connection},
@@ -23,6 +30,29 @@
 /// Most bytes of a discarded response that are read.
 const MAX_DISCARDED_BYTES: usize = 64 * 1024;
 
+/// What was read of a response.
+#[derive(Debug)]
+pub enum Read {
+    /// All of it.
+    Whole {
+        /// Status as the target sent it.
+        status: StatusCode,
+        /// Headers to forward.
+        headers: HeaderMap,
+        /// Complete body.
+        body: Chunks,
+    },
+    /// A part: there is no memory for the rest.
+    Partial {
+        /// The response, with the rest of its body.
+        response: Box<TargetResponse>,
+        /// Body so far.
+        body: Chunks,
+        /// Next chunk.
+        next: Bytes,
+    },
+}
+
 /// A response in progress.
 ///
 /// Dropping it closes the connection, which frees the target.
@@ -138,20 +168,25 @@
     ///
     /// # Errors
     /// Fails when the response breaks off, is too large, or the job expires.
-    pub async fn read_whole(
-        mut self,
-        context: &Context,
-        job: &Job,
-    ) -> Result<(StatusCode, HeaderMap, Bytes), Failure> {
-        let mut bytes = Vec::new();
-        let mut memory = context.body_memory.share();
+    pub async fn read_whole(mut self, context: &Context, job: &Job) -> Result<Read, Failure> {
+        let mut body = Chunks::new(context.body_memory.share());
         while let Some(chunk) = self.chunk(job.time_left()).await? {
-            memory.take(chunk.len()).map_err(|err| Failure::Broken(err.to_string()))?;
-            bytes.extend_from_slice(&chunk);
+            match body.push(chunk) {
+                Ok(()) => {}
+                Err((Exceeded::Shared, next)) if self.has_bounded_length() => {
+                    return Ok(Read::Partial { response: Box::new(self), body, next });
+                }
+                Err((exceeded, _)) => return Err(Failure::Broken(exceeded.to_string())),
+            }
         }
         let (status, headers) = (self.head.status, self.headers());
         self.finish(context);
-        Ok((status, headers, Bytes::from(bytes)))
+        Ok(Read::Whole { status, headers, body })
+    }
+
+    fn has_bounded_length(&self) -> bool {
+        let length = self.body.size_hint().exact();
+        length.is_some_and(|it| it <= MAX_BODY_BYTES as u64)
     }
 
     /// Ends a complete response and returns its connection to the pool if the target keeps it open.
--- a/gateway/src/watchdog.rs
+++ b/gateway/src/watchdog.rs
@@ -1,11 +1,13 @@
-//! Idle and header timeouts of a caller's connection.
+//! Timeouts of a caller's connection.
 //!
 //! A connection may wait for the first byte of a request for the idle timeout. Once that byte has
-//! arrived, the rest of the request header must arrive within the header timeout.
+//! arrived, the rest of the request header must arrive within the header timeout. Answers the load of
+//! callers that read slowly: one that reads is not cut however long its response takes, one that
+//! takes a byte now and then is.
 
 use std::{
     pin::Pin,
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, MutexGuard},
     task::{Context, Poll},
     time::Duration,
 };
@@ -25,6 +27,11 @@
 /// Time after the port has closed within which a connection that is new, or has sent a part of a
 /// request head, must send the rest.
 const LAST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time in which a caller for which bytes of its response wait must read [`MIN_PROGRESS`].
+const READ_TIMEOUT: Duration = Duration::from_secs(10);
+/// Bytes that show that a caller reads its response; fewer than any link of a caller carries in
+/// [`READ_TIMEOUT`].
+const MIN_PROGRESS: usize = 4 * 1024;
 
 /// State of a connection that decides which timeout applies.
 #[derive(Debug, Clone, Copy)]
@@ -39,28 +46,92 @@
     Busy,
 }
 
+/// A response that waits for its caller.
+#[derive(Debug, Clone, Copy)]
+struct Stall {
+    /// Time since which the caller has read less than [`MIN_PROGRESS`].
+    since: Instant,
+    /// Bytes that were written since then.
+    written: usize,
+}
+
+/// What decides when a connection is closed.
+#[derive(Debug)]
+struct State {
+    phase: Phase,
+    /// Set while the caller reads more slowly than it is written to.
+    stall: Option<Stall>,
+    /// Whether the memory that the connection holds is needed for others.
+    is_evicted: bool,
+}
+
+impl State {
+    /// Returns when the connection is closed because its caller reads too slowly.
+    fn reading_due(&self) -> Option<(Instant, Reason)> {
+        let stall = self.stall?;
+        let due = if self.is_evicted { stall.since } else { stall.since + READ_TIMEOUT };
+        Some((due, Reason::SlowReader))
+    }
+
+    /// Returns when the connection is closed, and why; `None` while no timeout applies.
+    fn due(&self, limits: Limits) -> Option<(Instant, Reason)> {
+        if let Some(due) = self.reading_due() {
+            return Some(due);
+        }
+        match self.phase {
+            Phase::New(since) | Phase::Idle(since) => {
+                Some((since + limits.idle_timeout, Reason::IdleTimeout))
+            }
+            Phase::Header(since) => Some((since + limits.header_timeout, Reason::HeaderTimeout)),
+            Phase::Busy => None,
+        }
+    }
+}
+
 /// Phase of one connection.
 #[derive(Debug)]
 pub struct Watchdog {
-    phase: Mutex<Phase>,
+    state: Mutex<State>,
     changed: Notify,
 }
 
 impl Watchdog {
     /// Creates the watchdog of a connection that starts in `phase`.
     pub fn new(phase: Phase) -> Watchdog {
-        Watchdog { phase: Mutex::new(phase), changed: Notify::new() }
+        let state = State { phase, stall: None, is_evicted: false };
+        Watchdog { state: Mutex::new(state), changed: Notify::new() }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("watchdog lock poisoned")
     }
 
     /// Changes the phase and restarts its timeout.
     pub fn enter(&self, phase: Phase) {
-        *self.phase.lock().expect("watchdog lock poisoned") = phase;
+        self.state().phase = phase;
+        self.changed.notify_one();
+    }
+
+    /// Returns the time for which the caller has read less than [`MIN_PROGRESS`] of what waits for
+    /// it; zero if nothing waits.
+    pub fn stalled_for(&self, now: Instant) -> Duration {
+        self.state().stall.map_or(Duration::ZERO, |it| now.saturating_duration_since(it.since))
+    }
+
+    /// Returns whether the memory that the connection holds is needed for others.
+    pub fn is_evicted(&self) -> bool {
+        self.state().is_evicted
+    }
+
+    /// Closes the connection unless its caller has read everything meanwhile.
+    pub fn evict(&self) {
+        self.state().is_evicted = true;
         self.changed.notify_one();
     }
 
     /// Returns whether a request is being read or answered on the connection.
     pub fn has_open_request(&self) -> bool {
-        matches!(*self.phase.lock().expect("watchdog lock poisoned"), Phase::Busy)
+        matches!(self.state().phase, Phase::Busy)
     }
 
     /// Waits for the last request of a connection whose port has closed: until its head has been read
@@ -79,30 +150,32 @@
     }
 
     fn expects_request(&self) -> bool {
-        let phase = *self.phase.lock().expect("watchdog lock poisoned");
-        matches!(phase, Phase::New(_) | Phase::Header(_))
+        matches!(self.state().phase, Phase::New(_) | Phase::Header(_))
     }
 
     /// Waits until a timeout has passed and returns the reason for closing the connection.
     ///
     /// `limits` returns the timeouts in force, which may change while the connection is open.
     pub async fn expired(&self, limits: impl Fn() -> Limits) -> Reason {
+        self.wait_until_due(|state| state.due(limits())).await
+    }
+
+    /// Waits until the caller has read its response too slowly for too long.
+    pub async fn reader_stalled(&self) -> Reason {
+        self.wait_until_due(State::reading_due).await
+    }
+
+    async fn wait_until_due(&self, due: impl Fn(&State) -> Option<(Instant, Reason)>) -> Reason {
         loop {
-            let phase = *self.phase.lock().expect("watchdog lock poisoned");
-            let (due, reason) = match phase {
-                Phase::New(since) | Phase::Idle(since) => {
-                    (since + limits().idle_timeout, Reason::IdleTimeout)
-                }
-                Phase::Header(since) => (since + limits().header_timeout, Reason::HeaderTimeout),
-                Phase::Busy => {
-                    self.changed.notified().await;
-                    continue;
-                }
+            let next = due(&self.state());
+            let Some((due, reason)) = next else {
+                self.changed.notified().await;
+                continue;
             };
             if due <= Instant::now() {
                 return reason;
             }
-            // Phase and limits may have changed by the time the timeout passes: checked again.
+            // State and limits may have changed by the time the timeout passes: checked again.
             tokio::select! {
                 () = sleep_until(due) => {}
                 () = self.changed.notified() => {}
@@ -111,12 +184,42 @@
     }
 
     fn record_received_bytes(&self) {
-        let mut phase = self.phase.lock().expect("watchdog lock poisoned");
-        if let Phase::New(_) | Phase::Idle(_) = *phase {
-            *phase = Phase::Header(Instant::now());
+        let mut state = self.state();
+        if let Phase::New(_) | Phase::Idle(_) = state.phase {
+            state.phase = Phase::Header(Instant::now());
             self.changed.notify_one();
         }
     }
+
+    fn record_written_bytes(&self, bytes: Option<usize>) {
+        let mut state = self.state();
+        match (&mut state.stall, bytes) {
+            (None, Some(_)) => {}
+            (None, None) => {
+                state.stall = Some(Stall { since: Instant::now(), written: 0 });
+                self.changed.notify_one();
+            }
+            (Some(stall), bytes) => {
+                stall.written += bytes.unwrap_or_default();
+                if MIN_PROGRESS <= stall.written {
+                    *stall = Stall { since: Instant::now(), written: 0 };
+                }
+            }
+        }
+    }
+
+    /// Ends a stall. An idle connection is idle only from then on.
+    fn record_flushed(&self) {
+        let mut state = self.state();
+        if state.stall.take().is_none() {
+            return;
+        }
+        state.is_evicted = false;
+        if let Phase::Idle(since) = &mut state.phase {
+            *since = Instant::now();
+        }
+        self.changed.notify_one();
+    }
 }
 
 /// Stream of a caller's connection that reports received bytes to its watchdog.
@@ -128,6 +231,14 @@
             self.record_received_bytes();
         }
     }
+
+    fn record_write(&self, bytes: Option<usize>) {
+        self.record_written_bytes(bytes);
+    }
+
+    fn record_flush(&self) {
+        self.record_flushed();
+    }
 }
 
 /// Body of a response that makes the connection idle when dropped.
--- a/gateway/tests/watchdog.rs
+++ b/gateway/tests/watchdog.rs
@@ -3,12 +3,14 @@
 use std::{
     future::{Future, poll_fn},
     pin::pin,
+    sync::Arc,
     task::Poll,
     time::Duration,
 };
 
 use fuchsiaknot_gateway::{
     entry::http_server::Limits,
+    upstream::tapped_stream::Tap,
     watchdog::{Phase, Watchdog},
 };
 use tokio::time::{Instant, sleep};
@@ -51,3 +53,64 @@
     let watchdog = Watchdog::new(idle);
     assert_eq!(runtime.block_on(watchdog.expired(limits)).code(), "idle-timeout");
 }
+
+/// Polls once whether the connection is closed, after `elapsed` of paused time.
+async fn is_closed(watchdog: &Watchdog, elapsed: Duration) -> bool {
+    tokio::time::advance(elapsed).await;
+    let mut expired = pin!(watchdog.expired(limits));
+    poll_fn(|cx| Poll::Ready(expired.as_mut().poll(cx).is_ready())).await
+}
+
+fn paused_runtime() -> tokio::runtime::Runtime {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    builder.enable_time().start_paused(true).build().unwrap()
+}
+
+/// A caller that takes a byte now and then never ended.
+#[test]
+fn trickling_reader() {
+    paused_runtime().block_on(async {
+        let watchdog = Arc::new(Watchdog::new(Phase::Busy));
+        watchdog.record_write(None);
+        let mut seconds = 0;
+        while !is_closed(&watchdog, Duration::from_secs(1)).await {
+            watchdog.record_write(Some(1));
+            watchdog.record_write(None);
+            seconds += 1;
+            assert!(seconds < 60, "the connection stays open");
+        }
+        assert!(8 <= seconds, "closed after {seconds} s");
+    });
+}
+
+/// A slow caller that reads on, however long its response takes, is not cut, nor is one for which
+/// nothing waits.
+#[test]
+fn slow_reader() {
+    paused_runtime().block_on(async {
+        let watchdog = Arc::new(Watchdog::new(Phase::Busy));
+        for second in 0..600 {
+            watchdog.record_write(None);
+            watchdog.record_write(Some(1024));
+            assert!(!is_closed(&watchdog, Duration::from_secs(1)).await, "after {second} s");
+        }
+        watchdog.record_flush();
+        assert!(!is_closed(&watchdog, Duration::from_secs(60)).await);
+        assert_eq!(watchdog.stalled_for(Instant::now()), Duration::ZERO);
+    });
+}
+
+/// A caller that is to be cut for its memory, and has read all meanwhile, goes on.
+#[test]
+fn evicted_reader() {
+    paused_runtime().block_on(async {
+        let watchdog = Arc::new(Watchdog::new(Phase::Busy));
+        watchdog.record_write(None);
+        assert!(!is_closed(&watchdog, Duration::from_secs(3)).await);
+        watchdog.evict();
+        assert!(is_closed(&watchdog, Duration::ZERO).await);
+        watchdog.record_flush();
+        watchdog.record_write(None);
+        assert!(!is_closed(&watchdog, Duration::from_secs(3)).await);
+    });
+}
