--- a/gateway/src/entry/directory.rs
+++ b/gateway/src/entry/directory.rs
@@ -62,6 +62,10 @@
     }
     let evicted = context.body_memory.evicted();
     context.metrics.evicted_callers.set(i64::try_from(evicted).unwrap_or(i64::MAX));
+    if let Some(age) = context.proven_age_ms() {
+        let gauge = context.metrics.table_age.with_label_values(&["keys"]);
+        gauge.set(i64::try_from(age).unwrap_or(i64::MAX));
+    }
     let dropped = context.log.as_ref().map_or(0, Log::dropped_lines);
     context.metrics.dropped_lines.set(i64::try_from(dropped).unwrap_or(i64::MAX));
     match context.metrics.text() {
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -48,6 +48,11 @@
     pub store_call_time: HistogramVec,
     /// Time since a table was last confirmed by the store, in milliseconds, by table.
     pub table_age: IntGaugeVec,
+    /// Known targets of the scaled services, by service, data centre and kind; shown by the host that
+    /// holds the duty.
+    pub scaled_targets: IntGaugeVec,
+    /// Targets that the demand needs, by service and purpose; shown by the host that holds the duty.
+    pub needed_targets: IntGaugeVec,
     /// Log lines dropped since the start.
     pub dropped_lines: IntGauge,
     /// Bytes of bodies in memory beyond those that each may have, by direction.
@@ -58,6 +63,10 @@
     pub configuration_version: IntGauge,
     /// Era of the store: how often it came back from an earlier copy.
     pub store_era: IntGauge,
+    /// Whether this host holds the duties.
+    pub duty_held: IntGauge,
+    /// Fencing token of the duties' holder, as far as this host knows.
+    pub duty_epoch: IntGauge,
     /// Number of known targets.
     pub target_count: IntGauge,
     /// Number of hosts that are up, including this one.
@@ -92,6 +101,11 @@
             registry.register(Box::new(histograms.clone()))?;
             Ok(histograms)
         };
+        let gauges = |name: &str, help: &str, labels: &[&str]| -> prometheus::Result<IntGaugeVec> {
+            let gauges = IntGaugeVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(gauges.clone()))?;
+            Ok(gauges)
+        };
         let table_age =
             Opts::new("belief_age_milliseconds", "Time since a belief was last confirmed.");
         let table_age = IntGaugeVec::new(table_age, &["matter"])?;
@@ -143,10 +157,22 @@
                 "matter",
             )?,
             table_age,
+            scaled_targets: gauges(
+                "scaled_targets",
+                "Known targets of scaled services.",
+                &["service", "data_centre", "kind"],
+            )?,
+            needed_targets: gauges(
+                "needed_targets",
+                "Targets that the demand on scaled services needs.",
+                &["service", "purpose"],
+            )?,
             dropped_lines: gauge("log_lines_dropped", "Log lines dropped since the start.")?,
             evicted_callers: gauge("evicted_callers", "Callers cut for the memory they held.")?,
             configuration_version: gauge("configuration_version", "Configuration in force.")?,
             store_era: gauge("store_era", "Times that the store came back from a copy.")?,
+            duty_held: gauge("duty_held", "Whether this host holds the duties.")?,
+            duty_epoch: gauge("duty_epoch", "Fencing token of the duties' holder.")?,
             target_count: gauge("targets", "Targets known.")?,
             host_count: gauge("hosts", "Hosts that are there.")?,
             registry,
