feat(entry): a 401 names the scheme of the keys

Cause: HTTP asks each 401 to name the scheme that a caller may use.

Change: own responses with that status carry WWW-Authenticate: Bearer.

--- a/gateway/src/entry/response.rs
+++ b/gateway/src/entry/response.rs
@@ -299,6 +299,9 @@
     *response.status_mut() = status;
     let headers = response.headers_mut();
     headers.insert(header::CONTENT_TYPE, header::HeaderValue::from_static("text/plain"));
+    if status == StatusCode::UNAUTHORIZED {
+        headers.insert(header::WWW_AUTHENTICATE, header::HeaderValue::from_static("Bearer"));
+    }
     if let Some(delay) = retry_after {
         let text = format!("{:.2}", delay.as_secs_f64());
         if let Ok(value) = header::HeaderValue::from_str(&text) {
