feat(scaling): count a request as late only if the work before it makes it late

Cause: prompts too large for their objective, and requests that come late, would keep targets from being given back for good. Change: the dispatcher tells whether a placed request is held up by other work. Result: gateway/tests/dispatch.rs held_up, scaling.rs pass.

--- a/gateway/src/placement/dispatch.rs
+++ b/gateway/src/placement/dispatch.rs
@@ -136,6 +136,17 @@
         LatencyBudget { objective: self.request.objective, elapsed }
     }
 
+    /// Returns whether a placed request is expected to be late, and wouldn't be if there had been no
+    /// work before it.
+    fn is_held_up(&self, decision: Decision, now: Moment) -> bool {
+        let Decision::Place(placement) = decision else { return false };
+        let Estimate { queue_time, first_event } = placement.prefill_engine.estimate;
+        let elapsed = self.request.elapsed;
+        let held_up = now.saturating_sub(self.arrived) + queue_time;
+        let own = elapsed + first_event.saturating_sub(queue_time);
+        (own..own + held_up).contains(&self.request.objective)
+    }
+
     /// Returns the sort key in the queue: whether the request is late, the latest start and the
     /// priority.
     ///
@@ -199,7 +210,7 @@
         let refused = keys.into_iter().filter_map(|key| {
             let QueuedRequest { request, .. } = self.requests.remove(&key)?;
             let decision = Decision::Refuse(Duration::ZERO);
-            Some(DecidedRequest { host: key.0, request, decision })
+            Some(DecidedRequest { host: key.0, request, decision, is_held_up: false })
         });
         refused.collect()
     }
@@ -242,7 +253,9 @@
                 late_share.record_placement(queued.request.prompt.unshared_tokens(), is_late);
             }
             if let Some(queued) = requests.remove(&key) {
-                decided.push(DecidedRequest { host: key.0, request: queued.request, decision });
+                let is_held_up = queued.is_held_up(decision, now);
+                let request = queued.request;
+                decided.push(DecidedRequest { host: key.0, request, decision, is_held_up });
             }
         }
         homes.extend(runs.into_iter().map(|(service, run)| (service, run.homes)));
@@ -259,6 +272,8 @@
     pub request: Request,
     /// What the dispatcher decided.
     pub decision: Decision,
+    /// Whether it is placed so late that it misses its objective because of the work before it.
+    pub is_held_up: bool,
 }
 
 /// Engines of a service with their load.
--- a/gateway/src/placement/dispatcher.rs
+++ b/gateway/src/placement/dispatcher.rs
@@ -274,14 +274,15 @@
         decided.extend(unserved.iter().flat_map(|it| queue.refuse_service(it)));
         decided
     };
-    for DecidedRequest { host, request, decision } in decided {
+    for DecidedRequest { host, request, decision, is_held_up } in decided {
         let reply = match decision {
             Decision::Refuse(queue_time) => {
                 record_refusal(&mut context.state_mut(), &host, &request);
                 Reply::Refused(queue_time)
             }
             Decision::Place(placement) => {
-                let reply = grant(&mut context.state_mut(), &host, &request, placement, now);
+                let reply =
+                    grant(&mut context.state_mut(), &host, &request, placement, is_held_up, now);
                 reply.unwrap_or(Reply::Refused(Duration::ZERO))
             }
         };
@@ -296,6 +297,7 @@
     host: &id::Host,
     request: &Request,
     placement: Placement,
+    is_held_up: bool,
     now: Moment,
 ) -> Option<Reply> {
     let Placement { prefill_engine, decode_engine } = placement;
@@ -308,8 +310,7 @@
     let latency_model = state.latency_models.get(&request.service).copied().unwrap_or_default();
     let work = placement.work(&request.prompt, &state.prefix_cache, &latency_model);
     if state.is_scaled(&request.service) {
-        let is_late = request.objective < request.elapsed + prefill_engine.estimate.first_event;
-        let outcome = if is_late { DemandOutcome::Late } else { DemandOutcome::OnTime };
+        let outcome = if is_held_up { DemandOutcome::Late } else { DemandOutcome::OnTime };
         let prompt_tokens = work.iter().map(|(_, it)| it.prompt_tokens).sum();
         record_demand(state, host, request, outcome, prompt_tokens);
     }
--- a/gateway/src/scaling/demand.rs
+++ b/gateway/src/scaling/demand.rs
@@ -34,7 +34,7 @@
 pub enum Outcome {
     /// It goes to a target, and is expected to be on time.
     OnTime,
-    /// It goes to a target, and is expected to be late.
+    /// It goes to a target, and is expected to be late because of the work before it.
     Late,
     /// It was refused.
     Refused,
@@ -45,7 +45,7 @@
 pub struct Counts {
     /// Requests that were placed.
     pub placed: u64,
-    /// Placed requests that were expected to be late.
+    /// Placed requests that were expected to be late because of the work before them.
     pub late: u64,
     /// Requests that were refused.
     pub refused: u64,
--- a/gateway/src/scaling/plan.rs
+++ b/gateway/src/scaling/plan.rs
@@ -123,7 +123,7 @@
     pub prefill: f64,
     /// Targets that the running requests fill as far as they are still on time.
     pub generation: f64,
-    /// Share of the requests that were refused or expected to be late.
+    /// Share of the requests that were refused, or expected to be late because of the work before them.
     pub late_share: f64,
     /// Requests by data centre of their callers.
     pub origins: BTreeMap<id::DataCentre, f64>,
--- a/gateway/tests/dispatch.rs
+++ b/gateway/tests/dispatch.rs
@@ -157,6 +157,27 @@
     assert_eq!(placed_numbers(&decided), [1]);
 }
 
+/// Only a request that is late because of the work before it counts as held up, not one that is late
+/// by its own size or came late.
+#[test]
+fn held_up() {
+    let keys = keys(4);
+    let mut queue = Queue::default();
+    let large = request(1, prompt("a", 10, "b", 50_000), ms(200));
+    let late = Request { elapsed: ms(5000), ..request(2, prompt("a", 10, "c", 500), ms(200)) };
+    let waiting = request(3, prompt("a", 10, "d", 500), ms(200));
+    for request in [large, late, waiting] {
+        queue.add("h1".into(), request, ms(0));
+    }
+    let cache = prefix_cache::Index::default();
+    for _ in 0..2 {
+        for it in queue.decide(&mut fleet(&keys), &cache, ms(190)) {
+            assert_eq!(it.is_held_up, it.request.number == 3, "{it:?}");
+        }
+    }
+    assert!(queue.is_empty());
+}
+
 /// An engine that failed a request is not chosen for it again.
 #[test]
 fn avoided_engine() {
