feat(scaling): replace firm targets sooner, keep withdrawable ones through a pause

Change: a withdrawal pauses its data centre once; the others keep their withdrawable targets during a pause; replacements are ordered after one boot time of known demand, and what serves is given back in the same second.

--- a/gateway/src/scaling/plan.rs
+++ b/gateway/src/scaling/plan.rs
@@ -7,7 +7,7 @@
 //! return. Bursts shorter than that are met by a reserve.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     time::Duration,
 };
 
@@ -25,6 +25,8 @@
 /// Largest share of the targets that one step gives back; it raises the utilisation by no more than
 /// the reserve.
 const STEP_SHARE: f64 = 1.0 / 3.0;
+/// Smallest share of the targets for which a step is worth an order; the need varies by as much.
+const MIN_STEP_SHARE: f64 = 0.1;
 /// Share of late or refused requests above which no target is given back.
 const LATE_SHARE_TO_LOWER: f64 = 0.03;
 /// Share of late or refused requests above which the service gets more targets although the counts
@@ -236,6 +238,8 @@
     observed_since: Option<Moment>,
     ordered: BTreeMap<Pool, Ordered>,
     paused: BTreeMap<Pool, Pause>,
+    /// Pools whose targets were withdrawn and are still leaving.
+    withdrawn: BTreeSet<Pool>,
     raised_at: Option<Moment>,
     lowered_at: Option<Moment>,
     need: Need,
@@ -331,25 +335,30 @@
             let wanted = union(&expected, &request.layout(kept_need));
             return steps(&expected, &wanted, Cause::Demand, now_need);
         }
-        if !self.may_lower(&recent, window, now) {
+        let is_unknown = self.observed_since.is_none_or(|it| now < it + boot_time);
+        if is_unknown || LATE_SHARE_TO_LOWER < recent.late_share {
             return Vec::new();
         }
         let goal = request.layout(kept_need);
-        let wanted = union(&expected, &without_firm(&goal));
-        let replacements = steps(&expected, &wanted, Cause::Replacement, kept_need);
-        if !replacements.is_empty() {
-            return replacements;
+        let mut due = Vec::new();
+        if firm_total(&goal) < firm_total(&expected) {
+            let wanted = union(&expected, &without_firm(&goal));
+            due = steps(&expected, &wanted, Cause::Replacement, kept_need);
         }
-        if self.lowered_at.is_some_and(|it| now < it + boot_time) {
-            return Vec::new();
+        let was_lowered = self.lowered_at.is_some_and(|it| now < it + boot_time);
+        if was_lowered || !self.may_lower(window, now) {
+            return due;
         }
         let present = intersection(&expected, &fleet.serving);
-        let wanted = lowered(&present, &goal, kept_need, lost_data_centres);
+        let mut wanted = lowered(&present, &goal, Kind::Firm, kept_need, lost_data_centres);
+        if due.is_empty() && wanted == present {
+            wanted = lowered(&present, &goal, Kind::Withdrawable, kept_need, lost_data_centres);
+        }
         // A pool whose targets are not all there keeps its order.
-        let settled = |it: &Step| present.get(&it.pool.0) == expected.get(&it.pool.0);
-        let mut steps = steps(&present, &wanted, Cause::Surplus, kept_need);
-        steps.retain(settled);
-        steps
+        let is_settled = |it: &Step| count(&present, &it.pool) == count(&expected, &it.pool);
+        let lowering = steps(&present, &wanted, Cause::Surplus, kept_need).into_iter();
+        due.extend(lowering.filter(is_settled));
+        due
     }
 
     /// Drops orders that were not carried out in time, so that what is there counts.
@@ -361,20 +370,18 @@
                 self.pause(&pool, boot_time, now);
             }
         }
-        for data_centre in fleet.leaving.keys() {
-            let pool = (data_centre.clone(), Kind::Withdrawable);
-            let is_withdrawn = 0 < count(&fleet.leaving, &pool)
-                && count(&fleet.serving, &pool) == 0
-                && self.ordered.get(&pool).is_none_or(|it| 0 < it.count);
-            if is_withdrawn && !self.is_paused(&pool, now) {
-                self.ordered.remove(&pool);
-                self.pause(&pool, boot_time, now);
-            }
+        let pools = fleet.leaving.keys().map(|it| (it.clone(), Kind::Withdrawable));
+        let is_withdrawn = |it: &Pool| {
+            0 < count(&fleet.leaving, it)
+                && count(&fleet.serving, it) == 0
+                && self.ordered.get(it).is_none_or(|it| 0 < it.count)
+        };
+        let withdrawn: BTreeSet<Pool> = pools.filter(is_withdrawn).collect();
+        for pool in withdrawn.difference(&self.withdrawn.clone()) {
+            self.ordered.remove(pool);
+            self.pause(pool, boot_time, now);
         }
-    }
-
-    fn is_paused(&self, pool: &Pool, now: Moment) -> bool {
-        self.paused.get(pool).is_some_and(|it| now < it.until)
+        self.withdrawn = withdrawn;
     }
 
     /// Returns the targets that serve once the orders on their way are carried out.
@@ -408,13 +415,12 @@
         highest
     }
 
-    fn may_lower(&self, recent: &Demand, window: Duration, now: Moment) -> bool {
+    fn may_lower(&self, window: Duration, now: Moment) -> bool {
         let has_passed = |at: Option<Moment>| at.is_some_and(|it| it + window <= now);
         let is_fresh = self.samples.back().is_some_and(|(at, _)| now < *at + MAX_AGE_TO_LOWER);
         is_fresh
             && has_passed(self.observed_since)
             && (self.raised_at.is_none() || has_passed(self.raised_at))
-            && recent.late_share <= LATE_SHARE_TO_LOWER
     }
 }
 
@@ -465,6 +471,10 @@
     a.iter().map(smaller).collect()
 }
 
+fn firm_total(layout: &Layout) -> u32 {
+    layout.values().map(|it| it.firm).sum()
+}
+
 fn without_firm(layout: &Layout) -> Layout {
     let withdrawable = |it: &Counts| Counts { firm: 0, withdrawable: it.withdrawable };
     layout.iter().map(|(name, counts)| (name.clone(), withdrawable(counts))).collect()
@@ -486,28 +496,35 @@
     steps
 }
 
-/// Returns the targets after one step towards a smaller layout, which meets the need.
-fn lowered(present: &Layout, goal: &Layout, need: Need, lost_data_centres: usize) -> Layout {
-    for kind in [Kind::Firm, Kind::Withdrawable] {
-        let total: u32 = present.values().map(|it| it.total()).sum();
-        let largest = ((f64::from(total) * STEP_SHARE) as u32).max(1);
-        let surplus = |data_centre: &id::DataCentre, counts: &Counts| {
-            let wanted = goal.get(data_centre).copied().unwrap_or_default();
-            counts.of(kind).saturating_sub(wanted.of(kind))
-        };
-        let all: u32 = present.iter().map(|(name, counts)| surplus(name, counts)).sum();
-        for number in (1..=largest.min(all)).rev() {
-            let mut lowered = present.clone();
-            for _ in 0..number {
-                let most = lowered.iter_mut().max_by_key(|(name, counts)| surplus(name, counts));
-                if let Some((_, counts)) = most {
-                    *counts.of_mut(kind) -= 1;
-                }
-            }
-            if need.is_met(&lowered, lost_data_centres) {
-                return lowered;
+/// Returns the targets after one step towards a layout with fewer of a kind, which meets the need.
+fn lowered(
+    present: &Layout,
+    goal: &Layout,
+    kind: Kind,
+    need: Need,
+    lost_data_centres: usize,
+) -> Layout {
+    let total: u32 = present.values().map(|it| it.total()).sum();
+    let share = |share: f64| ((f64::from(total) * share) as u32).max(1);
+    let surplus = |data_centre: &id::DataCentre, counts: &Counts| {
+        let wanted = goal.get(data_centre).copied().unwrap_or_default();
+        counts.of(kind).saturating_sub(wanted.of(kind))
+    };
+    let all: u32 = present.iter().map(|(name, counts)| surplus(name, counts)).sum();
+    if all < share(MIN_STEP_SHARE) {
+        return present.clone();
+    }
+    for number in (1..=share(STEP_SHARE).min(all)).rev() {
+        let mut lowered = present.clone();
+        for _ in 0..number {
+            let most = lowered.iter_mut().max_by_key(|(name, counts)| surplus(name, counts));
+            if let Some((_, counts)) = most {
+                *counts.of_mut(kind) -= 1;
             }
         }
+        if need.is_met(&lowered, lost_data_centres) {
+            return lowered;
+        }
     }
     present.clone()
 }
@@ -549,11 +566,15 @@
         self.config.min.min(self.config.max).min(MAX_COUNT)
     }
 
+    fn is_paused(&self, pool: &Pool) -> bool {
+        self.paused.get(pool).is_some_and(|it| self.now < it.until)
+    }
+
     /// Returns the largest number of targets that a pool can have next.
     fn limit(&self, data_centre: &id::DataCentre, kind: Kind) -> u32 {
         let max = self.config.max.min(MAX_COUNT);
         let pool = (data_centre.clone(), kind);
-        match self.paused.get(&pool).is_some_and(|it| self.now < it.until) {
+        match self.is_paused(&pool) {
             true => count(self.expected, &pool).min(max),
             false => max,
         }
@@ -616,9 +637,22 @@
             limit.min(max.saturating_sub(firm))
         };
         let rooms: Vec<u32> = firm.iter().map(|(name, firm)| room(name, *firm)).collect();
+        // Where some can't be had for a moment, those of the other data centres stay.
+        let is_paused = |it| self.is_paused(&(Clone::clone(it), Kind::Withdrawable));
+        let keeps = self.data_centres().any(is_paused);
+        let kept = |name: &id::DataCentre, room: u32| match keeps {
+            true => count(self.expected, &(name.clone(), Kind::Withdrawable)).min(room),
+            false => 0,
+        };
+        let kept: Vec<u32> =
+            firm.keys().zip(&rooms).map(|(name, room)| kept(name, *room)).collect();
+        let counts = |each: u32| {
+            let limits = rooms.iter().zip(&kept);
+            limits.map(move |(room, kept)| each.min(*room).max(*kept))
+        };
         let layout = |each: u32| -> Layout {
-            let counts = firm.iter().zip(&rooms).map(|((name, firm), room)| {
-                (name.clone(), Counts { firm: *firm, withdrawable: each.min(*room) })
+            let counts = firm.iter().zip(counts(each)).map(|((name, firm), withdrawable)| {
+                (name.clone(), Counts { firm: *firm, withdrawable })
             });
             counts.collect()
         };
@@ -631,8 +665,7 @@
         }
         let largest = rooms.iter().copied().max().unwrap_or_default();
         let sums = |each: u32| {
-            let counts = rooms.iter().map(|it| each.min(*it));
-            let (sum, most) = counts.fold((0, 0), |(sum, most), it| (sum + it, most.max(it)));
+            let (sum, most) = counts(each).fold((0, 0), |(sum, most), it| (sum + it, most.max(it)));
             (sum, sum - most)
         };
         let firm_total: u32 = firm.values().sum();
