feat(scaling): more firm targets, pauses that grow

An order that is not carried out was made again at a constant pace: the pause was forgotten before the order was overdue. Change: firm targets carry three quarters of the mean demand instead of half; a pause is remembered until an order after it can be overdue.

--- a/gateway/src/scaling/plan.rs
+++ b/gateway/src/scaling/plan.rs
@@ -19,9 +19,9 @@
 const USUAL_UTILISATION: f64 = 0.6;
 /// Utilisation until lost targets are replaced.
 const UTILISATION_AFTER_LOSS: f64 = 0.8;
-/// Share of the mean demand that targets which can't be withdrawn carry alone, so that urgent
-/// requests are served if all others are withdrawn at once.
-const FIRM_SHARE: f64 = 0.5;
+/// Share of the mean demand that targets which can't be withdrawn carry alone, so that most requests
+/// are served if all others are withdrawn within one boot time.
+const FIRM_SHARE: f64 = 0.75;
 /// Largest share of the targets that one step gives back; it raises the utilisation by no more than
 /// the reserve.
 const STEP_SHARE: f64 = 1.0 / 3.0;
@@ -297,7 +297,7 @@
     fn pause(&mut self, pool: &Pool, boot_time: Duration, now: Moment) {
         let first = boot_time.max(MIN_BOOT_TIME);
         // A pause that ended long ago says nothing about the present.
-        let last = self.paused.get(pool).filter(|it| now < it.until + it.duration);
+        let last = self.paused.get(pool).filter(|it| now < it.until + (it.duration + first) * 2);
         let duration = last.map_or(first, |it| (it.duration * 2).min(MAX_PAUSE.max(first)));
         self.paused.insert(pool.clone(), Pause { until: now + duration, duration });
     }
