--- a/gateway/src/duty/mod.rs
+++ b/gateway/src/duty/mod.rs
@@ -25,8 +25,6 @@
     pub calls_per_second: f64,
     /// Time within which two hosts must not take turns.
     pub turn_interval: Duration,
-    /// Whether the platform refuses calls with a lower fencing token than it has seen.
-    pub checks_fence: bool,
 }
 
 /// Name under which a call on a duty is made.
--- a/gateway/src/usage/clock.rs
+++ b/gateway/src/usage/clock.rs
@@ -68,15 +68,16 @@
         self.agreed.push(offset(time, now));
     }
 
-    /// Agrees on the median of the clocks of the hosts that `is_up` accepts; on the holder of the
-    /// duties.
-    pub fn agree(&mut self, is_up: impl Fn(&id::Host) -> bool) {
-        self.peers.retain(|host, _| is_up(host));
+    /// Agrees on the median of the clocks of the hosts that are up, once most of them are known; on
+    /// the holder of the duties.
+    pub fn agree(&mut self, up: &[id::Host]) {
+        self.peers.retain(|host, _| up.contains(host));
         let mut offsets: Vec<Offset> = self.peers.values().filter_map(Samples::offset).collect();
-        offsets.sort_unstable();
-        if let Some(median) = offsets.get(offsets.len() / 2) {
-            self.agreed = Samples(VecDeque::from([*median]));
+        if offsets.len() * 2 <= up.len() {
+            return;
         }
+        offsets.sort_unstable();
+        self.agreed = Samples(VecDeque::from([offsets[offsets.len() / 2]]));
     }
 }
 
--- a/gateway/src/usage/runner.rs
+++ b/gateway/src/usage/runner.rs
@@ -218,7 +218,7 @@
         let up: Vec<id::Host> = self.context.state().membership.up_hosts().cloned().collect();
         with_tracker(&self.context, |tracker, now| {
             tracker.clock.observe_host(&host.name, own_time(), now);
-            tracker.clock.agree(|it| up.contains(it));
+            tracker.clock.agree(&up);
             let current = tracker.settings.window_at(tracker.clock.time(now));
             for batch in tracker.counter.batches(tracker.next, current, true) {
                 tracker.collector.record(&host.name, host.incarnation, batch);
--- a/gateway/tests/usage.rs
+++ b/gateway/tests/usage.rs
@@ -172,7 +172,7 @@
             clock.observe_host(host, time + Duration::from_millis(ms), now(ms + delay));
         }
     }
-    clock.agree(|_| true);
+    clock.agree(&hosts);
     assert_eq!(clock.time(now(2002)), true_time + Duration::from_millis(2000));
     // Another host follows, whatever its own clock shows.
     let mut other = Clock::new(stepped, Duration::from_secs(3));
@@ -180,6 +180,21 @@
     assert_eq!(other.time(Duration::from_secs(6)), true_time + Duration::from_secs(1));
 }
 
+/// A new holder does not go by its own clock before it knows those of most hosts.
+#[test]
+fn own_clock() {
+    let (hosts, true_time) = (hosts(3), Duration::from_secs(1_000_000));
+    let (stepped, now) = (true_time + Duration::from_secs(5), Duration::from_secs(20));
+    let mut clock = Clock::new(true_time, now);
+    clock.observe_host(&hosts[0], stepped, now);
+    clock.agree(&hosts);
+    assert_eq!(clock.time(now), true_time);
+    clock.observe_host(&hosts[1], true_time, now);
+    clock.observe_host(&hosts[2], true_time, now);
+    clock.agree(&hosts);
+    assert_eq!(clock.time(now), true_time);
+}
+
 /// A successor sends the committed reports again with the same counts.
 #[test]
 fn taken_over() {
