--- a/gateway/src/usage/counter.rs
+++ b/gateway/src/usage/counter.rs
@@ -54,6 +54,9 @@
         if !counts.unsent.contains(account) {
             counts.unsent.insert(account.clone());
         }
+        while KEPT_WINDOWS < self.0.len() as u64 {
+            self.0.pop_first();
+        }
     }
 
     /// Drops the counts of windows before this one.
--- a/gateway/tests/usage.rs
+++ b/gateway/tests/usage.rs
@@ -215,6 +215,17 @@
     assert_eq!((ledger.era, ledger.next), (1, 12));
 }
 
+/// Without a holder, a host keeps the counts of a bounded number of windows.
+#[test]
+fn bounded_counts() {
+    let mut counter = Counter::default();
+    (0..100).for_each(|window| counter.record(&account(0), window));
+    let batches = (1..100).flat_map(|next| counter.batches(next, next + 1, false));
+    let windows: Vec<Window> =
+        batches.filter(|it| it.is_final && it.total == 1).map(|it| it.window).collect();
+    assert_eq!((windows.first(), windows.len()), (Some(&76), 24));
+}
+
 /// The first holder of a deployment reports from its start on.
 #[test]
 fn first_holder() {
