--- a/gateway/tests/usage.rs
+++ b/gateway/tests/usage.rs
@@ -172,7 +172,7 @@
             clock.observe_host(host, time + Duration::from_millis(ms), now(ms + delay));
         }
     }
-    clock.agree(|_| true);
+    clock.agree(&hosts);
     assert_eq!(clock.time(now(2002)), true_time + Duration::from_millis(2000));
     // Another host follows, whatever its own clock shows.
     let mut other = Clock::new(stepped, Duration::from_secs(3));
@@ -180,6 +180,21 @@
     assert_eq!(other.time(Duration::from_secs(6)), true_time + Duration::from_secs(1));
 }
 
+/// A new holder does not go by its own clock before it knows those of most hosts.
+#[test]
+fn own_clock() {
+    let (hosts, true_time) = (hosts(3), Duration::from_secs(1_000_000));
+    let (stepped, now) = (true_time + Duration::from_secs(5), Duration::from_secs(20));
+    let mut clock = Clock::new(true_time, now);
+    clock.observe_host(&hosts[0], stepped, now);
+    clock.agree(&hosts);
+    assert_eq!(clock.time(now), true_time);
+    clock.observe_host(&hosts[1], true_time, now);
+    clock.observe_host(&hosts[2], true_time, now);
+    clock.agree(&hosts);
+    assert_eq!(clock.time(now), true_time);
+}
+
 /// A successor sends the committed reports again with the same counts.
 #[test]
 fn taken_over() {
@@ -200,6 +215,17 @@
     assert_eq!((ledger.era, ledger.next), (1, 12));
 }
 
+/// Without a holder, a host keeps the counts of a bounded number of windows.
+#[test]
+fn bounded_counts() {
+    let mut counter = Counter::default();
+    (0..100).for_each(|window| counter.record(&account(0), window));
+    let batches = (1..100).flat_map(|next| counter.batches(next, next + 1, false));
+    let windows: Vec<Window> =
+        batches.filter(|it| it.is_final && it.total == 1).map(|it| it.window).collect();
+    assert_eq!((windows.first(), windows.len()), (Some(&76), 24));
+}
+
 /// The first holder of a deployment reports from its start on.
 #[test]
 fn first_holder() {
