feat(concurrency): limit prompts beside streams so that pauses keep their objective

Late pauses come from prompts that decode engines prefill themselves, while engines differ in speed and are 2.6 times slower for moments.

Change: the dispatcher places a prompt beside streams only if it and the engine's usual pause stay within a share of the objective.

--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -39,6 +39,7 @@
         health::Health,
         notice, poison, poison_part, rate_limit, reachability, refusal,
         registry::{Event, Key, Registry},
+        target::Stage,
     },
     upstream::{
         connection::Pool,
@@ -261,6 +262,14 @@
         self.rate_limits.divide(own, self.membership.limit_sharers(now), now);
     }
 
+    /// Records pauses between events at an engine that generates.
+    pub fn record_pauses(&mut self, key: Key, count: u32) {
+        let Some(target) = self.registry.get(key) else { return };
+        if target.stage != Some(Stage::Prefill) {
+            self.concurrency.record_pauses(&target.service, count);
+        }
+    }
+
     /// Returns the work of all hosts at a target; none for an unknown target.
     pub fn total_work(&self, key: Key) -> Work {
         let target = self.registry.get(key);
@@ -513,6 +522,7 @@
                     state.slowness.forget(key);
                     state.availability.forget(key, &id, clock::now());
                     state.rate_limits.forget(key);
+                    state.concurrency.forget(key);
                     state.refusals.forget(key);
                     state.reachability.forget(key);
                     tracing::info!(code = 8003, target = %id, "target gone");
--- a/gateway/src/entry/stream_relay.rs
+++ b/gateway/src/entry/stream_relay.rs
@@ -6,6 +6,7 @@
 use tokio::sync::mpsc;
 
 use crate::{
+    concurrency::report,
     entry::{
         forward::{Forwarder, log_response},
         job::Job,
@@ -184,6 +185,9 @@
             let latency_model = state.latency_models.entry(job.service.clone()).or_default();
             latency_model.record_pause(pause, job.route.max_event_gap);
             state.slowness.record(key, pause.as_secs_f64() * 1e3, now);
+            state.record_pauses(key, 1);
+            drop(state);
+            report::record(context, key, pause, job.route.max_event_gap);
         }
     }
 
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -39,6 +39,7 @@
 
 use crate::{
     cluster::{peer_server, peer_ticket, peers},
+    concurrency::report,
     context::{Bounds, Context},
     entry::{
         directory::{self, Directory},
@@ -78,6 +79,7 @@
     read_bounds: impl Fn() -> Result<Bounds, String> + 'static,
 ) -> io::Result<()> {
     let (phase, phase_watch) = sync::watch::channel(Phase::Open);
+    report::register(&context);
     serve_ports(&context, directory, &phase_watch)?;
     drop(phase_watch);
     let mut tasks = JoinSet::new();
--- a/gateway/src/placement/engine.rs
+++ b/gateway/src/placement/engine.rs
@@ -247,6 +247,8 @@
     pub needed_kv_tokens: u64,
     /// Share of recent requests that failed there, from 0 to 1.
     pub failure_rate: f64,
+    /// Longest prefill that it may run beside its streams; `None` without a limit.
+    pub prefill_limit: Option<Duration>,
     /// Factor by which it is slower than the other engines of its stage; 1 if it isn't.
     pub slowness: f64,
 }
@@ -258,6 +260,14 @@
             && self.used_kv_tokens + self.needed_kv_tokens <= self.kv_capacity_tokens
     }
 
+    /// Returns whether the prompt can be prefilled there while the streams that run beside it keep
+    /// the objective for their pauses.
+    pub fn keeps_pauses(&self, latency_model: &LatencyModel) -> bool {
+        let Some(limit) = self.prefill_limit.filter(|_| 0 < self.requests) else { return true };
+        let tokens = self.queued_tokens + self.missing_tokens;
+        latency_model.prefill_time(self.stage, tokens).mul_f64(self.slowness) <= limit
+    }
+
     /// Returns the expected latencies of the request there.
     pub(crate) fn estimate(&self, latency_model: &LatencyModel) -> Estimate {
         let prefill_time =
@@ -311,7 +321,11 @@
     latency_model: &LatencyModel,
     latency_budget: LatencyBudget,
 ) -> Option<Choice> {
-    let available = candidates.iter().filter(|it| it.has_room());
+    // Without a prefill engine, the streams have to share their engines with prompts.
+    let may_pause = candidates.iter().all(|it| it.stage == Stage::Decode);
+    let available = candidates
+        .iter()
+        .filter(|it| it.has_room() && (may_pause || it.keeps_pauses(latency_model)));
     let scored = available.map(|it| ScoredChoice::new(it, latency_model));
     let sort_key = |it: &ScoredChoice| (!is_on_time(latency_budget, it.choice.estimate), it.cost);
     scored.min_by_key(sort_key).map(|it| it.choice)
--- a/gateway/src/store/sync.rs
+++ b/gateway/src/store/sync.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     cluster::peers::{self, Packet},
+    concurrency::report,
     configuration::Configuration,
     context::{Context, State},
     logging::Log,
@@ -507,6 +508,7 @@
             );
             logged_drops = dropped;
         }
+        report::log(&context);
         for (service, latency_model) in &context.state().latency_models {
             latency_model.log(service);
         }
--- a/gateway/tests/catalogue.rs
+++ b/gateway/tests/catalogue.rs
@@ -65,6 +65,7 @@
     metrics.retried.with_label_values(&["silent"]);
     metrics.further_calls.with_label_values(&["run"]);
     metrics.target_notices.with_label_values(&["leaving"]);
+    metrics.late_pauses.with_label_values(&["prompt"]);
     metrics.peer_requests.with_label_values(&["sent"]);
     metrics.store_calls.with_label_values(&["answered"]);
     metrics.store_call_time.with_label_values(&["targets"]);
