--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -38,9 +38,11 @@
 };
 
 use crate::{
+    account::proof,
     cluster::{peer_server, peer_ticket, peers},
     concurrency::report,
     context::{Bounds, Context},
+    duty::Endpoint,
     entry::{
         directory::{self, Directory},
         forward,
@@ -67,18 +69,21 @@
 
 /// Serves requests until `SIGTERM`, then shuts down gracefully.
 ///
+/// `endpoint` is the platform's interface for duties; `None` if the deployment has none.
 /// `read_bounds` is called to reload the settings, on `SIGHUP` and at an interval.
 ///
 /// # Errors
 /// Fails when a port cannot be bound, a signal handler cannot be installed, or a background task
 /// fails.
-pub async fn run<S: Store, D: Directory + 'static>(
+pub async fn run<S: Store, D: Directory + 'static, E: Endpoint>(
     context: Rc<Context>,
     store: S,
     directory: D,
+    endpoint: Option<E>,
     read_bounds: impl Fn() -> Result<Bounds, String> + 'static,
 ) -> io::Result<()> {
     let (phase, phase_watch) = sync::watch::channel(Phase::Open);
+    proof::register(&context);
     report::register(&context);
     serve_ports(&context, directory, &phase_watch)?;
     drop(phase_watch);
@@ -99,6 +104,15 @@
     tasks.spawn_local(peers::report_work(Rc::clone(&context)));
     tasks.spawn_local(dispatcher::run(Rc::clone(&context)));
     tasks.spawn_local(probe::run(Rc::clone(&context)));
+    scaling::driver::register(&context);
+    let duties = context.settings.duties.as_ref();
+    let orders_targets = duties.is_some_and(|it| it.orders_targets);
+    if duties.is_some() {
+        tasks.spawn_local(duty::runner::run(Rc::clone(&context), store.clone()));
+    }
+    if let Some(endpoint) = endpoint.filter(|_| orders_targets) {
+        tasks.spawn_local(scaling::driver::run(Rc::clone(&context), endpoint));
+    }
     tasks.spawn_local(reload_settings(
         Rc::clone(&context),
         signal(SignalKind::hangup())?,
