--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -40,6 +40,7 @@
 use crate::{
     account::proof,
     cluster::{peer_server, peer_ticket, peers},
+    concurrency::report,
     context::{Bounds, Context},
     duty::Endpoint,
     entry::{
@@ -83,6 +84,7 @@
 ) -> io::Result<()> {
     let (phase, phase_watch) = sync::watch::channel(Phase::Open);
     proof::register(&context);
+    report::register(&context);
     serve_ports(&context, directory, &phase_watch)?;
     drop(phase_watch);
     let mut tasks = JoinSet::new();
