--- a/gateway/src/placement/dispatch.rs
+++ b/gateway/src/placement/dispatch.rs
@@ -142,6 +142,17 @@
         LatencyBudget { objective: self.request.objective, elapsed }
     }
 
+    /// Returns whether a placed request is expected to be late, and wouldn't be if there had been no
+    /// work before it.
+    fn is_held_up(&self, decision: Decision, now: Moment) -> bool {
+        let Decision::Place(placement) = decision else { return false };
+        let Estimate { queue_time, first_event } = placement.prefill_engine.estimate;
+        let elapsed = self.request.elapsed;
+        let held_up = now.saturating_sub(self.arrived) + queue_time;
+        let own = elapsed + first_event.saturating_sub(queue_time);
+        (own..own + held_up).contains(&self.request.objective)
+    }
+
     /// Returns the tokens whose engine time the request takes: those of its prompt that no other
     /// request shares, and those that are generated.
     fn tokens(&self) -> u64 {
@@ -220,7 +231,8 @@
         let refused = keys.into_iter().filter_map(|key| {
             let QueuedRequest { request, .. } = self.requests.remove(&key)?;
             let decision = Decision::Refuse(Duration::ZERO);
-            Some(DecidedRequest { host: key.0, request, decision, is_excess: false })
+            let (is_held_up, is_excess) = (false, false);
+            Some(DecidedRequest { host: key.0, request, decision, is_held_up, is_excess })
         });
         refused.collect()
     }
@@ -267,9 +279,12 @@
                     tracker.record_placement(&queued.request.account, queued.tokens(), now);
                 }
             }
-            if let Some(QueuedRequest { request, .. }) = requests.remove(&key) {
+            if let Some(queued) = requests.remove(&key) {
+                let is_held_up = queued.is_held_up(decision, now);
                 let is_excess = excess.contains(&key);
-                decided.push(DecidedRequest { host: key.0, request, decision, is_excess });
+                let request = queued.request;
+                let host = key.0;
+                decided.push(DecidedRequest { host, request, decision, is_held_up, is_excess });
             }
         }
         homes.extend(runs.into_iter().map(|(service, run)| (service, run.homes)));
@@ -312,6 +327,8 @@
     pub request: Request,
     /// What the dispatcher decided.
     pub decision: Decision,
+    /// Whether it is placed so late that it misses its objective because of the work before it.
+    pub is_held_up: bool,
     /// Whether its account got more than its share with it.
     pub is_excess: bool,
 }
@@ -348,6 +365,8 @@
     pub work: Work,
     /// Share of recent requests that failed there, from 0 to 1.
     pub failure_rate: f64,
+    /// Longest prefill that it may run beside its streams; `None` without a limit.
+    pub prefill_limit: Option<Duration>,
     /// Factor by which it is slower than the other engines of its stage; 1 if it isn't.
     pub slowness: f64,
 }
@@ -392,6 +411,7 @@
             kv_capacity_tokens: self.kv_capacity_tokens,
             needed_kv_tokens: 0,
             failure_rate: self.failure_rate,
+            prefill_limit: self.prefill_limit,
             slowness: self.slowness,
         }
     }
