--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -39,6 +39,7 @@
         health::Health,
         notice, poison, poison_part, rate_limit, reachability, refusal,
         registry::{Event, Key, Registry},
+        target::Stage,
     },
     upstream::{
         connection::Pool,
@@ -71,6 +72,8 @@
     pub lost_data_centres: usize,
     /// Time that the store may hold one call while there is no change.
     pub long_poll_timeout: Duration,
+    /// Memory of this process in bytes; `None` when it is not stated.
+    pub memory_bytes: Option<usize>,
     /// Duties of the deployment; `None` if it has none.
     pub duties: Option<duty::Settings>,
 }
@@ -104,7 +107,7 @@
     pub pool: Pool<Key>,
     /// Pool of connections to other hosts, for requests that are sent through them.
     pub peer_pool: Pool<id::Host>,
-    /// Memory for response bodies that are read whole.
+    /// Memory for the bodies of responses.
     pub body_memory: body_memory::Memory,
     /// Memory for the bodies of callers' requests, apart from that of the responses, so that neither
     /// takes all of it.
@@ -274,6 +277,14 @@
         self.rate_limits.divide(own, self.membership.limit_sharers(now), now);
     }
 
+    /// Records pauses between events at an engine that generates.
+    pub fn record_pauses(&mut self, key: Key, count: u32) {
+        let Some(target) = self.registry.get(key) else { return };
+        if target.stage != Some(Stage::Prefill) {
+            self.concurrency.record_pauses(&target.service, count);
+        }
+    }
+
     /// Returns the work of all hosts at a target; none for an unknown target.
     pub fn total_work(&self, key: Key) -> Work {
         let target = self.registry.get(key);
@@ -322,6 +333,8 @@
             scaling: scaling::State::default(),
             usage: usage::State::default(),
         };
+        let body_memory =
+            settings.memory_bytes.map(body_memory::Config::for_host).unwrap_or_default();
         let pool = Pool::new(metrics.connections_opened.clone());
         let peer_pool = Pool::new(metrics.peer_connections.clone());
         Context {
@@ -332,8 +345,8 @@
             metrics,
             pool,
             peer_pool,
-            body_memory: body_memory::Memory::default(),
-            request_memory: body_memory::Memory::default(),
+            body_memory: body_memory::Memory::new(body_memory),
+            request_memory: body_memory::Memory::new(body_memory),
             log,
             dispatcher: Dispatcher::default(),
             origin_queries: origin_lookup::Pending::default(),
@@ -558,6 +571,7 @@
                     state.slowness.forget(key);
                     state.availability.forget(key, &id, clock::now());
                     state.rate_limits.forget(key);
+                    state.concurrency.forget(key);
                     state.refusals.forget(key);
                     state.reachability.forget(key);
                     tracing::info!(code = 8003, target = %id, "target gone");
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -27,6 +27,8 @@
     pub further_calls: IntCounterVec,
     /// Notices of targets that want no new requests, by kind.
     pub target_notices: IntCounterVec,
+    /// Pauses within streams that were longer than their route permits, by cause.
+    pub late_pauses: IntCounterVec,
     /// Requests whose caller disconnected.
     pub callers_gone: IntCounter,
     /// Connections opened to targets.
@@ -35,6 +37,8 @@
     pub peer_connections: IntCounter,
     /// Requests that one host sends through another, by this host's role.
     pub peer_requests: IntCounterVec,
+    /// Requests beyond their account's share, by the dispatcher's decision.
+    pub excess_requests: IntCounterVec,
     /// Whether this host is cut off from all targets.
     pub cut_off: IntGauge,
     /// Datagrams from other hosts that this one cannot read.
@@ -55,6 +59,10 @@
     pub needed_targets: IntGaugeVec,
     /// Log lines dropped since the start.
     pub dropped_lines: IntGauge,
+    /// Bytes of bodies in memory beyond those that each may have, by direction.
+    pub body_bytes: IntGaugeVec,
+    /// Callers that were cut for the memory that they held.
+    pub evicted_callers: IntGauge,
     /// Version of the configuration in force.
     pub configuration_version: IntGauge,
     /// Era of the store: how often it came back from an earlier copy.
@@ -112,7 +120,11 @@
             Opts::new("belief_age_milliseconds", "Time since a belief was last confirmed.");
         let table_age = IntGaugeVec::new(table_age, &["matter"])?;
         registry.register(Box::new(table_age.clone()))?;
+        let body_bytes = Opts::new("body_bytes", "Memory that bodies share, by direction.");
+        let body_bytes = IntGaugeVec::new(body_bytes, &["direction"])?;
+        registry.register(Box::new(body_bytes.clone()))?;
         let metrics = Metrics {
+            body_bytes,
             answered: counters("answered_total", "Requests answered, by status.", "status")?,
             refused: counters("refused_total", "Requests refused, by reason.", "reason")?,
             attempts: counters("attempts_total", "Requests sent, by outcome.", "outcome")?,
@@ -127,6 +139,11 @@
                 "Targets that said that they are leaving or asked for a pause.",
                 "notice",
             )?,
+            late_pauses: counters(
+                "late_pauses_total",
+                "Pauses within streams that were longer than their route permits, by cause.",
+                "cause",
+            )?,
             callers_gone: counter("callers_gone_total", "Requests whose caller went away.")?,
             connections_opened: counter("connections_total", "Connections opened to targets.")?,
             peer_connections: counter(
@@ -138,6 +155,11 @@
                 "Requests that one host sends through another, by this host's role.",
                 "role",
             )?,
+            excess_requests: counters(
+                "excess_requests_total",
+                "Requests beyond their account's share that this host decided as the dispatcher.",
+                "decision",
+            )?,
             cut_off: gauge("cut_off", "Whether this host reaches no target.")?,
             unreadable_messages: counter(
                 "unreadable_messages_total",
@@ -166,6 +188,7 @@
                 &["service", "purpose"],
             )?,
             dropped_lines: gauge("log_lines_dropped", "Log lines dropped since the start.")?,
+            evicted_callers: gauge("evicted_callers", "Callers cut for the memory they held.")?,
             configuration_version: gauge("configuration_version", "Configuration in force.")?,
             store_era: gauge("store_era", "Times that the store came back from a copy.")?,
             duty_held: gauge("duty_held", "Whether this host holds the duties.")?,
@@ -181,6 +204,9 @@
             host_count: gauge("hosts", "Hosts that are there.")?,
             registry,
         };
+        for direction in ["requests", "responses"] {
+            metrics.body_bytes.with_label_values(&[direction]);
+        }
         for reason in Reason::ALL {
             metrics.refused.with_label_values(&[reason.code()]);
         }
--- a/gateway/src/placement/dispatcher.rs
+++ b/gateway/src/placement/dispatcher.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     cluster::peers::{self, Packet},
+    concurrency::report,
     context::{Context, State},
     placement::{
         dispatch::{
@@ -261,6 +262,7 @@
 
 fn decide(context: &Rc<Context>) {
     let now = clock::now();
+    report::update(context);
     context.state_mut().load.expire(now);
     let decided = {
         let state = context.state();
@@ -274,14 +276,20 @@
         decided.extend(unserved.iter().flat_map(|it| queue.refuse_service(it)));
         decided
     };
-    for DecidedRequest { host, request, decision } in decided {
+    for DecidedRequest { host, request, decision, is_held_up, is_excess } in decided {
+        if is_excess {
+            let decision =
+                if matches!(decision, Decision::Place(_)) { "placed" } else { "refused" };
+            context.metrics.excess_requests.with_label_values(&[decision]).inc();
+        }
         let reply = match decision {
             Decision::Refuse(queue_time) => {
                 record_refusal(&mut context.state_mut(), &host, &request);
                 Reply::Refused(queue_time)
             }
             Decision::Place(placement) => {
-                let reply = grant(&mut context.state_mut(), &host, &request, placement, now);
+                let reply =
+                    grant(&mut context.state_mut(), &host, &request, placement, is_held_up, now);
                 reply.unwrap_or(Reply::Refused(Duration::ZERO))
             }
         };
@@ -296,6 +304,7 @@
     host: &id::Host,
     request: &Request,
     placement: Placement,
+    is_held_up: bool,
     now: Moment,
 ) -> Option<Reply> {
     let Placement { prefill_engine, decode_engine } = placement;
@@ -308,14 +317,16 @@
     let latency_model = state.latency_models.get(&request.service).copied().unwrap_or_default();
     let work = placement.work(&request.prompt, &state.prefix_cache, &latency_model);
     if state.is_scaled(&request.service) {
-        let is_late = request.objective < request.elapsed + prefill_engine.estimate.first_event;
-        let outcome = if is_late { DemandOutcome::Late } else { DemandOutcome::OnTime };
+        let outcome = if is_held_up { DemandOutcome::Late } else { DemandOutcome::OnTime };
         let prompt_tokens = work.iter().map(|(_, it)| it.prompt_tokens).sum();
         record_demand(state, host, request, outcome, prompt_tokens);
     }
     let queued_tokens = state.total_work(prefill_engine.key).prompt_tokens;
     let missing_tokens = state.prefix_cache.missing_tokens(prefill_engine.key, &request.prompt);
     let kv_capacity_tokens = state.kv_capacity_tokens(&request.service);
+    if prefill_engine.stage == Stage::Decode {
+        state.concurrency.record_prompt(prefill_engine.key, now);
+    }
     for (key, _) in &work {
         state.prefix_cache.record_prefill(*key, &request.prompt.parts, kv_capacity_tokens);
     }
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -88,6 +88,7 @@
         kv_capacity_tokens: 700_000,
         work: Work::default(),
         failure_rate: 0.0,
+        prefill_limit: None,
         slowness: 1.0,
     }
 }
@@ -105,6 +106,7 @@
         resumes: false,
         avoid: Vec::new(),
         version: None,
+        account: None,
     }
 }
 
