--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -40,6 +40,7 @@
 use crate::{
     account::proof,
     cluster::{peer_server, peer_ticket, peers},
+    concurrency::report,
     context::{Bounds, Context},
     duty::Endpoint,
     entry::{
@@ -83,6 +84,7 @@
 ) -> io::Result<()> {
     let (phase, phase_watch) = sync::watch::channel(Phase::Open);
     proof::register(&context);
+    report::register(&context);
     serve_ports(&context, directory, &phase_watch)?;
     drop(phase_watch);
     let mut tasks = JoinSet::new();
@@ -108,6 +110,9 @@
     if duties.is_some() {
         tasks.spawn_local(duty::runner::run(Rc::clone(&context), store.clone()));
     }
+    if let Some(endpoint) = endpoint.clone() {
+        tasks.spawn_local(usage::runner::run(Rc::clone(&context), store.clone(), endpoint));
+    }
     if let Some(endpoint) = endpoint.filter(|_| orders_targets) {
         tasks.spawn_local(scaling::driver::run(Rc::clone(&context), endpoint));
     }
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -27,6 +27,8 @@
     pub further_calls: IntCounterVec,
     /// Notices of targets that want no new requests, by kind.
     pub target_notices: IntCounterVec,
+    /// Pauses within streams that were longer than their route permits, by cause.
+    pub late_pauses: IntCounterVec,
     /// Requests whose caller disconnected.
     pub callers_gone: IntCounter,
     /// Connections opened to targets.
@@ -35,6 +37,8 @@
     pub peer_connections: IntCounter,
     /// Requests that one host sends through another, by this host's role.
     pub peer_requests: IntCounterVec,
+    /// Requests beyond their account's share, by the dispatcher's decision.
+    pub excess_requests: IntCounterVec,
     /// Whether this host is cut off from all targets.
     pub cut_off: IntGauge,
     /// Datagrams from other hosts that this one cannot read.
@@ -67,6 +71,12 @@
     pub duty_held: IntGauge,
     /// Fencing token of the duties' holder, as far as this host knows.
     pub duty_epoch: IntGauge,
+    /// Usage reports sent to the platform, by outcome.
+    pub usage_reports: IntCounterVec,
+    /// Last window whose usage report the platform accepted from this host.
+    pub usage_window: IntGauge,
+    /// Windows whose usage this host passed over as the holder of the duties.
+    pub usage_missed: IntCounter,
     /// Number of known targets.
     pub target_count: IntGauge,
     /// Number of hosts that are up, including this one.
@@ -129,6 +139,11 @@
                 "Targets that said that they are leaving or asked for a pause.",
                 "notice",
             )?,
+            late_pauses: counters(
+                "late_pauses_total",
+                "Pauses within streams that were longer than their route permits, by cause.",
+                "cause",
+            )?,
             callers_gone: counter("callers_gone_total", "Requests whose caller went away.")?,
             connections_opened: counter("connections_total", "Connections opened to targets.")?,
             peer_connections: counter(
@@ -140,6 +155,11 @@
                 "Requests that one host sends through another, by this host's role.",
                 "role",
             )?,
+            excess_requests: counters(
+                "excess_requests_total",
+                "Requests beyond their account's share that this host decided as the dispatcher.",
+                "decision",
+            )?,
             cut_off: gauge("cut_off", "Whether this host reaches no target.")?,
             unreadable_messages: counter(
                 "unreadable_messages_total",
@@ -173,6 +193,13 @@
             store_era: gauge("store_era", "Times that the store came back from a copy.")?,
             duty_held: gauge("duty_held", "Whether this host holds the duties.")?,
             duty_epoch: gauge("duty_epoch", "Fencing token of the duties' holder.")?,
+            usage_reports: counters(
+                "usage_reports_total",
+                "Usage reports sent to the platform, by outcome.",
+                "outcome",
+            )?,
+            usage_window: gauge("usage_window", "Last window whose report was accepted.")?,
+            usage_missed: counter("usage_missed_total", "Windows without a usage report.")?,
             target_count: gauge("targets", "Targets known.")?,
             host_count: gauge("hosts", "Hosts that are there.")?,
             registry,
