feat(placement): refuse at once what no engine's memory holds

Cause: a request larger than an engine's memory waited in the dispatcher's queue for an engine with room, and was refused as late.

--- a/core/src/verdict.rs
+++ b/core/src/verdict.rs
@@ -117,6 +117,8 @@
     /// No target can take the request now. Every attempt, if any, was refused before the request
     /// started.
     NoTarget = ("no-target", 503, NotRun);
+    /// The prompt and its answer are larger than the memory of any target. Nothing was sent.
+    TooLarge = ("too-large", 503, NotRun);
     /// The caller takes up a stream, and the software version at which it began is unknown. Nothing
     /// was sent.
     OriginUnknown = ("origin-unknown", 503, NotRun);
--- a/gateway/src/placement/reservation.rs
+++ b/gateway/src/placement/reservation.rs
@@ -5,7 +5,7 @@
 use fuchsiaknot_core::{clock, verdict::Reason};
 
 use crate::{
-    entry::forward::Forwarder,
+    entry::{forward::Forwarder, prompt::Prompt},
     placement::{
         dispatch::{Placement, Request},
         dispatcher, engine, selection,
@@ -39,6 +39,11 @@
     /// # Errors
     /// Returns the reason when the job is refused.
     pub(crate) async fn reserve_engines(&mut self, resumes: bool) -> Result<Reservation, Reason> {
+        if self.exceeds_memory() {
+            // No return is worthwhile while the caller waits.
+            self.queue_time = self.job.time_left();
+            return Err(if self.may_have_run { Reason::TargetFailed } else { Reason::TooLarge });
+        }
         let requested_at = clock::now();
         let mut outcome = self.request_placement(resumes).await?;
         if matches!(outcome, dispatcher::Outcome::Unusable) {
@@ -130,6 +135,14 @@
         }
     }
 
+    /// Returns whether the job needs more memory than an engine of its service has, so that waiting
+    /// for one with room is in vain.
+    fn exceeds_memory(&self) -> bool {
+        let Prompt { tokens, max_output_tokens, .. } = self.job.prompt;
+        let capacity = self.context.state().kv_capacity_tokens(&self.job.service);
+        capacity < tokens.saturating_add(max_output_tokens)
+    }
+
     fn refuse(&mut self, queue_time: Duration) -> Reason {
         self.queue_time = queue_time;
         if self.may_have_run { Reason::TargetFailed } else { Reason::WouldBeLate }
