--- a/gateway/src/entry/forward.rs
+++ b/gateway/src/entry/forward.rs
@@ -459,6 +459,7 @@
     pub(crate) fn record_target_failure(&mut self, key: Key, failure: &Failure) {
         attempt::record_health(&self.context, key, failure);
         if matches!(failure, Failure::Broken(_)) {
+            self.job.count_run(&self.context);
             self.announce_broken(key);
         }
     }
