feat(scaling): leave half of the calls on duties to the usage reports

Cause: four calls a second may exceed what a platform accepts. Change: orders take at most half of the accepted calls a second.

--- a/gateway/src/scaling/driver.rs
+++ b/gateway/src/scaling/driver.rs
@@ -22,8 +22,10 @@
 
 /// Interval at which the demand is asked for and the number of targets decided.
 const INTERVAL: Duration = Duration::from_secs(1);
-/// Most calls at a time, so that reports of usage find room beside them.
+/// Most calls at a time.
 const MAX_CALLS: usize = 4;
+/// Share of the calls that the platform accepts; the rest is for the other duties.
+const CALL_SHARE: f64 = 0.5;
 
 /// A call with its outcome.
 type Answer = (id::Service, Step, Result<(), duty::Error>);
@@ -65,6 +67,7 @@
             context.state_mut().scaling.reports.clear();
         }
         ask_dispatcher(&context, now);
+        let max_calls = max_calls(&context);
         planners.retain(|service, _| services.contains_key(service));
         for (service, demand) in context.state_mut().scaling.reports.take() {
             if services.contains_key(&service) {
@@ -78,7 +81,7 @@
             show(&context, &service, &config, &fleet, planner.need());
             for step in steps {
                 let is_open = open.iter().any(|(of, pool)| *of == service && *pool == step.pool);
-                if is_open || MAX_CALLS <= calls.len() {
+                if is_open || max_calls <= calls.len() {
                     continue;
                 }
                 log_step(&service, &step);
@@ -90,6 +93,13 @@
     }
 }
 
+/// Returns the number of calls that may be under way in this interval.
+fn max_calls(context: &Context) -> usize {
+    let accepted = context.settings.duties.as_ref().map(|it| it.calls_per_second);
+    let share = accepted.unwrap_or_default() * CALL_SHARE * INTERVAL.as_secs_f64();
+    (share as usize).clamp(1, MAX_CALLS)
+}
+
 /// Makes the call for a step.
 async fn call<E: duty::Endpoint>(
     endpoint: E,
