--- a/gateway/src/scaling/plan.rs
+++ b/gateway/src/scaling/plan.rs
@@ -173,11 +173,11 @@
 
     fn at(demand: &Demand, prefill_share: f64, usual_utilisation: f64) -> Need {
         let targets = |utilisation: f64| demand.targets(utilisation, prefill_share);
-        let after_loss = usual_utilisation * UTILISATION_AFTER_LOSS / USUAL_UTILISATION;
+        let factor = usual_utilisation / USUAL_UTILISATION;
         Need {
             total: targets(usual_utilisation),
-            after_loss: targets(after_loss),
-            firm: targets(1.0 / FIRM_SHARE),
+            after_loss: targets(UTILISATION_AFTER_LOSS * factor),
+            firm: targets(factor / FIRM_SHARE),
         }
     }
 
@@ -347,7 +347,7 @@
             lost_data_centres,
             now,
         };
-        let lasting = mean(self.samples.iter().map(|(_, it)| it));
+        let lasting = self.lowest_demand(boot_time);
         let lasting_need = Need::new(&lasting, fleet.prefill_share);
         let least_need = Need::without_reserve(&recent, fleet.prefill_share);
         let is_met = |need: Need| need.is_met(&expected, lost_data_centres);
@@ -436,15 +436,24 @@
     /// Returns the highest demand of the window, prefill and generation apart, each as the mean of
     /// half a boot time.
     fn highest_demand(&self, boot_time: Duration) -> Demand {
+        self.extreme_demand(boot_time, f64::max)
+    }
+
+    /// Returns the lowest demand of the window in the same way.
+    fn lowest_demand(&self, boot_time: Duration) -> Demand {
+        self.extreme_demand(boot_time, f64::min)
+    }
+
+    fn extreme_demand(&self, boot_time: Duration, choose: fn(f64, f64) -> f64) -> Demand {
         let span = boot_time / 2;
-        let mut highest = mean(self.samples.iter().map(|(_, it)| it));
+        let mut chosen = mean(self.samples.iter().map(|(_, it)| it));
         for (end, _) in &self.samples {
             let part = self.samples.iter().filter(|(at, _)| at <= end && *end < *at + span);
             let part = mean(part.map(|(_, it)| it));
-            highest.prefill = highest.prefill.max(part.prefill);
-            highest.generation = highest.generation.max(part.generation);
+            chosen.prefill = choose(chosen.prefill, part.prefill);
+            chosen.generation = choose(chosen.generation, part.generation);
         }
-        highest
+        chosen
     }
 
     /// Returns whether targets that were ordered for the demand may not serve yet.
