--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -27,6 +27,8 @@
     pub further_calls: IntCounterVec,
     /// Notices of targets that want no new requests, by kind.
     pub target_notices: IntCounterVec,
+    /// Pauses within streams that were longer than their route permits, by cause.
+    pub late_pauses: IntCounterVec,
     /// Requests whose caller disconnected.
     pub callers_gone: IntCounter,
     /// Connections opened to targets.
@@ -35,6 +37,8 @@
     pub peer_connections: IntCounter,
     /// Requests that one host sends through another, by this host's role.
     pub peer_requests: IntCounterVec,
+    /// Requests beyond their account's share, by the dispatcher's decision.
+    pub excess_requests: IntCounterVec,
     /// Whether this host is cut off from all targets.
     pub cut_off: IntGauge,
     /// Datagrams from other hosts that this one cannot read.
@@ -135,6 +139,11 @@
                 "Targets that said that they are leaving or asked for a pause.",
                 "notice",
             )?,
+            late_pauses: counters(
+                "late_pauses_total",
+                "Pauses within streams that were longer than their route permits, by cause.",
+                "cause",
+            )?,
             callers_gone: counter("callers_gone_total", "Requests whose caller went away.")?,
             connections_opened: counter("connections_total", "Connections opened to targets.")?,
             peer_connections: counter(
@@ -146,6 +155,11 @@
                 "Requests that one host sends through another, by this host's role.",
                 "role",
             )?,
+            excess_requests: counters(
+                "excess_requests_total",
+                "Requests beyond their account's share that this host decided as the dispatcher.",
+                "decision",
+            )?,
             cut_off: gauge("cut_off", "Whether this host reaches no target.")?,
             unreadable_messages: counter(
                 "unreadable_messages_total",
--- a/gateway/src/placement/dispatcher.rs
+++ b/gateway/src/placement/dispatcher.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     cluster::peers::{self, Packet},
+    concurrency::report,
     context::{Context, State},
     placement::{
         dispatch::{
@@ -261,6 +262,7 @@
 
 fn decide(context: &Rc<Context>) {
     let now = clock::now();
+    report::update(context);
     context.state_mut().load.expire(now);
     let decided = {
         let state = context.state();
@@ -274,7 +276,12 @@
         decided.extend(unserved.iter().flat_map(|it| queue.refuse_service(it)));
         decided
     };
-    for DecidedRequest { host, request, decision, is_held_up } in decided {
+    for DecidedRequest { host, request, decision, is_held_up, is_excess } in decided {
+        if is_excess {
+            let decision =
+                if matches!(decision, Decision::Place(_)) { "placed" } else { "refused" };
+            context.metrics.excess_requests.with_label_values(&[decision]).inc();
+        }
         let reply = match decision {
             Decision::Refuse(queue_time) => {
                 record_refusal(&mut context.state_mut(), &host, &request);
@@ -317,6 +324,9 @@
     let queued_tokens = state.total_work(prefill_engine.key).prompt_tokens;
     let missing_tokens = state.prefix_cache.missing_tokens(prefill_engine.key, &request.prompt);
     let kv_capacity_tokens = state.kv_capacity_tokens(&request.service);
+    if prefill_engine.stage == Stage::Decode {
+        state.concurrency.record_prompt(prefill_engine.key, now);
+    }
     for (key, _) in &work {
         state.prefix_cache.record_prefill(*key, &request.prompt.parts, kv_capacity_tokens);
     }
