--- a/gateway/src/entry/stream_relay.rs
+++ b/gateway/src/entry/stream_relay.rs
@@ -20,6 +20,10 @@
     },
 };
 
+/// Time after a silence in which what has arrived is read. A process that was suspended finds its
+/// timers expired before it has read what arrived meanwhile.
+const SUSPENSION_GRACE: Duration = Duration::from_millis(5);
+
 /// Reads the next whole event; `None` at the end of a complete stream.
 ///
 /// Fails with [`Failure::Silent`] when the target completes no event within `max_silence`, whatever
@@ -31,6 +35,7 @@
     max_silence: Option<Duration>,
 ) -> Result<Option<Event>, Failure> {
     let started = clock::now();
+    let mut is_overdue = false;
     loop {
         let event = splitter.next_event().map_err(|err| Failure::Broken(err.to_string()))?;
         if event.is_some() {
@@ -39,10 +44,17 @@
         let silence = max_silence.unwrap_or(Duration::MAX);
         let silence = silence.saturating_sub(clock::now().saturating_sub(started));
         let time_left = job.time_left();
-        let chunk = match attempt.response.chunk(silence.min(time_left)).await {
-            Err(Failure::Expired) if silence < time_left => return Err(Failure::Silent),
-            other => other?,
-        };
+        let mut chunk = attempt.response.chunk(silence.min(time_left)).await;
+        let is_silent =
+            |it: &Result<_, Failure>| matches!(it, Err(Failure::Expired)) && silence < time_left;
+        if is_silent(&chunk) && !is_overdue {
+            is_overdue = true;
+            chunk = attempt.response.chunk(SUSPENSION_GRACE).await;
+        }
+        if is_silent(&chunk) {
+            return Err(Failure::Silent);
+        }
+        let chunk = chunk?;
         match chunk {
             Some(bytes) => splitter.push(&bytes),
             None if !splitter.is_within_event() && splitter.take_partial().is_empty() => {
