--- a/gateway/src/scaling/demand.rs
+++ b/gateway/src/scaling/demand.rs
@@ -192,9 +192,7 @@
     let prefill_ms = added(|it| it.prompt_tokens) / prefill_rate.max(f64::MIN_POSITIVE);
     let slot_share = requests as f64 / (slots as f64).max(1.0);
     let fill = (slot_share / SLOT_SHARE).max(cache_share / CACHE_SHARE);
-    // Shorter pauses come from prompts that are prefilled between the events, which count apart.
-    let has_long_pauses = 0 < requests && PAUSE_SHARE < pause_ratio;
-    let fill = if has_long_pauses { fill.max(pause_ratio / PAUSE_SHARE) } else { fill };
+    let fill = if 0 < requests { fill.max(pause_ratio / PAUSE_SHARE) } else { fill };
     // Refused requests would have filled as much as the others.
     let with_refused = 1.0 + refused / placed.max(1.0);
     let origins = after.counts.origins.iter().map(|(origin, count)| {
--- a/gateway/src/scaling/plan.rs
+++ b/gateway/src/scaling/plan.rs
@@ -35,7 +35,7 @@
 /// Factor by which the need grows then.
 const LATE_FACTOR: f64 = 1.25;
 /// Speed of a prefill on an engine that generates, as a share of that on a prefill engine.
-const SHARED_PREFILL_SPEED: f64 = 0.5;
+const SHARED_PREFILL_SPEED: f64 = 0.3;
 /// Largest share of prefill engines that is counted with; some engines have to generate.
 const MAX_PREFILL_SHARE: f64 = 0.9;
 /// Time after which an order counts as not carried out, in boot times.
@@ -163,31 +163,15 @@
 
 impl Need {
     fn new(demand: &Demand, prefill_share: f64) -> Need {
-        Need::at(demand, prefill_share, USUAL_UTILISATION)
-    }
-
-    /// Returns the need of a demand within which the reserve is used up.
-    fn without_reserve(demand: &Demand, prefill_share: f64) -> Need {
-        Need::at(demand, prefill_share, UTILISATION_AFTER_LOSS)
-    }
-
-    fn at(demand: &Demand, prefill_share: f64, usual_utilisation: f64) -> Need {
-        let targets = |utilisation: f64| demand.targets(utilisation, prefill_share);
-        let factor = usual_utilisation / USUAL_UTILISATION;
+        let factor = if LATE_SHARE_TO_RAISE < demand.late_share { LATE_FACTOR } else { 1.0 };
+        let targets = |utilisation: f64| demand.targets(utilisation / factor, prefill_share);
         Need {
-            total: targets(usual_utilisation),
-            after_loss: targets(UTILISATION_AFTER_LOSS * factor),
-            firm: targets(factor / FIRM_SHARE),
+            total: targets(USUAL_UTILISATION),
+            after_loss: targets(UTILISATION_AFTER_LOSS),
+            firm: targets(1.0 / FIRM_SHARE),
         }
     }
 
-    /// Returns the need multiplied by a factor.
-    fn times(self, factor: f64) -> Need {
-        let times = |count: u32| ((f64::from(count) * factor).ceil() as u32).min(MAX_COUNT);
-        let Need { total, after_loss, firm } = self;
-        Need { total: times(total), after_loss: times(after_loss), firm: times(firm) }
-    }
-
     /// Returns whether targets suffice, also after a loss.
     fn is_met(self, layout: &Layout, lost_data_centres: usize) -> bool {
         let sum = |count: fn(Counts) -> u32| layout.values().map(|it| count(*it)).sum::<u32>();
@@ -347,25 +331,9 @@
             lost_data_centres,
             now,
         };
-        let lasting = self.lowest_demand(boot_time);
-        let lasting_need = Need::new(&lasting, fleet.prefill_share);
-        let least_need = Need::without_reserve(&recent, fleet.prefill_share);
-        let is_met = |need: Need| need.is_met(&expected, lost_data_centres);
-        let raised_need = if !is_met(least_need) {
-            Some(now_need)
-        } else if !is_met(lasting_need) {
-            Some(lasting_need)
-        } else if LATE_SHARE_TO_RAISE < lasting.late_share
-            && is_met(now_need)
-            && !self.awaits(window, now)
-        {
-            Some(now_need.times(LATE_FACTOR))
-        } else {
-            None
-        };
-        if let Some(need) = raised_need {
-            let wanted = union(&expected, &request.layout(need));
-            return steps(&expected, &wanted, Cause::Demand, need);
+        if !now_need.is_met(&expected, lost_data_centres) {
+            let wanted = union(&expected, &request.layout(kept_need));
+            return steps(&expected, &wanted, Cause::Demand, now_need);
         }
         let is_unknown = self.observed_since.is_none_or(|it| now < it + boot_time);
         if is_unknown || LATE_SHARE_TO_LOWER < recent.late_share {
@@ -436,35 +404,23 @@
     /// Returns the highest demand of the window, prefill and generation apart, each as the mean of
     /// half a boot time.
     fn highest_demand(&self, boot_time: Duration) -> Demand {
-        self.extreme_demand(boot_time, f64::max)
-    }
-
-    /// Returns the lowest demand of the window in the same way.
-    fn lowest_demand(&self, boot_time: Duration) -> Demand {
-        self.extreme_demand(boot_time, f64::min)
-    }
-
-    fn extreme_demand(&self, boot_time: Duration, choose: fn(f64, f64) -> f64) -> Demand {
         let span = boot_time / 2;
-        let mut chosen = mean(self.samples.iter().map(|(_, it)| it));
+        let mut highest = mean(self.samples.iter().map(|(_, it)| it));
         for (end, _) in &self.samples {
             let part = self.samples.iter().filter(|(at, _)| at <= end && *end < *at + span);
             let part = mean(part.map(|(_, it)| it));
-            chosen.prefill = choose(chosen.prefill, part.prefill);
-            chosen.generation = choose(chosen.generation, part.generation);
+            highest.prefill = highest.prefill.max(part.prefill);
+            highest.generation = highest.generation.max(part.generation);
         }
-        chosen
-    }
-
-    /// Returns whether targets that were ordered for the demand may not serve yet.
-    fn awaits(&self, window: Duration, now: Moment) -> bool {
-        self.raised_at.is_some_and(|it| now < it + window)
+        highest
     }
 
     fn may_lower(&self, window: Duration, now: Moment) -> bool {
         let has_passed = |at: Option<Moment>| at.is_some_and(|it| it + window <= now);
         let is_fresh = self.samples.back().is_some_and(|(at, _)| now < *at + MAX_AGE_TO_LOWER);
-        is_fresh && has_passed(self.observed_since) && !self.awaits(window, now)
+        is_fresh
+            && has_passed(self.observed_since)
+            && (self.raised_at.is_none() || has_passed(self.raised_at))
     }
 }
 
