fix(concurrency): prefer engines whose streams keep their pauses instead of requiring them

Change: among engines that are on time, those whose streams keep their pauses go first; no prompt is refused because of the limit.

--- a/gateway/src/placement/engine.rs
+++ b/gateway/src/placement/engine.rs
@@ -326,19 +326,18 @@
 }
 
 /// Returns the engine with the lowest cost among those with room; any engine that would meet the
-/// objective is preferred to one that wouldn't.
+/// objective is preferred to one that wouldn't, and of these one whose streams keep theirs.
 pub fn choose(
     candidates: &[Candidate],
     latency_model: &LatencyModel,
     latency_budget: LatencyBudget,
 ) -> Option<Choice> {
-    // Without a prefill engine, the streams have to share their engines with prompts.
-    let may_pause = candidates.iter().all(|it| it.stage == Stage::Decode);
-    let available = candidates
-        .iter()
-        .filter(|it| it.has_room() && (may_pause || it.keeps_pauses(latency_model)));
+    let available = candidates.iter().filter(|it| it.has_room());
     let scored = available.map(|it| ScoredChoice::new(it, latency_model));
-    let sort_key = |it: &ScoredChoice| (!is_on_time(latency_budget, it.choice.estimate), it.cost);
+    let sort_key = |it: &ScoredChoice| {
+        let is_late = !is_on_time(latency_budget, it.choice.estimate);
+        (is_late, !it.keeps_pauses, it.cost)
+    };
     scored.min_by_key(sort_key).map(|it| it.choice)
 }
 
@@ -346,6 +345,8 @@
 #[derive(Debug, Clone, Copy)]
 struct ScoredChoice {
     choice: Choice,
+    /// Whether the streams that run there keep the objective for their pauses.
+    keeps_pauses: bool,
     cost: Duration,
 }
 
@@ -371,6 +372,7 @@
             .mul_f64(DUPLICATE_PREFILL_WEIGHT);
         ScoredChoice {
             choice,
+            keeps_pauses: candidate.keeps_pauses(latency_model),
             cost: estimate.first_event + delay_of_others + non_home_penalty + duplicate_penalty,
         }
     }
--- a/gateway/src/placement/shortlist.rs
+++ b/gateway/src/placement/shortlist.rs
@@ -46,8 +46,6 @@
     /// Measure of how much one more generation would be slowed down.
     occupancy: f64,
     has_slot: bool,
-    /// Whether it may prefill a prompt, however short, beside its streams.
-    keeps_pauses: bool,
     free_kv_tokens: u64,
 }
 
@@ -60,7 +58,6 @@
             version: engine.version,
             first_event_ms: candidate.estimate(latency_model).first_event.as_secs_f64() * 1e3,
             occupancy: candidate.occupancy(),
-            keeps_pauses: engine.without_prompt().keeps_pauses(latency_model),
             has_slot: candidate.requests < candidate.slots,
             free_kv_tokens: candidate.kv_capacity_tokens.saturating_sub(candidate.used_kv_tokens),
         }
@@ -134,9 +131,7 @@
                 }
                 Stage::Decode => {
                     let of_version = decode.entry(load.version).or_insert_with(Least::new);
-                    if load.keeps_pauses {
-                        of_version.offer(load.first_event_ms, position);
-                    }
+                    of_version.offer(load.first_event_ms, position);
                     let of_data_centre = least_occupied.entry((load.version, load.data_centre));
                     of_data_centre.or_insert_with(Least::new).offer(load.occupancy, position);
                 }
