--- a/core/src/verdict.rs
+++ b/core/src/verdict.rs
@@ -93,6 +93,8 @@
     OutOfMemory = ("out-of-memory", 503, NotRun);
     /// The caller's connection was idle for too long. No request was open on the connection.
     IdleTimeout = ("idle-timeout", 408, NotRun);
+    /// The caller reads its response too slowly. The connection was closed.
+    SlowReader = ("slow-reader", 408, Ran);
     /// The host is shutting down. Checked before admission.
     Leaving = ("leaving", 503, NotRun);
     /// The host's configuration is older than allowed, and a later one may be in force. Checked
@@ -115,6 +117,8 @@
     /// No target can take the request now. Every attempt, if any, was refused before the request
     /// started.
     NoTarget = ("no-target", 503, NotRun);
+    /// The prompt and its answer are larger than the memory of any target. Nothing was sent.
+    TooLarge = ("too-large", 503, NotRun);
     /// The caller takes up a stream, and the software version at which it began is unknown. Nothing
     /// was sent.
     OriginUnknown = ("origin-unknown", 503, NotRun);
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -37,6 +37,8 @@
     pub peer_connections: IntCounter,
     /// Requests that one host sends through another, by this host's role.
     pub peer_requests: IntCounterVec,
+    /// Requests beyond their account's share, by the dispatcher's decision.
+    pub excess_requests: IntCounterVec,
     /// Whether this host is cut off from all targets.
     pub cut_off: IntGauge,
     /// Datagrams from other hosts that this one cannot read.
@@ -57,6 +59,10 @@
     pub needed_targets: IntGaugeVec,
     /// Log lines dropped since the start.
     pub dropped_lines: IntGauge,
+    /// Bytes of bodies in memory beyond those that each may have, by direction.
+    pub body_bytes: IntGaugeVec,
+    /// Callers that were cut for the memory that they held.
+    pub evicted_callers: IntGauge,
     /// Version of the configuration in force.
     pub configuration_version: IntGauge,
     /// Era of the store: how often it came back from an earlier copy.
@@ -65,6 +71,12 @@
     pub duty_held: IntGauge,
     /// Fencing token of the duties' holder, as far as this host knows.
     pub duty_epoch: IntGauge,
+    /// Usage reports sent to the platform, by outcome.
+    pub usage_reports: IntCounterVec,
+    /// Last window whose usage report the platform accepted from this host.
+    pub usage_window: IntGauge,
+    /// Windows whose usage this host passed over as the holder of the duties.
+    pub usage_missed: IntCounter,
     /// Number of known targets.
     pub target_count: IntGauge,
     /// Number of hosts that are up, including this one.
@@ -108,7 +120,11 @@
             Opts::new("belief_age_milliseconds", "Time since a belief was last confirmed.");
         let table_age = IntGaugeVec::new(table_age, &["matter"])?;
         registry.register(Box::new(table_age.clone()))?;
+        let body_bytes = Opts::new("body_bytes", "Memory that bodies share, by direction.");
+        let body_bytes = IntGaugeVec::new(body_bytes, &["direction"])?;
+        registry.register(Box::new(body_bytes.clone()))?;
         let metrics = Metrics {
+            body_bytes,
             answered: counters("answered_total", "Requests answered, by status.", "status")?,
             refused: counters("refused_total", "Requests refused, by reason.", "reason")?,
             attempts: counters("attempts_total", "Requests sent, by outcome.", "outcome")?,
@@ -139,6 +155,11 @@
                 "Requests that one host sends through another, by this host's role.",
                 "role",
             )?,
+            excess_requests: counters(
+                "excess_requests_total",
+                "Requests beyond their account's share that this host decided as the dispatcher.",
+                "decision",
+            )?,
             cut_off: gauge("cut_off", "Whether this host reaches no target.")?,
             unreadable_messages: counter(
                 "unreadable_messages_total",
@@ -167,14 +188,25 @@
                 &["service", "purpose"],
             )?,
             dropped_lines: gauge("log_lines_dropped", "Log lines dropped since the start.")?,
+            evicted_callers: gauge("evicted_callers", "Callers cut for the memory they held.")?,
             configuration_version: gauge("configuration_version", "Configuration in force.")?,
             store_era: gauge("store_era", "Times that the store came back from a copy.")?,
             duty_held: gauge("duty_held", "Whether this host holds the duties.")?,
             duty_epoch: gauge("duty_epoch", "Fencing token of the duties' holder.")?,
+            usage_reports: counters(
+                "usage_reports_total",
+                "Usage reports sent to the platform, by outcome.",
+                "outcome",
+            )?,
+            usage_window: gauge("usage_window", "Last window whose report was accepted.")?,
+            usage_missed: counter("usage_missed_total", "Windows without a usage report.")?,
             target_count: gauge("targets", "Targets known.")?,
             host_count: gauge("hosts", "Hosts that are there.")?,
             registry,
         };
+        for direction in ["requests", "responses"] {
+            metrics.body_bytes.with_label_values(&[direction]);
+        }
         for reason in Reason::ALL {
             metrics.refused.with_label_values(&[reason.code()]);
         }
