revert(concurrency): take the limit on prompts beside streams out again

Where demand exceeds the engines, prompts waited for prefill engines that engines with streams could have taken.

--- a/gateway/src/cluster/peers.rs
+++ b/gateway/src/cluster/peers.rs
@@ -362,7 +362,6 @@
             for (target, summary) in slowness {
                 if let Some(key) = state.registry.key(&target) {
                     state.slowness.record_summary(key, summary, now);
-                    state.record_pauses(key, summary.count);
                 }
             }
             state.load.acknowledge_grants(&host, last_grant);
--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -16,7 +16,6 @@
         membership::{Host, Membership},
         messages, origin_lookup, stream_origin,
     },
-    concurrency,
     configuration::Configuration,
     duty,
     entry::{
@@ -39,7 +38,6 @@
         health::Health,
         notice, poison, poison_part, rate_limit, reachability, refusal,
         registry::{Event, Key, Registry},
-        target::Stage,
     },
     upstream::{
         connection::Pool,
@@ -205,8 +203,6 @@
     pub stream_origins: stream_origin::Tracker,
     /// Client accounts.
     pub accounts: account::State,
-    /// Concurrency limits of the targets.
-    pub concurrency: concurrency::Tracker,
     /// Duties that one host performs for all.
     pub duties: duty::State,
     /// Number of targets that each service needs.
@@ -277,14 +273,6 @@
         self.rate_limits.divide(own, self.membership.limit_sharers(now), now);
     }
 
-    /// Records pauses between events at an engine that generates.
-    pub fn record_pauses(&mut self, key: Key, count: u32) {
-        let Some(target) = self.registry.get(key) else { return };
-        if target.stage != Some(Stage::Prefill) {
-            self.concurrency.record_pauses(&target.service, count);
-        }
-    }
-
     /// Returns the work of all hosts at a target; none for an unknown target.
     pub fn total_work(&self, key: Key) -> Work {
         let target = self.registry.get(key);
@@ -328,7 +316,6 @@
             deadlines: Deadlines::default(),
             stream_origins: stream_origin::Tracker::default(),
             accounts: account::State::default(),
-            concurrency: concurrency::Tracker::default(),
             duties: duty::State::default(),
             scaling: scaling::State::default(),
             usage: usage::State::default(),
@@ -571,7 +558,6 @@
                     state.slowness.forget(key);
                     state.availability.forget(key, &id, clock::now());
                     state.rate_limits.forget(key);
-                    state.concurrency.forget(key);
                     state.refusals.forget(key);
                     state.reachability.forget(key);
                     tracing::info!(code = 8003, target = %id, "target gone");
--- a/gateway/src/entry/stream_relay.rs
+++ b/gateway/src/entry/stream_relay.rs
@@ -6,7 +6,6 @@
 use fuchsiaknot_core::clock::{self, Moment};
 
 use crate::{
-    concurrency::report,
     context::Context,
     entry::{
         forward::{Forwarder, log_response},
@@ -198,9 +197,6 @@
             let latency_model = state.latency_models.entry(job.service.clone()).or_default();
             latency_model.record_pause(pause, job.route.max_event_gap);
             state.slowness.record(key, pause.as_secs_f64() * 1e3, now);
-            state.record_pauses(key, 1);
-            drop(state);
-            report::record(context, key, pause, job.route.max_event_gap);
         }
     }
 
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -3,14 +3,13 @@
 //! Everything runs on one thread. The folders follow a request's way: [`entry`] reads it and writes
 //! the response, [`placement`] chooses its targets, [`upstream`] sends it there. [`targets`] is what
 //! this host knows of the targets, [`cluster`] what the hosts exchange, [`store`] the synchronisation
-//! with the platform's store. [`account`], [`duty`], [`usage`], [`scaling`] and [`concurrency`] are
-//! parts that a configuration switches on. Modules that decide do no I/O and read no clock; the others call them.
+//! with the platform's store. [`account`], [`duty`], [`usage`] and [`scaling`] are parts
+//! that a configuration switches on. Modules that decide do no I/O and read no clock; the others call them.
 //! A deployment's platform supplies its names and formats through [`store::Store`],
 //! [`entry::headers::HeaderNames`] and [`entry::directory::Directory`].
 
 pub mod account;
 pub mod cluster;
-pub mod concurrency;
 pub mod configuration;
 pub mod context;
 pub mod duty;
@@ -40,7 +39,6 @@
 use crate::{
     account::proof,
     cluster::{peer_server, peer_ticket, peers},
-    concurrency::report,
     context::{Bounds, Context},
     duty::Endpoint,
     entry::{
@@ -84,7 +82,6 @@
 ) -> io::Result<()> {
     let (phase, phase_watch) = sync::watch::channel(Phase::Open);
     proof::register(&context);
-    report::register(&context);
     serve_ports(&context, directory, &phase_watch)?;
     drop(phase_watch);
     let mut tasks = JoinSet::new();
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -27,8 +27,6 @@
     pub further_calls: IntCounterVec,
     /// Notices of targets that want no new requests, by kind.
     pub target_notices: IntCounterVec,
-    /// Pauses within streams that were longer than their route permits, by cause.
-    pub late_pauses: IntCounterVec,
     /// Requests whose caller disconnected.
     pub callers_gone: IntCounter,
     /// Connections opened to targets.
@@ -139,11 +137,6 @@
                 "Targets that said that they are leaving or asked for a pause.",
                 "notice",
             )?,
-            late_pauses: counters(
-                "late_pauses_total",
-                "Pauses within streams that were longer than their route permits, by cause.",
-                "cause",
-            )?,
             callers_gone: counter("callers_gone_total", "Requests whose caller went away.")?,
             connections_opened: counter("connections_total", "Connections opened to targets.")?,
             peer_connections: counter(
--- a/gateway/src/placement/dispatch.rs
+++ b/gateway/src/placement/dispatch.rs
@@ -365,8 +365,6 @@
     pub work: Work,
     /// Share of recent requests that failed there, from 0 to 1.
     pub failure_rate: f64,
-    /// Longest prefill that it may run beside its streams; `None` without a limit.
-    pub prefill_limit: Option<Duration>,
     /// Factor by which it is slower than the other engines of its stage; 1 if it isn't.
     pub slowness: f64,
 }
@@ -411,7 +409,6 @@
             kv_capacity_tokens: self.kv_capacity_tokens,
             needed_kv_tokens: 0,
             failure_rate: self.failure_rate,
-            prefill_limit: self.prefill_limit,
             slowness: self.slowness,
         }
     }
--- a/gateway/src/placement/dispatcher.rs
+++ b/gateway/src/placement/dispatcher.rs
@@ -13,7 +13,6 @@
 
 use crate::{
     cluster::peers::{self, Packet},
-    concurrency::report,
     context::{Context, State},
     placement::{
         dispatch::{
@@ -262,7 +261,6 @@
 
 fn decide(context: &Rc<Context>) {
     let now = clock::now();
-    report::update(context);
     context.state_mut().load.expire(now);
     let decided = {
         let state = context.state();
@@ -324,9 +322,6 @@
     let queued_tokens = state.total_work(prefill_engine.key).prompt_tokens;
     let missing_tokens = state.prefix_cache.missing_tokens(prefill_engine.key, &request.prompt);
     let kv_capacity_tokens = state.kv_capacity_tokens(&request.service);
-    if prefill_engine.stage == Stage::Decode {
-        state.concurrency.record_prompt(prefill_engine.key, now);
-    }
     for (key, _) in &work {
         state.prefix_cache.record_prefill(*key, &request.prompt.parts, kv_capacity_tokens);
     }
--- a/gateway/src/placement/engine.rs
+++ b/gateway/src/placement/engine.rs
@@ -258,8 +258,6 @@
     pub needed_kv_tokens: u64,
     /// Share of recent requests that failed there, from 0 to 1.
     pub failure_rate: f64,
-    /// Longest prefill that it may run beside its streams; `None` without a limit.
-    pub prefill_limit: Option<Duration>,
     /// Factor by which it is slower than the other engines of its stage; 1 if it isn't.
     pub slowness: f64,
 }
@@ -271,14 +269,6 @@
             && self.used_kv_tokens + self.needed_kv_tokens <= self.kv_capacity_tokens
     }
 
-    /// Returns whether the prompt can be prefilled there while the streams that run beside it keep
-    /// the objective for their pauses.
-    pub fn keeps_pauses(&self, latency_model: &LatencyModel) -> bool {
-        let Some(limit) = self.prefill_limit.filter(|_| 0 < self.requests) else { return true };
-        let tokens = self.queued_tokens + self.missing_tokens;
-        latency_model.prefill_time(self.stage, tokens).mul_f64(self.slowness) <= limit
-    }
-
     /// Returns the expected latencies of the request there.
     pub(crate) fn estimate(&self, latency_model: &LatencyModel) -> Estimate {
         let prefill_time =
@@ -326,7 +316,7 @@
 }
 
 /// Returns the engine with the lowest cost among those with room; any engine that would meet the
-/// objective is preferred to one that wouldn't, and of these one whose streams keep theirs.
+/// objective is preferred to one that wouldn't.
 pub fn choose(
     candidates: &[Candidate],
     latency_model: &LatencyModel,
@@ -334,10 +324,7 @@
 ) -> Option<Choice> {
     let available = candidates.iter().filter(|it| it.has_room());
     let scored = available.map(|it| ScoredChoice::new(it, latency_model));
-    let sort_key = |it: &ScoredChoice| {
-        let is_late = !is_on_time(latency_budget, it.choice.estimate);
-        (is_late, !it.keeps_pauses, it.cost)
-    };
+    let sort_key = |it: &ScoredChoice| (!is_on_time(latency_budget, it.choice.estimate), it.cost);
     scored.min_by_key(sort_key).map(|it| it.choice)
 }
 
@@ -345,8 +332,6 @@
 #[derive(Debug, Clone, Copy)]
 struct ScoredChoice {
     choice: Choice,
-    /// Whether the streams that run there keep the objective for their pauses.
-    keeps_pauses: bool,
     cost: Duration,
 }
 
@@ -372,7 +357,6 @@
             .mul_f64(DUPLICATE_PREFILL_WEIGHT);
         ScoredChoice {
             choice,
-            keeps_pauses: candidate.keeps_pauses(latency_model),
             cost: estimate.first_event + delay_of_others + non_home_penalty + duplicate_penalty,
         }
     }
--- a/gateway/src/placement/selection.rs
+++ b/gateway/src/placement/selection.rs
@@ -49,7 +49,6 @@
         state.slowness.median(of_stage)
     };
     let (prefill_median, decode_median) = (median(Stage::Prefill), median(Stage::Decode));
-    let pause_limit = state.concurrency.pause_limit(service);
     let mut data_centres: Vec<&id::DataCentre> = Vec::new();
     let mut versions: Vec<&Option<id::SoftwareVersion>> = Vec::new();
     let engines = targets.iter().map(|(key, target)| Engine {
@@ -63,13 +62,6 @@
         kv_capacity_tokens,
         work: state.total_work(*key),
         failure_rate: state.health.failure_rate(*key),
-        prefill_limit: pause_limit.filter(|_| stage(target) == Stage::Decode).and_then(|limit| {
-            if state.concurrency.is_slow(*key, now) {
-                return Some(Duration::ZERO);
-            }
-            let usual_ms = state.slowness.typical(*key, decode_median, now)?;
-            Some(limit.prefill_time(Duration::from_secs_f64(usual_ms / 1e3)))
-        }),
         slowness: match stage(target) {
             Stage::Prefill => state.slowness.factor(*key, prefill_median, now),
             Stage::Decode => state.slowness.factor(*key, decode_median, now),
--- a/gateway/src/placement/slowness.rs
+++ b/gateway/src/placement/slowness.rs
@@ -94,12 +94,6 @@
         means.get(means.len() / 2).copied()
     }
 
-    /// Returns an engine's average while it is recent, and otherwise the median of its peers.
-    pub fn typical(&self, key: Key, median: Option<f64>, now: Moment) -> Option<f64> {
-        let recent = self.engines.get(key).filter(|it| now < it.updated + DECAY_HALF_LIFE);
-        recent.map(|it| it.mean).or(median)
-    }
-
     /// Returns the factor by which an engine is slower than the median of its stage; 1 if the
     /// difference is within normal variation.
     pub fn factor(&self, key: Key, median: Option<f64>, now: Moment) -> f64 {
--- a/gateway/src/store/sync.rs
+++ b/gateway/src/store/sync.rs
@@ -7,7 +7,6 @@
 use crate::{
     account::proof,
     cluster::peers::{self, Packet},
-    concurrency::report,
     configuration::Configuration,
     context::{Context, State},
     logging::Log,
@@ -538,7 +537,6 @@
             );
             logged_drops = dropped;
         }
-        report::log(&context);
         for (service, latency_model) in &context.state().latency_models {
             latency_model.log(service);
         }
--- a/gateway/tests/catalogue.rs
+++ b/gateway/tests/catalogue.rs
@@ -65,7 +65,6 @@
     metrics.retried.with_label_values(&["silent"]);
     metrics.further_calls.with_label_values(&["run"]);
     metrics.target_notices.with_label_values(&["leaving"]);
-    metrics.late_pauses.with_label_values(&["prompt"]);
     metrics.peer_requests.with_label_values(&["sent"]);
     metrics.excess_requests.with_label_values(&["placed"]);
     metrics.usage_reports.with_label_values(&["accepted"]);
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -88,7 +88,6 @@
         kv_capacity_tokens: 700_000,
         work: Work::default(),
         failure_rate: 0.0,
-        prefill_limit: None,
         slowness: 1.0,
     }
 }
