style(duty): usual terms for claims and counts that hosts send

Cause: a reader of the diff met hear, heard and tell where the field says observe, receive and announce. Change: names and comments, no logic.

--- a/gateway/src/duty/lease.rs
+++ b/gateway/src/duty/lease.rs
@@ -146,7 +146,7 @@
     /// Starts a later era of the store, in which the record may be any earlier one.
     ///
     /// A lease of the earlier era ends here. For other hosts it ends by its time: they count from
-    /// their first sight of the record in this era.
+    /// when they first read the record in this era.
     pub fn observe_era(&mut self, era: id::Era) {
         if era <= self.era {
             return;
@@ -158,7 +158,7 @@
     }
 
     /// Handles another host's claim to the lease.
-    pub fn hear(&mut self, claim: Claim, now: Moment) {
+    pub fn observe_claim(&mut self, claim: Claim, now: Moment) {
         self.observe_era(claim.era);
         self.raise(claim.epoch);
         if claim.era < self.era || self.claim.is_some_and(|(it, _)| claim.version < it.version) {
@@ -201,15 +201,15 @@
         self.pass_observed();
     }
 
-    /// Returns whether the record is to be read: this host is a candidate, and neither has the record
-    /// nor hears of a holder.
+    /// Returns whether the record is to be read: this host is a candidate, and has neither the record
+    /// nor a recent claim.
     pub fn needs_read(&self, role: Role, now: Moment) -> bool {
         if !matches!(role, Role::Candidate { .. }) || self.controller.held_epoch(now).is_some() {
             return false;
         }
-        let Some((claim, heard)) = self.claim else { return self.observed.is_none() };
+        let Some((claim, received)) = self.claim else { return self.observed.is_none() };
         let is_behind = self.observed.as_ref().is_none_or(|it| it.version < claim.version);
-        let is_silent = heard + self.config.lease.renew_every * 2 <= now;
+        let is_silent = received + self.config.lease.renew_every * 2 <= now;
         is_behind && (claim.is_released || is_silent)
     }
 
--- a/gateway/src/duty/runner.rs
+++ b/gateway/src/duty/runner.rs
@@ -83,7 +83,7 @@
     let (mut state, now) = (context.state_mut(), clock::now());
     let holder = Credential { holder: sender, epoch: announcement.epoch };
     if let Some(lease) = &mut state.duties.lease {
-        lease.hear(announcement.into(), now);
+        lease.observe_claim(announcement.into(), now);
     }
     state.duties.set_holder(holder);
     update_tenure(context, &mut state.duties, now);
--- a/gateway/src/entry/forward.rs
+++ b/gateway/src/entry/forward.rs
@@ -35,7 +35,7 @@
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Retry delay sent to callers whose body had no room; another host is likely to have some.
 const OUT_OF_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(300);
-/// Retry delay sent to callers whose key this host cannot check while it hears of no other host;
+/// Retry delay sent to callers whose key this host cannot check while it knows of no other host;
 /// another one is likely to be able to.
 const ALONE_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Retry delay sent to such callers while the other hosts cannot check keys either. By then each of
--- a/gateway/src/upstream/target_response.rs
+++ b/gateway/src/upstream/target_response.rs
@@ -196,7 +196,7 @@
             || head.headers.contains_key(header::TRANSFER_ENCODING);
         let closes = closes_connection(&head.headers);
         let is_leaving = context.state().availability.is_leaving(key);
-        // A late copy of a response that doesn't name its request could not be told apart.
+        // A late copy of a response that doesn't name its request could not be recognised.
         let names_request = head.headers.contains_key(&context.header_names.request_id);
         if is_framed && names_request && !closes && !is_leaving {
             context.pool.put_back(key, connection, keep_alive(&head.headers));
--- a/gateway/src/usage/counter.rs
+++ b/gateway/src/usage/counter.rs
@@ -1,4 +1,4 @@
-//! Requests that began to run through this host, and what of them the holder of the duties is to hear.
+//! Requests that began to run through this host, and what of them goes to the holder of the duties.
 //!
 //! Answers lost datagrams and changes of the holder: counts are cumulative, and those of a window that
 //! has ended are sent again until the window is committed.
@@ -64,7 +64,7 @@
         self.0 = self.0.split_off(&window);
     }
 
-    /// Returns what the holder is to hear during the window `current`: all counts of the first windows
+    /// Returns what goes to the holder during the window `current`: all counts of the first windows
     /// from `next` on that have ended, and what has changed since the last call in the others. With `all`,
     /// everything, for a new holder.
     pub fn batches(&mut self, next: Window, current: Window, all: bool) -> Vec<Batch> {
--- a/gateway/src/usage/runner.rs
+++ b/gateway/src/usage/runner.rs
@@ -104,7 +104,7 @@
     state.usage.tracker().map(|it| operation(it, now))
 }
 
-/// Sends the holder what it has not heard; everything, if it is another one than `sent_to`.
+/// Sends the holder what it has not been sent; everything, if it is another one than `sent_to`.
 fn send_counts(context: &Context, sent_to: &mut Option<Credential>) {
     let holder = context.state().duties.holder().cloned();
     let own_name = &context.settings.host.name;
--- a/gateway/tests/duty.rs
+++ b/gateway/tests/duty.rs
@@ -64,7 +64,7 @@
         run: u64,
         answer: Answer,
     },
-    Hear {
+    Claim {
         host: usize,
         claim: Claim,
     },
@@ -234,7 +234,7 @@
                     self.answer(host, run, answer);
                 }
             }
-            Event::Answer { host, .. } | Event::Hear { host, .. } => {
+            Event::Answer { host, .. } | Event::Claim { host, .. } => {
                 self.hosts[host].inbox.push(event);
             }
         }
@@ -252,9 +252,9 @@
     /// Handles what has arrived at a host that runs.
     fn receive(&mut self, event: Event) {
         match event {
-            Event::Hear { host, claim } => {
+            Event::Claim { host, claim } => {
                 let now = self.hosts[host].now(self.time);
-                self.hosts[host].lease.hear(claim, now);
+                self.hosts[host].lease.observe_claim(claim, now);
             }
             Event::Answer { host, run, answer } if run == self.hosts[host].run => {
                 let now = self.hosts[host].now(self.time);
@@ -269,7 +269,7 @@
                         let (era, epoch) = (lease.era(), attempt.record.epoch);
                         let released = Claim { era, version, epoch, is_released };
                         let claim = if is_released { Some(released) } else { lease.claim(now) };
-                        self.tell(host, claim);
+                        self.announce(host, claim);
                     }
                 }
             }
@@ -277,12 +277,12 @@
         }
     }
 
-    fn tell(&mut self, from: usize, claim: Option<Claim>) {
+    fn announce(&mut self, from: usize, claim: Option<Claim>) {
         let Some(claim) = claim else { return };
         for host in (0..HOSTS).filter(|it| *it != from) {
             if !self.chance(0.2) {
                 let delay = if self.chance(0.1) { 3000 } else { 5 };
-                self.schedule(delay, Event::Hear { host, claim });
+                self.schedule(delay, Event::Claim { host, claim });
             }
         }
     }
