feat(observability): tell how a configuration came in force and by which version another host handled a request

Cause: the log could not tell a change that arrives late (C1) from one that a host did not ask for (C2) or that only another host knew (C3): "configuration in force" named neither the call that brought it nor how long the host had known that it lacked something, and "request sent through another host" named no version. Change: 8010 has call and behind_ms, 8062 has version and host_version. The other host names its version in a response header, which is removed; hosts of earlier builds send none. No decision changes.

--- a/gateway/src/account/proof.rs
+++ b/gateway/src/account/proof.rs
@@ -119,7 +119,7 @@
     let mut state = context.state_mut();
     let is_due = state.accounts.freshness.needs_call(DRIFT_TOLERANCE, clock::now());
     if is_due && state.configuration_watch.is_known() && !state.configuration_watch.is_behind() {
-        state.configuration_watch.mark_behind();
+        state.configuration_watch.mark_behind(clock::now());
         context.update_missed.notify_waiters();
     }
 }
--- a/gateway/src/cluster/peer_proxy.rs
+++ b/gateway/src/cluster/peer_proxy.rs
@@ -19,7 +19,7 @@
 use crate::{
     cluster::{
         membership::Host,
-        peer_ticket::{NOT_TAKEN_HEADER, Ticket},
+        peer_ticket::{NOT_TAKEN_HEADER, Ticket, VERSION_HEADER},
     },
     context::Context,
     entry::{
@@ -65,8 +65,8 @@
         let Some(host) = host else { break };
         tried.push(host.name.clone());
         match send(context, job, &host).await {
-            Ok(response) => {
-                log_forwarded(job, &host, response.status());
+            Ok((response, version)) => {
+                log_forwarded(job, &host, response.status(), version);
                 return Ok(response);
             }
             Err(Failure::NotTaken) => {}
@@ -78,22 +78,25 @@
     Err(if may_have_run { Reason::TargetFailed } else { Reason::NoTarget })
 }
 
-fn log_forwarded(job: &Job, host: &Host, status: StatusCode) {
+fn log_forwarded(job: &Job, host: &Host, status: StatusCode, host_version: Option<id::Version>) {
     tracing::info!(
         code = 8062,
         id = %job.id,
         host = %host.name,
+        version = job.configuration_version,
+        host_version,
         status = status.as_u16(),
         "request sent through another host"
     );
 }
 
-/// Sends a job to another host and returns its response, of which a stream goes on arriving.
+/// Sends a job to another host and returns its response, of which a stream goes on arriving, and the
+/// version of the configuration by which it handled the job.
 async fn send(
     context: &Rc<Context>,
     job: &Rc<Job>,
     host: &Host,
-) -> Result<Response<Body>, Failure> {
+) -> Result<(Response<Body>, Option<id::Version>), Failure> {
     let mut connection = match context.peer_pool.take_idle(&host.name) {
         Some(connection) => connection,
         None => context.peer_pool.open(host.peer_address).await.map_err(|_| Failure::NotTaken)?,
@@ -130,7 +133,14 @@
         connection,
         body,
     };
-    exchange.forward(head).await
+    let version = handled_version(&head);
+    Ok((exchange.forward(head).await?, version))
+}
+
+/// Returns the version of the configuration by which another host handled a job; `None` if it is of a
+/// build that does not say.
+fn handled_version(head: &Parts) -> Option<id::Version> {
+    head.headers.get(VERSION_HEADER)?.to_str().ok()?.parse().ok()
 }
 
 /// Completes once another host was restarted, or has been down for [`MAX_SILENCE`].
@@ -190,6 +200,7 @@
         let mut response = Response::new(body);
         *response.status_mut() = head.status;
         *response.headers_mut() = end_to_end(&head.headers);
+        response.headers_mut().remove(VERSION_HEADER);
         Ok(response)
     }
 
--- a/gateway/src/cluster/peer_server.rs
+++ b/gateway/src/cluster/peer_server.rs
@@ -5,7 +5,7 @@
 use hyper::{Request, Response, StatusCode, body::Incoming, header::HeaderValue};
 
 use crate::{
-    cluster::peer_ticket::{NOT_TAKEN_HEADER, TICKET_HEADER, Ticket},
+    cluster::peer_ticket::{NOT_TAKEN_HEADER, TICKET_HEADER, Ticket, VERSION_HEADER},
     context::Context,
     entry::{
         forward,
@@ -34,8 +34,15 @@
         return not_taken(StatusCode::SERVICE_UNAVAILABLE, "not taken");
     };
     context.metrics.peer_requests.with_label_values(&["taken"]).inc();
+    // A request is handled by the version in force as it arrives.
+    let version = context.state().configuration.as_ref().map(|it| it.version);
     let mut response = forward::handle(Rc::clone(&context), request, Some(ticket)).await;
-    response.headers_mut().remove(NOT_TAKEN_HEADER);
+    let headers = response.headers_mut();
+    headers.remove(NOT_TAKEN_HEADER);
+    headers.remove(VERSION_HEADER);
+    if let Some(version) = version {
+        headers.insert(VERSION_HEADER, HeaderValue::from(version));
+    }
     response
 }
 
--- a/gateway/src/cluster/peer_ticket.rs
+++ b/gateway/src/cluster/peer_ticket.rs
@@ -12,6 +12,10 @@
 /// Header of a response that says that the host did not take the request; another host may.
 pub const NOT_TAKEN_HEADER: HeaderName = HeaderName::from_static("fuchsiaknot-not-taken");
 
+/// Header of a response with the version of the configuration by which the other host handled the
+/// request.
+pub const VERSION_HEADER: HeaderName = HeaderName::from_static("fuchsiaknot-version");
+
 /// What a host that sends a request on has to know of it.
 ///
 /// Incarnations are random numbers that only the hosts of the system know, from the store and from
--- a/gateway/src/store/sync.rs
+++ b/gateway/src/store/sync.rs
@@ -136,6 +136,28 @@
     );
 }
 
+/// Call that brought contents or changes of a table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Call {
+    /// Read of the whole table.
+    Read,
+    /// Poll without a wait, since this host lacked a change or nothing confirmed its state.
+    Poll,
+    /// Poll that the store held until there was a change.
+    LongPoll,
+}
+
+impl Call {
+    /// Returns the name in log lines.
+    fn as_str(self) -> &'static str {
+        match self {
+            Call::Read => "read",
+            Call::Poll => "poll",
+            Call::LongPoll => "long-poll",
+        }
+    }
+}
+
 /// Range of versions that an answer of the store covers, and its age.
 #[derive(Debug, Clone, Copy)]
 pub struct Coverage {
@@ -153,6 +175,10 @@
     read_at: Option<Duration>,
     /// Whether all of the answer could be decoded.
     is_complete: bool,
+    /// Call that was answered.
+    call: Call,
+    /// Time for which this host had known of a change that it lacked; zero unless it had.
+    behind: Duration,
 }
 
 impl Coverage {
@@ -199,6 +225,7 @@
                         observe_call(&context, T::NAME, started);
                         proof::record_call(&context, &snapshot, call_era, started);
                         let Snapshot { version, read_at, is_complete, contents, .. } = snapshot;
+                        let behind = time_behind::<T>(&context);
                         record_answer::<T>(&context, &mut backoff, version);
                         let era = T::watch(&mut context.state_mut()).era();
                         let age = Duration::ZERO;
@@ -210,6 +237,8 @@
                             is_watcher,
                             read_at,
                             is_complete,
+                            call: Call::Read,
+                            behind,
                         };
                         T::apply_contents(&context, contents, coverage);
                         continue;
@@ -227,6 +256,7 @@
                         observe_call(&context, T::NAME, started);
                         proof::record_call(&context, &snapshot, call_era, started);
                         let Snapshot { version, read_at, is_complete, contents, .. } = snapshot;
+                        let behind = time_behind::<T>(&context);
                         let known = record_answer::<T>(&context, &mut backoff, version);
                         let took = clock::now().saturating_sub(started);
                         let age =
@@ -243,6 +273,8 @@
                                 is_watcher,
                                 read_at,
                                 is_complete,
+                                call: if long_poll { Call::LongPoll } else { Call::Poll },
+                                behind,
                             },
                         );
                         continue;
@@ -318,6 +350,12 @@
     context.metrics.store_call_time.with_label_values(&[table]).observe(took.as_secs_f64());
 }
 
+/// Returns the time for which this host has known of a change of the table that it lacks.
+fn time_behind<T: Table>(context: &Context) -> Duration {
+    let since = T::watch(&mut context.state_mut()).behind_since();
+    since.map_or(Duration::ZERO, |it| clock::now().saturating_sub(it))
+}
+
 /// Records an answer and returns the version up to which its changes were already applied.
 fn record_answer<T: Table>(
     context: &Context,
@@ -360,7 +398,7 @@
             freshness.set_readable(coverage.is_complete);
         }
         if let Some(configuration) = contents {
-            activate(context, configuration);
+            activate(context, configuration, coverage);
         }
         let Coverage { era, read_at, is_watcher, .. } = coverage;
         proof::record_configuration(context, era, read_at, is_watcher);
@@ -390,7 +428,7 @@
     let watch = &mut state.configuration_watch;
     let effect = match own < update.contents {
         true => {
-            watch.mark_behind();
+            watch.mark_behind(clock::now());
             Effect::Behind
         }
         false => watch.apply_update(update, reannounce_grace, clock::now()),
@@ -401,7 +439,7 @@
 }
 
 /// Puts a configuration in force, unless it is no newer than the one in force.
-fn activate(context: &Context, configuration: Configuration) {
+fn activate(context: &Context, configuration: Configuration, coverage: Coverage) {
     let version = configuration.version;
     let in_force: Option<id::Version> = context.state().configuration.as_ref().map(|it| it.version);
     if in_force.is_some_and(|it| version <= it) {
@@ -417,7 +455,14 @@
     }
     context.state_mut().configuration = Some(Rc::new(configuration));
     context.metrics.configuration_version.set(i64::try_from(version).unwrap_or(i64::MAX));
-    tracing::info!(code = 8010, version, before = in_force, "configuration in force");
+    tracing::info!(
+        code = 8010,
+        version,
+        before = in_force,
+        call = coverage.call.as_str(),
+        behind_ms = coverage.behind.as_millis() as u64,
+        "configuration in force"
+    );
 }
 
 /// Table that holds the targets.
--- a/gateway/src/store/watch.rs
+++ b/gateway/src/store/watch.rs
@@ -40,8 +40,9 @@
     confirmed_at: Option<Moment>,
     /// Time of the last failed call; `None` after a successful one.
     failed_at: Option<Moment>,
-    /// Whether a later change exists that was not received.
-    behind: bool,
+    /// Time since which a later change is known to exist that was not received; `None` if there is
+    /// none.
+    behind_since: Option<Moment>,
     /// Time until which entries that expired during the last outage, or that are missing in a copy
     /// from which the store came back, may be announced again.
     reannounce_deadline: Moment,
@@ -102,7 +103,7 @@
                 _ => Step::Read,
             };
         };
-        if self.behind {
+        if self.is_behind() {
             return Step::Poll { after, long_poll: false };
         }
         if is_watcher {
@@ -132,7 +133,7 @@
         }
         self.era = era;
         self.known_version = None;
-        self.behind = false;
+        self.behind_since = None;
         if !self.is_known() {
             return false;
         }
@@ -179,7 +180,7 @@
         let known = self.known_version.unwrap_or_default();
         self.known_version = Some(known.max(up_to));
         self.partial_version = None;
-        self.behind = false;
+        self.behind_since = None;
         self.failed_at = None;
         self.confirm(Duration::ZERO, reannounce_grace, now);
         known
@@ -223,25 +224,30 @@
             return Effect::Stale;
         }
         if known < update.after {
-            self.behind = true;
+            self.mark_behind(now);
             return Effect::Behind;
         }
         self.known_version = Some(update.up_to);
         // The update arrived late if a later change is already known to exist.
-        if !self.behind {
+        if !self.is_behind() {
             self.confirm(update.age, reannounce_grace, now);
         }
         Effect::NewAfter(known)
     }
 
     /// Records that another host knows a later version.
-    pub fn mark_behind(&mut self) {
-        self.behind = true;
+    pub fn mark_behind(&mut self, now: Moment) {
+        self.behind_since.get_or_insert(now);
     }
 
     /// Returns whether a later version exists that this host has yet to read.
     pub fn is_behind(&self) -> bool {
-        self.behind
+        self.behind_since.is_some()
+    }
+
+    /// Returns the time since which this host knows of a later version that it has yet to read.
+    pub fn behind_since(&self) -> Option<Moment> {
+        self.behind_since
     }
 
     /// Records that the state was current `age` ago, and detects the end of an outage.
--- a/gateway/tests/era.rs
+++ b/gateway/tests/era.rs
@@ -531,7 +531,7 @@
                 self.observe_era(index, update.era);
                 let host = &mut self.hosts[index];
                 match host.configuration < update.contents {
-                    true => host.configuration_watch.mark_behind(),
+                    true => host.configuration_watch.mark_behind(now),
                     false => {
                         host.configuration_watch.apply_update(&update, REANNOUNCE_GRACE, now);
                     }
