fix(watch): an answer that was asked before a change does not hide that the change exists

Callers saw, or could see, a request handled by an older version (CONFIG). Cause: a host that polls because it missed a change is told of the next one while the call is on its way. The answer, read before that change, cleared the mark that something is missing, and the host went back to waiting for others, up to 0.6 s for the next update, or 1.2 s if that is lost. With changes in quick series this repeats. Evidence: the new test asked_before_change failed before (is_behind() was false after the answer). Change: a call remembers how many changes were known to be missed when it was made; only an answer to a call made after the last of them clears the mark. Works because the store is linearizable: a call made after a host learned of a change is answered with it. No version is compared, so eras do not matter.

--- a/gateway/src/store/sync.rs
+++ b/gateway/src/store/sync.rs
@@ -12,7 +12,7 @@
     logging::Log,
     store::{
         Announcement, Error, Snapshot, Store, era,
-        watch::{Effect, Step, Update, Watch},
+        watch::{self, Effect, Step, Update, Watch},
     },
     targets::{
         registry::{Change, Event},
@@ -136,9 +136,9 @@
     );
 }
 
-/// Call that brought contents or changes of a table.
+/// How contents or changes of a table were got from the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Call {
+enum Method {
     /// Read of the whole table.
     Read,
     /// Poll without a wait, since this host lacked a change or nothing confirmed its state.
@@ -147,13 +147,13 @@
     LongPoll,
 }
 
-impl Call {
+impl Method {
     /// Returns the name in log lines.
     fn as_str(self) -> &'static str {
         match self {
-            Call::Read => "read",
-            Call::Poll => "poll",
-            Call::LongPoll => "long-poll",
+            Method::Read => "read",
+            Method::Poll => "poll",
+            Method::LongPoll => "long-poll",
         }
     }
 }
@@ -175,8 +175,8 @@
     read_at: Option<Duration>,
     /// Whether all of the answer could be decoded.
     is_complete: bool,
-    /// Call that was answered.
-    call: Call,
+    /// How they were got.
+    method: Method,
     /// Time for which this host had known of a change that it lacked; zero unless it had.
     behind: Duration,
 }
@@ -203,10 +203,10 @@
             was_watcher = is_watcher;
         }
         let started = clock::now();
-        let (step, call_era) = {
+        let (step, call_era, watch_call) = {
             let mut state = context.state_mut();
             let watch = T::watch(&mut state);
-            (watch.next(is_watcher, started), watch.era())
+            (watch.next(is_watcher, started), watch.era(), watch.begin_call())
         };
         let err = match step {
             Step::Sleep(time) => {
@@ -226,7 +226,7 @@
                         proof::record_call(&context, &snapshot, call_era, started);
                         let Snapshot { version, read_at, is_complete, contents, .. } = snapshot;
                         let behind = time_behind::<T>(&context);
-                        record_answer::<T>(&context, &mut backoff, version);
+                        record_answer::<T>(&context, &mut backoff, watch_call, version);
                         let era = T::watch(&mut context.state_mut()).era();
                         let age = Duration::ZERO;
                         let coverage = Coverage {
@@ -237,7 +237,7 @@
                             is_watcher,
                             read_at,
                             is_complete,
-                            call: Call::Read,
+                            method: Method::Read,
                             behind,
                         };
                         T::apply_contents(&context, contents, coverage);
@@ -257,7 +257,7 @@
                         proof::record_call(&context, &snapshot, call_era, started);
                         let Snapshot { version, read_at, is_complete, contents, .. } = snapshot;
                         let behind = time_behind::<T>(&context);
-                        let known = record_answer::<T>(&context, &mut backoff, version);
+                        let known = record_answer::<T>(&context, &mut backoff, watch_call, version);
                         let took = clock::now().saturating_sub(started);
                         let age =
                             if took < wait + MAX_CALL_TIME { Duration::ZERO } else { took - wait };
@@ -273,7 +273,7 @@
                                 is_watcher,
                                 read_at,
                                 is_complete,
-                                call: if long_poll { Call::LongPoll } else { Call::Poll },
+                                method: if long_poll { Method::LongPoll } else { Method::Poll },
                                 behind,
                             },
                         );
@@ -360,11 +360,13 @@
 fn record_answer<T: Table>(
     context: &Context,
     backoff: &mut Backoff,
+    call: watch::Call,
     version: id::Version,
 ) -> id::Version {
     backoff.record_success(context);
     let reannounce_grace = context.settings.reannounce_grace;
-    T::watch(&mut context.state_mut()).record_answer(version, reannounce_grace, clock::now())
+    let mut state = context.state_mut();
+    T::watch(&mut state).record_answer(call, version, reannounce_grace, clock::now())
 }
 
 /// Table that holds the operators' configuration.
@@ -459,7 +461,7 @@
         code = 8010,
         version,
         before = in_force,
-        call = coverage.call.as_str(),
+        call = coverage.method.as_str(),
         behind_ms = coverage.behind.as_millis() as u64,
         "configuration in force"
     );
--- a/gateway/src/store/watch.rs
+++ b/gateway/src/store/watch.rs
@@ -43,6 +43,8 @@
     /// Time since which a later change is known to exist that was not received; `None` if there is
     /// none.
     behind_since: Option<Moment>,
+    /// Number of times that this host learned of such a change.
+    missed_changes: u64,
     /// Time until which entries that expired during the last outage, or that are missing in a copy
     /// from which the store came back, may be announced again.
     reannounce_deadline: Moment,
@@ -50,6 +52,13 @@
     read_due: Moment,
 }
 
+/// A call to the store, which is answered with changes that were known to exist before it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Call {
+    /// Changes that this host had learned of by then, received or not.
+    missed_changes: u64,
+}
+
 /// Next step towards the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Step {
@@ -168,11 +177,19 @@
         }
     }
 
-    /// Records an answer of the store that is complete up to version `up_to`. Returns the version
-    /// known before: updates from other hosts may have overtaken the answer, and its changes up to
-    /// that version are not to be applied again.
+    /// Returns the call that is made now.
+    pub fn begin_call(&self) -> Call {
+        Call { missed_changes: self.missed_changes }
+    }
+
+    /// Records the answer of the store to a call, which is complete up to version `up_to`. Returns the
+    /// version known before: updates from other hosts may have overtaken the answer, and its changes up
+    /// to that version are not to be applied again.
+    ///
+    /// A change that this host learned of since it made the call may be missing in the answer.
     pub fn record_answer(
         &mut self,
+        call: Call,
         up_to: id::Version,
         reannounce_grace: Duration,
         now: Moment,
@@ -180,7 +197,9 @@
         let known = self.known_version.unwrap_or_default();
         self.known_version = Some(known.max(up_to));
         self.partial_version = None;
-        self.behind_since = None;
+        if call == self.begin_call() {
+            self.behind_since = None;
+        }
         self.failed_at = None;
         self.confirm(Duration::ZERO, reannounce_grace, now);
         known
@@ -237,6 +256,7 @@
 
     /// Records that another host knows a later version.
     pub fn mark_behind(&mut self, now: Moment) {
+        self.missed_changes += 1;
         self.behind_since.get_or_insert(now);
     }
 
--- a/gateway/tests/era.rs
+++ b/gateway/tests/era.rs
@@ -12,7 +12,7 @@
 use fuchsiaknot_gateway::{
     store::{
         Error, era,
-        watch::{Effect, Step, Update, Watch},
+        watch::{Call, Effect, Step, Update, Watch},
     },
     targets::{
         registry::{Change, Event, Registry},
@@ -126,10 +126,29 @@
 #[derive(Debug)]
 enum Action {
     Tick,
-    Step { host: usize, table: Table },
-    Call { host: usize, table: Table, step: Step, call_era: u64 },
-    Answer { host: usize, table: Table, step: Step, call_era: u64, answer: Result<Answer, Error> },
-    Packet { host: usize, packet: Packet },
+    Step {
+        host: usize,
+        table: Table,
+    },
+    Call {
+        host: usize,
+        table: Table,
+        step: Step,
+        call_era: u64,
+        call: Call,
+    },
+    Answer {
+        host: usize,
+        table: Table,
+        step: Step,
+        call_era: u64,
+        call: Call,
+        answer: Result<Answer, Error>,
+    },
+    Packet {
+        host: usize,
+        packet: Packet,
+    },
 }
 
 #[derive(Debug, Default)]
@@ -258,11 +277,11 @@
         match action {
             Action::Tick => self.tick(),
             Action::Step { host, table } => self.step(host, table),
-            Action::Call { host, table, step, call_era } => {
-                self.call(host, table, step, call_era);
+            Action::Call { host, table, step, call_era, call } => {
+                self.call(host, table, step, call_era, call);
             }
-            Action::Answer { host, table, step, call_era, answer } => {
-                self.handle_answer(host, table, step, call_era, answer);
+            Action::Answer { host, table, step, call_era, call, answer } => {
+                self.handle_answer(host, table, step, (call_era, call), answer);
             }
             Action::Packet { host, packet } => self.handle_packet(host, packet),
         }
@@ -365,6 +384,7 @@
         let now = ms(self.now);
         let watch = self.hosts[host].watch(table);
         let (step, call_era) = (watch.next(host < WATCHERS, now), watch.era());
+        let call = watch.begin_call();
         if let Step::Sleep(time) = step {
             // A sleeping host is woken when it learns of a change.
             let time = u64::try_from(time.as_millis()).unwrap() + 1;
@@ -372,11 +392,11 @@
         }
         self.hosts[host].calls.push(self.now);
         let delay = self.random.random_range(1..20);
-        self.schedule(delay, Action::Call { host, table, step, call_era });
+        self.schedule(delay, Action::Call { host, table, step, call_era, call });
     }
 
     /// Lets the store answer a call; the answer may take long to arrive.
-    fn call(&mut self, host: usize, table: Table, step: Step, call_era: u64) {
+    fn call(&mut self, host: usize, table: Table, step: Step, call_era: u64, call: Call) {
         let (store, now) = (&self.store, self.now);
         let is_down = now < store.down_until || now < self.hosts[host].unreachable_until;
         let contents = &store.contents;
@@ -410,7 +430,7 @@
         let slow = self.has_faults && self.random.random_bool(SLOW_RATIO);
         let delay =
             if slow { MAX_CALL_TIME.as_millis() as u64 } else { self.random.random_range(1..30) };
-        self.schedule(delay, Action::Answer { host, table, step, call_era, answer });
+        self.schedule(delay, Action::Answer { host, table, step, call_era, call, answer });
     }
 
     fn observe_era(&mut self, host: usize, era: u64) {
@@ -431,7 +451,7 @@
         host: usize,
         table: Table,
         step: Step,
-        call_era: u64,
+        (call_era, call): (u64, Call),
         answer: Result<Answer, Error>,
     ) {
         let now = ms(self.now);
@@ -445,7 +465,7 @@
             answer.and_then(|it| watch.check_answer(is_full, call_era, Some(it.era)).map(|()| it));
         let delay = match checked {
             Ok(answer) => {
-                let known = watch.record_answer(answer.version, REANNOUNCE_GRACE, now);
+                let known = watch.record_answer(call, answer.version, REANNOUNCE_GRACE, now);
                 let era = watch.era();
                 self.apply(host, table, step, known, Answer { era, ..answer });
                 TICK_MS
--- a/gateway/tests/watch.rs
+++ b/gateway/tests/watch.rs
@@ -17,11 +17,16 @@
     Update { after, up_to, age: Duration::ZERO, contents: (), era: 0 }
 }
 
+/// Records the answer to a call that was made just before it.
+fn answer(watch: &mut Watch, up_to: u64, now: Duration) -> u64 {
+    watch.record_answer(watch.begin_call(), up_to, REANNOUNCE_GRACE, now)
+}
+
 /// Returns a watch that read the table at version 10, at 1,000 ms.
 fn synced_watch() -> Watch {
     let mut watch = Watch::default();
     assert_eq!(watch.next(false, ms(0)), Step::Read);
-    watch.record_answer(10, REANNOUNCE_GRACE, ms(1000));
+    answer(&mut watch, 10, ms(1000));
     watch
 }
 
@@ -60,10 +65,25 @@
     let mut watch = synced_watch();
     assert_eq!(watch.apply_update(&update(12, 13), REANNOUNCE_GRACE, ms(1100)), Effect::Behind);
     assert_eq!(watch.next(false, ms(1100)), Step::Poll { after: 10, long_poll: false });
-    watch.record_answer(13, REANNOUNCE_GRACE, ms(1110));
+    answer(&mut watch, 13, ms(1110));
     assert!(matches!(watch.next(false, ms(1110)), Step::Sleep(_)));
 }
 
+/// CONFIG: the answer to a call that was made before a change hid that the change exists, and the host
+/// waited for others instead of asking again.
+#[test]
+fn asked_before_change() {
+    let mut watch = synced_watch();
+    watch.mark_behind(ms(1100));
+    let call = watch.begin_call();
+    watch.mark_behind(ms(1105));
+    watch.record_answer(call, 11, REANNOUNCE_GRACE, ms(1110));
+    assert!(watch.is_behind());
+    assert_eq!(watch.next(false, ms(1110)), Step::Poll { after: 11, long_poll: false });
+    answer(&mut watch, 12, ms(1120));
+    assert!(matches!(watch.next(false, ms(1120)), Step::Sleep(_)));
+}
+
 /// Updates of two watchers overlap; changes that were already known are not reported as new.
 #[test]
 fn overlapping_updates() {
@@ -101,7 +121,7 @@
     watch.apply_update(&update(10, 11), REANNOUNCE_GRACE, ms(3000));
     assert!(matches!(watch.next(false, ms(3099)), Step::Sleep(_)));
     assert_eq!(watch.next(false, ms(3100)), Step::Poll { after: 11, long_poll: false });
-    watch.record_answer(11, REANNOUNCE_GRACE, ms(3101));
+    answer(&mut watch, 11, ms(3101));
     assert!(!watch.has_failed());
 }
 
@@ -109,9 +129,9 @@
 #[test]
 fn outage() {
     let mut watch = synced_watch();
-    watch.record_answer(11, REANNOUNCE_GRACE, ms(2400));
+    answer(&mut watch, 11, ms(2400));
     assert_eq!(watch.reannounce_deadline(), ms(0));
-    watch.record_answer(12, REANNOUNCE_GRACE, ms(4000));
+    answer(&mut watch, 12, ms(4000));
     assert_eq!(watch.reannounce_deadline(), ms(6000));
 }
 
@@ -121,7 +141,7 @@
 fn overtaken_answer() {
     let mut watch = synced_watch();
     watch.apply_update(&update(10, 14), REANNOUNCE_GRACE, ms(1100));
-    assert_eq!(watch.record_answer(12, REANNOUNCE_GRACE, ms(1200)), 14);
+    assert_eq!(answer(&mut watch, 12, ms(1200)), 14);
     assert_eq!(watch.next(true, ms(1200)), Step::Poll { after: 14, long_poll: true });
 }
 
