fix(store): a version that the watchers cannot read is not taken for read by the other hosts

Callers would see: a key that was taken away goes on being served (CONFIG). Cause: a watcher whose build cannot decode the newest configuration still sent its update "nothing is missing up to this version". The others raised the version that they know beyond the unreadable one. When they asked the store themselves, because the watchers ended or updates were lost, nothing later was there, and they took this for a proof that their configuration, and each key in it, was the newest. Class: evidence that is counted as wider than it is. Change: a watcher that cannot read a version sends no update, so every host reads it by itself and knows that it is unreadable. Unknown keys are no longer refused for good meanwhile.

--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -515,7 +515,7 @@
         };
         Knowledge {
             is_proven: revocation.is_none_or(|bound| freshness.is_within(bound, now)),
-            is_recent: age < RECENT_AGE && !watch.is_behind(),
+            is_recent: age < RECENT_AGE && !watch.is_behind() && freshness.is_readable(),
         }
     }
 
--- a/gateway/src/store/sync.rs
+++ b/gateway/src/store/sync.rs
@@ -404,7 +404,9 @@
         }
         let Coverage { era, read_at, is_watcher, .. } = coverage;
         proof::record_configuration(context, era, read_at, is_watcher);
-        if coverage.is_watcher {
+        // A host that gets an update takes the version for read. Without one, it reads by itself.
+        let is_readable = context.state().accounts.freshness.is_readable();
+        if coverage.is_watcher && is_readable {
             let version = context.state().configuration.as_ref().map(|it| it.version);
             peers::send_to_all(context, &Packet::ConfigurationUpdate(coverage.update(version)));
         }
