fix(watch): a host whose state was not confirmed for long reads the table instead of each change

Cause: after an outage a host polled for all changes since the version that it knew. The store answers with each version of the configuration, 27 KB each there. What had piled up in 14 s was over a megabyte, which 10 Mbit/s do not carry within the 0.9 s of a call. Each retry asked for the same and more, so the host stayed behind until the store dropped its history, 20 s later. Class: a retry that costs the more the longer it is needed, against a fixed limit. Change: beyond an age of the last confirmation (2 s for the configuration, whose few versions are larger than the table; 10 s for targets) the next call is a full read, whose size does not depend on the time away. An answer that updates from other hosts have overtaken is dropped and asked again. A watcher's update after a full read of the configuration covers all versions, so that others that have the version need not ask.

--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -32,7 +32,10 @@
         prefix_cache, slowness,
     },
     scaling,
-    store::watch::Watch,
+    store::{
+        sync::{ConfigurationTable, Table as _, TargetTable},
+        watch::Watch,
+    },
     stream_archive::driver::Archive,
     targets::{
         availability,
@@ -314,9 +317,9 @@
     ) -> Context {
         let state = State {
             configuration: None,
-            configuration_watch: Watch::default(),
+            configuration_watch: Watch::new(ConfigurationTable::MAX_POLL_AGE),
             registry: Registry::new(),
-            targets_watch: Watch::default(),
+            targets_watch: Watch::new(TargetTable::MAX_POLL_AGE),
             load: load::Tracker::new(PEER_WORK_TTL),
             reachability: reachability::Tracker::default(),
             health: Health::default(),
--- a/gateway/src/store/sync.rs
+++ b/gateway/src/store/sync.rs
@@ -98,6 +98,8 @@
 pub trait Table {
     /// Name of the table in log lines and metrics.
     const NAME: &'static str;
+    /// Age of the last confirmation from which on the table is read in full instead of polled.
+    const MAX_POLL_AGE: Duration;
     /// Full contents of the table.
     type Contents;
     /// Changes since a version.
@@ -122,6 +124,10 @@
         wait: Duration,
     ) -> Result<Snapshot<Self::Changes>, Error>;
 
+    /// Returns the version after which the update of a watcher that read the table in full at a version
+    /// has all changes.
+    fn covered_after(version: id::Version) -> id::Version;
+
     /// Applies the full contents to the state of this host and, on a watcher, sends the other hosts
     /// what they must know before they read the table themselves.
     fn apply_contents(context: &Context, contents: Self::Contents, coverage: Coverage);
@@ -226,12 +232,17 @@
                         proof::record_call(&context, &snapshot, call_era, started);
                         let Snapshot { version, read_at, is_complete, contents, .. } = snapshot;
                         let behind = time_behind::<T>(&context);
-                        record_answer::<T>(&context, &mut backoff, watch_call, version);
+                        let known = record_answer::<T>(&context, &mut backoff, watch_call, version);
+                        if version < known {
+                            // Updates from other hosts have overtaken the answer.
+                            T::watch(&mut context.state_mut()).mark_behind(clock::now());
+                            continue;
+                        }
                         let era = T::watch(&mut context.state_mut()).era();
                         let age = Duration::ZERO;
                         let coverage = Coverage {
                             era,
-                            after: version,
+                            after: T::covered_after(version),
                             up_to: version,
                             age,
                             is_watcher,
@@ -375,6 +386,8 @@
 
 impl Table for ConfigurationTable {
     const NAME: &'static str = "configuration";
+    // Each version is whole, so that a few of them are larger than the table.
+    const MAX_POLL_AGE: Duration = Duration::from_secs(2);
     type Contents = Option<Configuration>;
     type Changes = Option<Configuration>;
 
@@ -394,6 +407,11 @@
         store.configuration_after(after, wait).await
     }
 
+    fn covered_after(_version: id::Version) -> id::Version {
+        // The update names the version of the configuration, and a receiver that lacks it reads it.
+        0
+    }
+
     fn apply_contents(context: &Context, contents: Self::Contents, coverage: Coverage) {
         if !coverage.is_complete || contents.is_some() {
             let freshness = &mut context.state_mut().accounts.freshness;
@@ -475,6 +493,8 @@
 
 impl Table for TargetTable {
     const NAME: &'static str = "targets";
+    // A change is small against the table.
+    const MAX_POLL_AGE: Duration = Duration::from_secs(10);
     type Contents = Vec<Target>;
     type Changes = Vec<(id::Version, Change)>;
 
@@ -494,6 +514,10 @@
         store.targets_after(after, wait).await
     }
 
+    fn covered_after(version: id::Version) -> id::Version {
+        version
+    }
+
     fn apply_contents(context: &Context, contents: Self::Contents, coverage: Coverage) {
         let events = {
             let mut state = context.state_mut();
--- a/gateway/src/store/watch.rs
+++ b/gateway/src/store/watch.rs
@@ -5,6 +5,10 @@
 //! versions that they cover. Another host polls only when it has missed a change, or when no update
 //! has confirmed its state for a while.
 //!
+//! The store answers a poll with each change since a version, so the answer grows with the time for
+//! which a host lacked the store, while that to a full read does not. A host whose state was not
+//! confirmed for long therefore reads the table in full.
+//!
 //! The store may come back from an earlier copy, which starts a new era and gives out versions
 //! again. Versions are therefore only compared within one era. When a host learns of a later era,
 //! it keeps what it knows and reads the tables in full; the watchers do so at once, the others after
@@ -27,8 +31,10 @@
 const OUTAGE_GAP: Duration = Duration::from_millis(1500);
 
 /// Synchronisation state of one table of the store.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Watch {
+    /// Age of the last confirmation from which on the table is read in full.
+    max_poll_age: Duration,
     /// Era of the store to which the known version belongs.
     era: id::Era,
     /// Version up to which all changes are known; `None` before the first full read in the era.
@@ -104,6 +110,23 @@
 }
 
 impl Watch {
+    /// Creates the state of a table that was never read. After `max_poll_age` without a confirmation,
+    /// the table is read in full instead of polled.
+    pub fn new(max_poll_age: Duration) -> Watch {
+        Watch {
+            max_poll_age,
+            era: 0,
+            known_version: None,
+            partial_version: None,
+            confirmed_at: None,
+            failed_at: None,
+            behind_since: None,
+            missed_changes: 0,
+            reannounce_deadline: Moment::ZERO,
+            read_due: Moment::ZERO,
+        }
+    }
+
     /// Returns the next step; a watcher polls continuously and updates the other hosts.
     pub fn next(&self, is_watcher: bool, now: Moment) -> Step {
         let Some(after) = self.known_version else {
@@ -112,15 +135,15 @@
                 _ => Step::Read,
             };
         };
-        if self.is_behind() {
-            return Step::Poll { after, long_poll: false };
-        }
-        if is_watcher {
-            return Step::Poll { after, long_poll: true };
-        }
         let stale_at = self.confirmed_at.unwrap_or_default() + STALE_AGE;
         let due = self.failed_at.map_or(stale_at, |at| stale_at.min(at + RETRY_DELAY));
-        if due <= now { Step::Poll { after, long_poll: false } } else { Step::Sleep(due - now) }
+        if !self.is_behind() && !is_watcher && now < due {
+            return Step::Sleep(due - now);
+        }
+        if self.max_poll_age <= self.age(now) {
+            return Step::Read;
+        }
+        Step::Poll { after, long_poll: is_watcher && !self.is_behind() }
     }
 
     /// Returns the era of the store to which the known version belongs.
--- a/gateway/tests/era.rs
+++ b/gateway/tests/era.rs
@@ -12,6 +12,7 @@
 use fuchsiaknot_gateway::{
     store::{
         Error, era,
+        sync::{ConfigurationTable, Table as _, TargetTable},
         watch::{Call, Effect, Step, Update, Watch},
     },
     targets::{
@@ -151,7 +152,7 @@
     },
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Host {
     configuration_watch: Watch,
     targets_watch: Watch,
@@ -168,6 +169,20 @@
 }
 
 impl Host {
+    fn new() -> Host {
+        Host {
+            configuration_watch: Watch::new(ConfigurationTable::MAX_POLL_AGE),
+            targets_watch: Watch::new(TargetTable::MAX_POLL_AGE),
+            registry: Registry::new(),
+            configuration: None,
+            newest_era: 0,
+            unreachable_until: 0,
+            removals: HashSet::new(),
+            left: HashSet::new(),
+            calls: Vec::new(),
+        }
+    }
+
     fn watch(&mut self, table: Table) -> &mut Watch {
         match table {
             Table::Configuration => &mut self.configuration_watch,
@@ -214,7 +229,7 @@
             now: 0,
             random: StdRng::seed_from_u64(seed),
             store: Store::default(),
-            hosts: (0..host_count).map(|_| Host::default()).collect(),
+            hosts: (0..host_count).map(|_| Host::new()).collect(),
             queue: BinaryHeap::new(),
             actions: Vec::new(),
             has_faults,
@@ -467,7 +482,10 @@
             Ok(answer) => {
                 let known = watch.record_answer(call, answer.version, REANNOUNCE_GRACE, now);
                 let era = watch.era();
-                self.apply(host, table, step, known, Answer { era, ..answer });
+                match is_full && answer.version < known {
+                    true => watch.mark_behind(now),
+                    false => self.apply(host, table, step, known, Answer { era, ..answer }),
+                }
                 TICK_MS
             }
             Err(Error::HistoryGone) if watch.era() != call_era => {
@@ -490,7 +508,10 @@
         let host = &mut self.hosts[index];
         let after = match step {
             Step::Poll { after, .. } => after,
-            _ => answer.version,
+            _ => match table {
+                Table::Configuration => ConfigurationTable::covered_after(answer.version),
+                Table::Targets => TargetTable::covered_after(answer.version),
+            },
         };
         let update = Update {
             after,
--- a/gateway/tests/watch.rs
+++ b/gateway/tests/watch.rs
@@ -12,6 +12,7 @@
 use common::ms;
 
 const REANNOUNCE_GRACE: Duration = Duration::from_millis(2000);
+const MAX_POLL_AGE: Duration = Duration::from_secs(2);
 
 fn update(after: u64, up_to: u64) -> Update<()> {
     Update { after, up_to, age: Duration::ZERO, contents: (), era: 0 }
@@ -24,7 +25,7 @@
 
 /// Returns a watch that read the table at version 10, at 1,000 ms.
 fn synced_watch() -> Watch {
-    let mut watch = Watch::default();
+    let mut watch = Watch::new(MAX_POLL_AGE);
     assert_eq!(watch.next(false, ms(0)), Step::Read);
     answer(&mut watch, 10, ms(1000));
     watch
@@ -60,6 +61,37 @@
     assert_eq!(watch.next(false, ms(2200)), Step::Poll { after: 10, long_poll: false });
 }
 
+/// CONFIG: a host that lacked the store for long asked for each of the changes, which were too many for
+/// one answer.
+#[test]
+fn outdated() {
+    let mut watch = synced_watch();
+    watch.record_failure(false, ms(2200));
+    assert_eq!(watch.next(false, ms(2900)), Step::Poll { after: 10, long_poll: false });
+    for is_watcher in [false, true] {
+        assert_eq!(watch.next(is_watcher, ms(3000)), Step::Read);
+    }
+    watch.mark_behind(ms(3100));
+    assert_eq!(watch.next(false, ms(3100)), Step::Read);
+    // An update that arrives meanwhile has only the changes after those that are missing.
+    assert_eq!(watch.apply_update(&update(30, 31), REANNOUNCE_GRACE, ms(3150)), Effect::Behind);
+    answer(&mut watch, 32, ms(3200));
+    assert!(matches!(watch.next(false, ms(3200)), Step::Sleep(_)));
+}
+
+/// The answer to a full read is older than an update that arrived meanwhile.
+#[test]
+fn overtaken_read() {
+    let mut watch = synced_watch();
+    assert_eq!(watch.next(false, ms(3000)), Step::Read);
+    let call = watch.begin_call();
+    assert_eq!(
+        watch.apply_update(&update(10, 14), REANNOUNCE_GRACE, ms(3010)),
+        Effect::NewAfter(10)
+    );
+    assert_eq!(watch.record_answer(call, 12, REANNOUNCE_GRACE, ms(3020)), 14);
+}
+
 #[test]
 fn missed_change() {
     let mut watch = synced_watch();
@@ -186,7 +218,7 @@
 /// A host that has read nothing yet does not wait for its turn when it first learns of the era.
 #[test]
 fn first_era() {
-    let mut watch = Watch::default();
+    let mut watch = Watch::new(MAX_POLL_AGE);
     assert!(!watch.start_era(7, ms(500), REANNOUNCE_GRACE, ms(100)));
     assert_eq!(watch.next(false, ms(100)), Step::Read);
     assert_eq!(watch.reannounce_deadline(), ms(0));
