--- a/gateway/src/store/sync.rs
+++ b/gateway/src/store/sync.rs
@@ -232,14 +232,15 @@
                         proof::record_call(&context, &snapshot, call_era, started);
                         let Snapshot { version, read_at, is_complete, contents, .. } = snapshot;
                         let behind = time_behind::<T>(&context);
-                        let known = record_answer::<T>(&context, &mut backoff, watch_call, version);
+                        let age = answer_age(started, Duration::ZERO);
+                        let known =
+                            record_answer::<T>(&context, &mut backoff, watch_call, version, age);
                         if version < known {
                             // Updates from other hosts have overtaken the answer.
                             T::watch(&mut context.state_mut()).mark_behind(clock::now());
                             continue;
                         }
                         let era = T::watch(&mut context.state_mut()).era();
-                        let age = Duration::ZERO;
                         let coverage = Coverage {
                             era,
                             after: T::covered_after(version),
@@ -268,10 +269,9 @@
                         proof::record_call(&context, &snapshot, call_era, started);
                         let Snapshot { version, read_at, is_complete, contents, .. } = snapshot;
                         let behind = time_behind::<T>(&context);
-                        let known = record_answer::<T>(&context, &mut backoff, watch_call, version);
-                        let took = clock::now().saturating_sub(started);
-                        let age =
-                            if took < wait + MAX_CALL_TIME { Duration::ZERO } else { took - wait };
+                        let age = answer_age(started, wait);
+                        let known =
+                            record_answer::<T>(&context, &mut backoff, watch_call, version, age);
                         T::apply_changes(
                             &context,
                             contents,
@@ -367,17 +367,25 @@
     since.map_or(Duration::ZERO, |it| clock::now().saturating_sub(it))
 }
 
+/// Returns the age of an answer that has arrived, given the start of its call and the time for which
+/// the store may have held the call; zero if it came without delay.
+fn answer_age(started: Moment, wait: Duration) -> Duration {
+    let took = clock::now().saturating_sub(started);
+    if took < wait + MAX_CALL_TIME { Duration::ZERO } else { took - wait }
+}
+
 /// Records an answer and returns the version up to which its changes were already applied.
 fn record_answer<T: Table>(
     context: &Context,
     backoff: &mut Backoff,
     call: watch::Call,
     version: id::Version,
+    age: Duration,
 ) -> id::Version {
     backoff.record_success(context);
     let reannounce_grace = context.settings.reannounce_grace;
     let mut state = context.state_mut();
-    T::watch(&mut state).record_answer(call, version, reannounce_grace, clock::now())
+    T::watch(&mut state).record_answer(call, version, age, reannounce_grace, clock::now())
 }
 
 /// Table that holds the operators' configuration.
--- a/gateway/src/store/watch.rs
+++ b/gateway/src/store/watch.rs
@@ -209,11 +209,13 @@
     /// version known before: updates from other hosts may have overtaken the answer, and its changes up
     /// to that version are not to be applied again.
     ///
-    /// A change that this host learned of since it made the call may be missing in the answer.
+    /// A change that this host learned of since it made the call may be missing in the answer, which the
+    /// store gave `age` ago.
     pub fn record_answer(
         &mut self,
         call: Call,
         up_to: id::Version,
+        age: Duration,
         reannounce_grace: Duration,
         now: Moment,
     ) -> id::Version {
@@ -224,7 +226,7 @@
             self.behind_since = None;
         }
         self.failed_at = None;
-        self.confirm(Duration::ZERO, reannounce_grace, now);
+        self.confirm(age, reannounce_grace, now);
         known
     }
 
--- a/gateway/tests/era.rs
+++ b/gateway/tests/era.rs
@@ -480,7 +480,13 @@
             answer.and_then(|it| watch.check_answer(is_full, call_era, Some(it.era)).map(|()| it));
         let delay = match checked {
             Ok(answer) => {
-                let known = watch.record_answer(call, answer.version, REANNOUNCE_GRACE, now);
+                let known = watch.record_answer(
+                    call,
+                    answer.version,
+                    Duration::ZERO,
+                    REANNOUNCE_GRACE,
+                    now,
+                );
                 let era = watch.era();
                 match is_full && answer.version < known {
                     true => watch.mark_behind(now),
--- a/gateway/tests/watch.rs
+++ b/gateway/tests/watch.rs
@@ -20,7 +20,7 @@
 
 /// Records the answer to a call that was made just before it.
 fn answer(watch: &mut Watch, up_to: u64, now: Duration) -> u64 {
-    watch.record_answer(watch.begin_call(), up_to, REANNOUNCE_GRACE, now)
+    watch.record_answer(watch.begin_call(), up_to, Duration::ZERO, REANNOUNCE_GRACE, now)
 }
 
 /// Returns a watch that read the table at version 10, at 1,000 ms.
@@ -89,7 +89,7 @@
         watch.apply_update(&update(10, 14), REANNOUNCE_GRACE, ms(3010)),
         Effect::NewAfter(10)
     );
-    assert_eq!(watch.record_answer(call, 12, REANNOUNCE_GRACE, ms(3020)), 14);
+    assert_eq!(watch.record_answer(call, 12, Duration::ZERO, REANNOUNCE_GRACE, ms(3020)), 14);
 }
 
 #[test]
@@ -109,7 +109,7 @@
     watch.mark_behind(ms(1100));
     let call = watch.begin_call();
     watch.mark_behind(ms(1105));
-    watch.record_answer(call, 11, REANNOUNCE_GRACE, ms(1110));
+    watch.record_answer(call, 11, Duration::ZERO, REANNOUNCE_GRACE, ms(1110));
     assert!(watch.is_behind());
     assert_eq!(watch.next(false, ms(1110)), Step::Poll { after: 11, long_poll: false });
     answer(&mut watch, 12, ms(1120));
@@ -138,6 +138,15 @@
     assert_eq!(watch.age(ms(1500)), ms(500));
 }
 
+/// CONFIG: the answer to a full read that had waited while the host was suspended counted as new.
+#[test]
+fn old_answer() {
+    let mut watch = synced_watch();
+    watch.record_answer(watch.begin_call(), 11, ms(1500), REANNOUNCE_GRACE, ms(4000));
+    assert_eq!(watch.age(ms(4000)), ms(1500));
+    assert_eq!(watch.next(false, ms(4000)), Step::Poll { after: 11, long_poll: false });
+}
+
 #[test]
 fn history_gone() {
     let mut watch = synced_watch();
