fix(forward): a host that may lack the newest configuration does not refuse a route for good

Cause: unknown keys were refused for good only by a host whose configuration was confirmed lately, unknown routes and too large requests by any host. Change: 404, 413 and 431 that follow from the configuration become 503 with Retry-After while the configuration was not confirmed for 1.5 s, is known to be behind or cannot be read. Another host probably serves the request.

--- a/gateway/src/account/recognition.rs
+++ b/gateway/src/account/recognition.rs
@@ -21,8 +21,8 @@
 pub struct Knowledge {
     /// Whether requests with a key may be served.
     pub is_proven: bool,
-    /// Whether every configuration that has to be in force is known, so that a key that is unknown
-    /// here is unknown everywhere.
+    /// Whether every configuration that has to be in force is known, so that a key or route that is
+    /// unknown here is unknown everywhere.
     pub is_recent: bool,
 }
 
--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -300,8 +300,8 @@
     }
 }
 
-/// Age of the configuration up to which a key that it lacks is refused for good. It is below the time
-/// within which a new key must be accepted.
+/// Age of the configuration up to which a key or route that it lacks is refused for good. It is below
+/// the time within which a new one must be accepted.
 const RECENT_AGE: Duration = Duration::from_millis(1500);
 /// Time for which a peer's report of its own work is used; a few heartbeat intervals.
 const PEER_WORK_TTL: Duration = Duration::from_secs(1);
@@ -506,8 +506,8 @@
         self.with_budget(service, |budget, _, now| budget.count_request(now));
     }
 
-    /// Returns how far this host may rely on the accounts of the configuration in force.
-    pub fn account_knowledge(&self) -> Knowledge {
+    /// Returns how far this host may rely on the configuration in force.
+    pub fn configuration_knowledge(&self) -> Knowledge {
         let (state, now) = (self.state(), clock::now());
         let watch = &state.configuration_watch;
         let freshness = &state.accounts.freshness;
--- a/gateway/src/entry/forward.rs
+++ b/gateway/src/entry/forward.rs
@@ -57,6 +57,7 @@
     let mut job = match Job::read(&context, request, ticket.as_ref()).await {
         Ok(job) => job,
         Err(reason) => {
+            let reason = unless_stale(&context, reason);
             return finish_response(&context, refuse_unrouted(&context, &id, reason, arrived));
         }
     };
@@ -87,6 +88,17 @@
     response
 }
 
+/// Returns the reason for refusing a request: [`Reason::Stale`] instead of one for good that follows
+/// from the configuration, if a newer one may allow the request.
+fn unless_stale(context: &Context, reason: Reason) -> Reason {
+    let is_final =
+        matches!(reason, Reason::NotFound | Reason::HeaderTooLarge | Reason::BodyTooLarge);
+    match is_final && !context.configuration_knowledge().is_recent {
+        true => Reason::Stale,
+        false => reason,
+    }
+}
+
 /// Refuses a request that could not be read or matches no route.
 fn refuse_unrouted(
     context: &Context,
--- a/gateway/src/entry/job.rs
+++ b/gateway/src/entry/job.rs
@@ -295,7 +295,7 @@
     /// Returns the reason for not sending it.
     pub fn check_account(&self, context: &Context) -> Result<(), Reason> {
         let (Some(account), Some(key)) = (&self.account, self.key) else { return Ok(()) };
-        let knowledge = context.account_knowledge();
+        let knowledge = context.configuration_knowledge();
         let configuration = context.state().configuration.clone();
         let accounts = configuration.as_ref().and_then(|it| it.accounts.as_ref());
         let identity = Identity { account: Rc::clone(account), key };
@@ -462,7 +462,7 @@
         Some(ticket) => Ok(ticket.key),
         None => recognition::read_key(headers),
     };
-    recognition::identify(accounts, route, key, context.account_knowledge())
+    recognition::identify(accounts, route, key, context.configuration_knowledge())
 }
 
 /// Returns hashes of the first shared parts of a prompt to a service.
