fix(peer_proxy): a host's requests are never handled by an older version than before

Cause: such a host sends each request through another one, chosen at random, which had to know only the version of the sending host. Change: a host remembers the newest version by which another one handled its requests and asks for at least that. If its own is older it reads the newer one at once, takes no requests of others, and refuses what it would handle itself with 503 until it has it. A host of an earlier build names no version; nothing changes with it.

--- a/gateway/src/cluster/peer_proxy.rs
+++ b/gateway/src/cluster/peer_proxy.rs
@@ -107,7 +107,7 @@
         to_incarnation: host.incarnation,
         attempts_sent: job.attempts_sent.get(),
         is_counted: job.is_counted.get(),
-        configuration_version: job.configuration_version,
+        configuration_version: job.configuration_version.max(context.state().handled_version),
         key: job.key(),
     };
     let request = job.peer_request(&context.header_names, &ticket).ok_or(Failure::NotTaken)?;
@@ -134,6 +134,7 @@
         body,
     };
     let version = handled_version(&head);
+    version.into_iter().for_each(|it| context.record_handled_version(it));
     Ok((exchange.forward(head).await?, version))
 }
 
--- a/gateway/src/cluster/peer_ticket.rs
+++ b/gateway/src/cluster/peer_ticket.rs
@@ -32,7 +32,7 @@
     pub attempts_sent: u32,
     /// Whether the request is counted in the retry budget of its service already.
     pub is_counted: bool,
-    /// Version of the configuration in which the request has its route.
+    /// Oldest version of the configuration by which the request may be handled.
     pub configuration_version: id::Version,
     /// Digest of the caller's key; `None` for a request without one.
     pub key: Option<Digest>,
--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -171,6 +171,9 @@
 pub struct State {
     /// Configuration in force; `None` before the first.
     pub configuration: Option<Rc<Configuration>>,
+    /// Version of the newest configuration by which another host handled a request of this one; 0
+    /// before the first.
+    pub handled_version: id::Version,
     /// Synchronisation state of the configuration table.
     pub configuration_watch: Watch,
     /// Known targets.
@@ -260,6 +263,12 @@
         configuration.and_then(|it| it.services.get(service)).is_some_and(|it| it.scaling.is_some())
     }
 
+    /// Returns whether another host has handled a request of this one by a newer configuration than the
+    /// one in force here.
+    pub fn is_superseded(&self) -> bool {
+        self.configuration.as_ref().is_some_and(|it| it.version < self.handled_version)
+    }
+
     /// Returns whether this host watches the store for the other hosts.
     pub fn is_watcher(&self) -> bool {
         self.membership.is_watcher(self.is_store_unreachable())
@@ -317,6 +326,7 @@
     ) -> Context {
         let state = State {
             configuration: None,
+            handled_version: 0,
             configuration_watch: Watch::new(ConfigurationTable::MAX_POLL_AGE),
             registry: Registry::new(),
             targets_watch: Watch::new(TargetTable::MAX_POLL_AGE),
@@ -522,6 +532,22 @@
         }
     }
 
+    /// Records the version by which another host handled a request of this one. If it is newer than the
+    /// one in force, this host reads it.
+    pub fn record_handled_version(&self, version: id::Version) {
+        let is_superseded = {
+            let state = &mut *self.state_mut();
+            state.handled_version = state.handled_version.max(version);
+            if state.is_superseded() {
+                state.configuration_watch.mark_behind(clock::now());
+            }
+            state.is_superseded()
+        };
+        if is_superseded {
+            self.update_missed.notify_waiters();
+        }
+    }
+
     /// Returns the age of the proof that the configuration in force is the newest, in milliseconds;
     /// `None` without one.
     pub fn proven_age_ms(&self) -> Option<u64> {
--- a/gateway/src/entry/job.rs
+++ b/gateway/src/entry/job.rs
@@ -137,7 +137,11 @@
         let (arrived, open) = (clock::now(), context.open_request());
         let configuration = context.state().configuration.clone();
         let (parts, body) = request.into_parts();
-        let chosen = choose_route(configuration.as_ref(), &parts).and_then(|chosen| {
+        // A newer configuration may send the request elsewhere or not allow it.
+        let is_superseded = context.state().is_superseded() && !context.should_use_proxies();
+        let current = configuration.as_ref().filter(|_| !is_superseded);
+        let missing = if is_superseded { Reason::Stale } else { Reason::NotReady };
+        let chosen = choose_route(current.ok_or(missing), &parts).and_then(|chosen| {
             let (configuration, route, _) = &chosen;
             let identity = identify(context, configuration, route, &parts.headers, ticket)?;
             Ok((chosen, identity))
@@ -436,10 +440,10 @@
 
 /// Returns the configuration in force, and the request's route and service.
 fn choose_route(
-    configuration: Option<&Rc<Configuration>>,
+    configuration: Result<&Rc<Configuration>, Reason>,
     parts: &hyper::http::request::Parts,
 ) -> Result<(Rc<Configuration>, Rc<Route>, id::Service), Reason> {
-    let configuration = configuration.ok_or(Reason::NotReady)?;
+    let configuration = configuration?;
     if configuration.limits.max_header_bytes < head_bytes(parts) {
         return Err(Reason::HeaderTooLarge);
     }
