fix(connection): a connection carries each request identifier once

Report: a faulty target writes an earlier refusal once more on a kept connection. Callers would see "not run, try again" for a request that the target runs (REFUSED), and the request may run at a second target (TWICE). Cause: responses are told apart by the identifier that they echo. Two requests with one identifier on one connection cannot be told apart: the prefill of a prompt that is repeated at the same engine after the engine that was to generate refused; and a caller that comes back with the same identifier. A run never reaches a target twice within one request (tried targets are left out), nor does a run follow a prefill there, as their engines differ; copies of another request's response were recognised already. Change: the pool gives out a connection only for an identifier that it has not carried; after 256 requests a connection is closed, which bounds what it keeps.

--- a/gateway/src/cluster/peer_proxy.rs
+++ b/gateway/src/cluster/peer_proxy.rs
@@ -97,7 +97,7 @@
     job: &Rc<Job>,
     host: &Host,
 ) -> Result<(Response<Body>, Option<id::Version>), Failure> {
-    let mut connection = match context.peer_pool.take_idle(&host.name) {
+    let mut connection = match context.peer_pool.take_idle(&host.name, &job.id) {
         Some(connection) => connection,
         None => context.peer_pool.open(host.peer_address).await.map_err(|_| Failure::NotTaken)?,
     };
@@ -113,7 +113,7 @@
     let request = job.peer_request(&context.header_names, &ticket).ok_or(Failure::NotTaken)?;
     context.metrics.peer_requests.with_label_values(&["sent"]).inc();
     let sent = tokio::select! {
-        sent = timeout(job.time_left(), connection.send(request)) => sent,
+        sent = timeout(job.time_left(), connection.send(&job.id, request)) => sent,
         () = host_lost(context, host) => return Err(Failure::Broken),
     };
     let response = match sent {
--- a/gateway/src/upstream/attempt.rs
+++ b/gateway/src/upstream/attempt.rs
@@ -203,7 +203,7 @@
     if !may_send() {
         return Err(Failure::Unavailable);
     }
-    let connected = probe::connect(context, key, target.address).await;
+    let connected = probe::connect(context, key, target.address, &job.id).await;
     let mut connection = connected.map_err(|err| Failure::NotSent(err.to_string()))?;
     if !may_send() {
         return Err(Failure::Unavailable);
@@ -217,7 +217,7 @@
     }
     let time_left = job.time_left();
     let head_timeout = options.head_timeout.unwrap_or(Duration::MAX).min(time_left);
-    match timeout(head_timeout, connection.send(request)).await {
+    match timeout(head_timeout, connection.send(&job.id, request)).await {
         Err(_) if head_timeout < time_left => Err(Failure::Silent),
         Err(_) => Err(Failure::Expired),
         Ok(Err(RequestError::NotSent)) => {
--- a/gateway/src/upstream/connection.rs
+++ b/gateway/src/upstream/connection.rs
@@ -3,7 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
-    hash::Hash,
+    hash::{Hash, Hasher},
     io,
     rc::Rc,
     time::Duration,
@@ -38,6 +38,8 @@
 /// Most bytes that are read until a response head is complete: the head, interim heads before it and
 /// the part of the body that is read with it.
 const MAX_BYTES_TO_HEAD: usize = 4 * BUFFER_BYTES;
+/// Most requests on one connection, which bounds the identifiers that it keeps.
+const MAX_REQUESTS: usize = 256;
 /// Maximum number of idle connections kept for each target.
 const MAX_IDLE_PER_TARGET: usize = 8;
 
@@ -109,8 +111,8 @@
     /// Bytes that may be read from the socket.
     allowance: Allowance,
     idle_until: Moment,
-    /// Number of requests that were sent on it.
-    request_count: u32,
+    /// Hashes of the identifiers of the requests that were sent on it.
+    request_ids: Vec<u64>,
 }
 
 impl Drop for Connection {
@@ -150,17 +152,17 @@
         Ok(connection)
     }
 
-    /// Returns an idle connection, if there is one.
-    pub fn take_idle(&self, key: &K) -> Option<Connection> {
+    /// Returns an idle connection for a request with this identifier, if there is one.
+    ///
+    /// A peer may send an earlier response once more. It is recognised by its identifier, so a
+    /// connection that has carried a request with the same one is not used.
+    pub fn take_idle(&self, key: &K, request_id: &str) -> Option<Connection> {
         let now = clock::now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(key)?;
-        while let Some(connection) = connections.pop() {
-            if now < connection.idle_until && connection.sender.is_ready() {
-                return Some(connection);
-            }
-        }
-        None
+        connections.retain(|it| now < it.idle_until && it.sender.is_ready());
+        let last = connections.iter().rposition(|it| !it.has_carried(request_id))?;
+        Some(connections.remove(last))
     }
 
     /// Returns a connection to the pool after a complete response.
@@ -168,7 +170,7 @@
     /// `keep_alive` is the time for which the target keeps the idle connection, if it sent one. The
     /// pool drops the connection earlier, so that no request meets the target's close.
     pub fn put_back(&self, key: K, mut connection: Connection, keep_alive: Option<Duration>) {
-        if connection.sender.is_closed() {
+        if connection.sender.is_closed() || MAX_REQUESTS <= connection.request_ids.len() {
             return;
         }
         let keep_alive =
@@ -206,7 +208,12 @@
     /// Returns whether the connection has carried an earlier request, of which a late copy of the
     /// response may still arrive.
     pub fn is_reused(&self) -> bool {
-        1 < self.request_count
+        1 < self.request_ids.len()
+    }
+
+    /// Returns whether a request with this identifier was sent on the connection.
+    fn has_carried(&self, request_id: &str) -> bool {
+        !request_id.is_empty() && self.request_ids.contains(&hash(request_id))
     }
 
     /// Returns whether another request can be sent.
@@ -214,15 +221,18 @@
         self.sender.is_ready()
     }
 
-    /// Sends a request and waits for the response head.
+    /// Sends a request with an identifier, empty without one, and waits for the response head.
     ///
     /// # Errors
     /// Fails when the connection closes or breaks before the response head.
     pub async fn send(
         &mut self,
+        request_id: &str,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, RequestError> {
-        self.request_count = self.request_count.saturating_add(1);
+        if !request_id.is_empty() {
+            self.request_ids.push(hash(request_id));
+        }
         self.allowance.set(MAX_BYTES_TO_HEAD);
         match self.sender.try_send_request(request).await {
             Ok(response) => {
@@ -238,6 +248,13 @@
     }
 }
 
+/// Returns the hash of a request's identifier.
+fn hash(request_id: &str) -> u64 {
+    let mut hasher = std::hash::DefaultHasher::new();
+    request_id.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// Opens a connection outside any pool.
 ///
 /// # Errors
@@ -266,7 +283,7 @@
             tracing::debug!(%err, "connection to a target failed");
         }
     });
-    Ok(Connection { sender, driver, allowance, idle_until: Moment::ZERO, request_count: 0 })
+    Ok(Connection { sender, driver, allowance, idle_until: Moment::ZERO, request_ids: Vec::new() })
 }
 
 /// Makes a connection fail when the peer acknowledges no data for `timeout` or no keep-alive
--- a/gateway/src/upstream/prefill.rs
+++ b/gateway/src/upstream/prefill.rs
@@ -89,12 +89,13 @@
     if !may_send() {
         return;
     }
-    let Ok(mut connection) = probe::connect(context, key, target.address).await else { return };
+    let connected = probe::connect(context, key, target.address, "").await;
+    let Ok(mut connection) = connected else { return };
     if !may_send() || !context.state().rate_limits.is_available(key, clock::now()) {
         return;
     }
     notice::record_request(context, key);
-    match connection.send(request).await {
+    match connection.send("", request).await {
         Ok(response) => notice::record(context, key, response.status(), response.headers()),
         Err(err) => {
             tracing::debug!(target = %target.id, %err, "could not release an unused KV cache");
--- a/gateway/src/upstream/probe.rs
+++ b/gateway/src/upstream/probe.rs
@@ -19,7 +19,7 @@
 /// The same while the host is cut off.
 const CUT_OFF_PROBE_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Returns an idle connection to a target, or opens a new one.
+/// Returns an idle connection to a target for a request with this identifier, or opens a new one.
 ///
 /// # Errors
 /// Fails when the target refuses the connection or does not accept it in time.
@@ -27,8 +27,9 @@
     context: &Context,
     key: Key,
     address: std::net::SocketAddr,
+    request_id: &str,
 ) -> Result<Connection, RequestError> {
-    if let Some(connection) = context.pool.take_idle(&key) {
+    if let Some(connection) = context.pool.take_idle(&key, request_id) {
         return Ok(connection);
     }
     let opened = context.pool.open(address).await;
