feat(gateway): name the requests that end with the process

The host lists its open requests (entry::open_request) and logs each that is open at the end (8181); 8022 also has the number of open connections, which tells a response that its caller has not read from a request without one; 8014, 8015 and 8032 have the time since the signal.

--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -22,6 +22,7 @@
         body_memory,
         deadline::Deadlines,
         headers::{HeaderNames, PrefillApi},
+        open_request,
     },
     logging::Log,
     metrics::Metrics,
@@ -116,6 +117,8 @@
     pub request_memory: body_memory::Memory,
     /// Log writer, for its count of dropped lines.
     pub log: Option<Log>,
+    /// Open requests of callers, and those that this host sends on for other hosts.
+    pub open_requests: open_request::Registry,
     /// Notified when the shutdown starts.
     pub shutdown_started: Notify,
     /// This host's pending placement requests, and the queue for when it is the dispatcher.
@@ -140,16 +143,15 @@
     /// Number of the last grant of each dispatcher that this host's own work includes.
     last_grants: RefCell<HashMap<id::Host, u64>>,
     peer_socket: RefCell<Option<Rc<UdpSocket>>>,
-    shutting_down: Cell<bool>,
+    shutdown_started_at: Cell<Option<Moment>>,
     /// Start of this process.
     started_at: Moment,
-    open_requests: Rc<Cell<usize>>,
     /// Requests of other hosts that this one sends on.
     open_peer_requests: Rc<Cell<usize>>,
     state: RefCell<State>,
 }
 
-/// Guard that counts a request as open until it is dropped.
+/// Guard that counts a request of another host as open until it is dropped.
 #[derive(Debug)]
 pub struct OpenRequest(Rc<Cell<usize>>);
 
@@ -376,10 +378,10 @@
             watch_role_changed: Notify::new(),
             last_grants: RefCell::default(),
             peer_socket: RefCell::default(),
+            open_requests: open_request::Registry::default(),
             shutdown_started: Notify::new(),
-            shutting_down: Cell::new(false),
+            shutdown_started_at: Cell::default(),
             started_at: clock::now(),
-            open_requests: Rc::default(),
             open_peer_requests: Rc::default(),
             state: RefCell::new(state),
         }
@@ -412,7 +414,13 @@
 
     /// Returns whether the host is shutting down.
     pub fn is_shutting_down(&self) -> bool {
-        self.shutting_down.get()
+        self.shutdown_started_at.get().is_some()
+    }
+
+    /// Returns the time since the start of the shutdown, in milliseconds; `None` before it.
+    pub fn shutdown_age_ms(&self) -> Option<u64> {
+        let started_at = self.shutdown_started_at.get()?;
+        Some(clock::now().saturating_sub(started_at).as_millis() as u64)
     }
 
     /// Returns the socket for datagrams between hosts.
@@ -442,11 +450,6 @@
         self.last_grants.borrow().get(dispatcher).copied().unwrap_or_default()
     }
 
-    /// Counts a caller's request as open until the returned guard is dropped.
-    pub fn open_request(&self) -> OpenRequest {
-        OpenRequest::new(&self.open_requests)
-    }
-
     /// Counts another host's request as open until the returned guard is dropped; `None` if `most`
     /// are open.
     pub fn open_peer_request(&self, most: usize) -> Option<OpenRequest> {
@@ -464,14 +467,9 @@
         self.state().reachability.is_cut_off()
     }
 
-    /// Returns the number of open requests of callers.
-    pub fn open_request_count(&self) -> usize {
-        self.open_requests.get()
-    }
-
     /// Starts the shutdown.
     pub fn start_shutdown(&self) {
-        self.shutting_down.set(true);
+        self.shutdown_started_at.set(Some(clock::now()));
         self.shutdown_started.notify_waiters();
     }
 
--- a/gateway/src/entry/forward.rs
+++ b/gateway/src/entry/forward.rs
@@ -64,6 +64,7 @@
     let mut disconnect_guard = DisconnectGuard::new(&context, &id);
     let found = job.find_origin(&context).await;
     let job = Rc::new(job);
+    job.register();
     let forwarder = Forwarder::new(&context, &job);
     if !forwarder.uses_proxy() {
         job.count(&context);
@@ -618,6 +619,7 @@
             elapsed_ms = self.job.elapsed().as_millis() as u64,
             ahead_ms = self.queue_time.as_millis() as u64,
             waited_ms = waited.as_millis() as u64,
+            shutdown_ms = context.shutdown_age_ms(),
             "request given up"
         );
         let status = StatusCode::from_u16(reason.status()).unwrap_or(StatusCode::BAD_GATEWAY);
@@ -671,6 +673,7 @@
         reader = job.prefill_choice.get().map(|it| it.stage.as_str()),
         estimate_ms = job.prefill_choice.get().map(|it| it.estimate.first_event.as_millis() as u64),
         prompt = job.prompt.tokens,
+        shutdown_ms = context.shutdown_age_ms(),
         kind,
         "request answered"
     );
--- a/gateway/src/entry/job.rs
+++ b/gateway/src/entry/job.rs
@@ -28,10 +28,11 @@
         stream_origin::Origin,
     },
     configuration::{Configuration, RequestKind, Route},
-    context::{Context, OpenRequest},
+    context::Context,
     entry::{
         body_memory,
         headers::{HeaderNames, end_to_end, head_bytes},
+        open_request,
         prompt::Prompt,
     },
     placement::engine,
@@ -121,7 +122,7 @@
     headers: HeaderMap,
     body: Bytes,
     _memory: body_memory::Share,
-    _open: OpenRequest,
+    open: open_request::Guard,
 }
 
 impl Job {
@@ -134,7 +135,7 @@
         request: Request<Incoming>,
         ticket: Option<&Ticket>,
     ) -> Result<Job, Reason> {
-        let (arrived, open) = (clock::now(), context.open_request());
+        let (arrived, open) = (clock::now(), context.open_requests.open());
         let configuration = context.state().configuration.clone();
         let (parts, body) = request.into_parts();
         // A newer configuration may send the request elsewhere or not allow it.
@@ -219,10 +220,15 @@
             headers,
             body,
             _memory: memory,
-            _open: open,
+            open,
         })
     }
 
+    /// Has the job counted and listed among the host's open requests.
+    pub fn register(self: &Rc<Job>) {
+        self.open.attach(self);
+    }
+
     /// Finds where the stream began that the caller takes up, if it does, so that the stream goes on
     /// there.
     ///
--- a/gateway/src/entry/mod.rs
+++ b/gateway/src/entry/mod.rs
@@ -7,6 +7,7 @@
 pub mod headers;
 pub mod http_server;
 pub mod job;
+pub mod open_request;
 pub mod prompt;
 pub mod response;
 pub mod retry_after;
--- a/gateway/src/entry/stream_relay.rs
+++ b/gateway/src/entry/stream_relay.rs
@@ -379,6 +379,7 @@
         reason,
         last = last_event_id,
         sent = job.attempts_sent.get(),
+        shutdown_ms = context.shutdown_age_ms(),
         "stream broke off and cannot be resumed"
     );
 }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 
 use std::{io, rc::Rc, time::Duration};
 
+use fuchsiaknot_core::clock;
 use hyper::Request;
 use tokio::{
     signal::unix::{Signal, SignalKind, signal},
@@ -247,5 +248,25 @@
         tracing::debug!("connections are still open at the end of the grace period");
     }
     sleep(RELEASE_DELAY).await;
-    tracing::info!(code = 8022, open = context.open_request_count(), "stopped");
+    log_open_requests(context);
+    let (open, connections) = (context.open_requests.count(), phase.receiver_count());
+    tracing::info!(code = 8022, open, connections, "stopped");
+}
+
+/// Logs the requests that end with the process.
+fn log_open_requests(context: &Context) {
+    let now = clock::now();
+    for job in context.open_requests.jobs() {
+        tracing::warn!(code = 8181,
+            id = %job.id,
+            route = %job.route.name,
+            service = %job.service,
+            sent = job.attempts_sent.get(),
+            first_ms = job.time_to_first_event.get().map(|it| it.as_millis() as u64),
+            waited_ms = now.saturating_sub(job.arrived).as_millis() as u64,
+            left_ms = job.time_left().as_millis() as u64,
+            shutdown_ms = context.shutdown_age_ms(),
+            "request is open at the end of the shutdown"
+        );
+    }
 }
