fix(shutdown): a request that may outlast the grace period is not sent to a target

What callers saw: a request on a connection that was opened before the port closed, or with a body that took long, was read 3 s and more after SIGTERM, passed on, and cut without an answer at the end of the grace period, also one that may not be repeated.

Cause: nothing on a request's way knew when the host ends. The class: work is accepted against a deadline that does not include the end of the process that does it. entry::shutdown makes a schedule from the grace period when the signal comes. A job that was not sent to a target is refused at once (503 leaving, not run, Retry-After 0.05 s since other hosts may serve it) unless its deadline is within the schedule or, if it was read before the ports closed, the last 64 requests of its route would have ended within it. The same holds for a job that waits as the signal comes. A host that is leaving takes no requests of other hosts either; they go to the next one. Why it works: the decision and the send happen in one poll on one thread, so what is refused was not sent.

--- a/gateway/src/cluster/peer_proxy.rs
+++ b/gateway/src/cluster/peer_proxy.rs
@@ -69,7 +69,7 @@
                 log_forwarded(job, &host, response.status(), version);
                 return Ok(response);
             }
-            Err(Failure::NotTaken) => {}
+            Err(Failure::NotTaken) => job.is_delegated.set(false),
             Err(Failure::Expired) => return Err(Reason::DeadlineExceeded),
             // How many attempts the other host made is unknown, so there may be none left.
             Err(Failure::Broken) => return Err(Reason::TargetFailed),
@@ -112,6 +112,7 @@
     };
     let request = job.peer_request(&context.header_names, &ticket).ok_or(Failure::NotTaken)?;
     context.metrics.peer_requests.with_label_values(&["sent"]).inc();
+    job.is_delegated.set(true);
     let sent = tokio::select! {
         sent = timeout(job.time_left(), connection.send(&job.id, request)) => sent,
         () = host_lost(context, host) => return Err(Failure::Broken),
--- a/gateway/src/cluster/peer_server.rs
+++ b/gateway/src/cluster/peer_server.rs
@@ -60,11 +60,12 @@
         && state.membership.is_known(from, *from_incarnation)
 }
 
-/// Returns whether this host may send the request on: it reaches targets, and its configuration is not
-/// older than one by which requests of the other host, or its own, were handled.
+/// Returns whether this host may send the request on: it is not shutting down, it reaches targets, and
+/// its configuration is not older than one by which requests of the other host, or its own, were
+/// handled.
 fn takes(context: &Context, ticket: &Ticket) -> bool {
     let state = context.state();
     let version = state.configuration.as_ref().map(|it| it.version);
     let is_newer = Some(ticket.configuration_version) <= version && !state.is_superseded();
-    !state.reachability.is_cut_off() && is_newer
+    !context.is_shutting_down() && !state.reachability.is_cut_off() && is_newer
 }
--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -8,7 +8,10 @@
     time::Duration,
 };
 
-use tokio::{net::UdpSocket, sync::Notify};
+use tokio::{
+    net::UdpSocket,
+    sync::{Notify, watch},
+};
 
 use crate::{
     account::{self, recognition::Knowledge},
@@ -21,8 +24,10 @@
     entry::{
         body_memory,
         deadline::Deadlines,
+        duration,
         headers::{HeaderNames, PrefillApi},
         open_request,
+        shutdown::Schedule,
     },
     logging::Log,
     metrics::Metrics,
@@ -143,7 +148,8 @@
     /// Number of the last grant of each dispatcher that this host's own work includes.
     last_grants: RefCell<HashMap<id::Host, u64>>,
     peer_socket: RefCell<Option<Rc<UdpSocket>>>,
-    shutdown_started_at: Cell<Option<Moment>>,
+    /// Schedule of the shutdown; `None` before it.
+    shutdown: watch::Sender<Option<Schedule>>,
     /// Start of this process.
     started_at: Moment,
     /// Requests of other hosts that this one sends on.
@@ -210,6 +216,8 @@
     pub poison_parts: poison_part::Detector,
     /// Initial deadlines of callers, by route.
     pub deadlines: Deadlines,
+    /// Time that the requests of each route take.
+    pub durations: duration::Tracker,
     /// Software versions at which streams began.
     pub stream_origins: stream_origin::Tracker,
     /// Client accounts.
@@ -346,6 +354,7 @@
             poison: poison::Detector::default(),
             poison_parts: poison_part::Detector::new(rand::random()),
             deadlines: Deadlines::default(),
+            durations: duration::Tracker::default(),
             stream_origins: stream_origin::Tracker::default(),
             accounts: account::State::default(),
             duties: duty::State::default(),
@@ -380,7 +389,7 @@
             peer_socket: RefCell::default(),
             open_requests: open_request::Registry::default(),
             shutdown_started: Notify::new(),
-            shutdown_started_at: Cell::default(),
+            shutdown: watch::Sender::default(),
             started_at: clock::now(),
             open_peer_requests: Rc::default(),
             state: RefCell::new(state),
@@ -414,13 +423,13 @@
 
     /// Returns whether the host is shutting down.
     pub fn is_shutting_down(&self) -> bool {
-        self.shutdown_started_at.get().is_some()
+        self.shutdown.borrow().is_some()
     }
 
     /// Returns the time since the start of the shutdown, in milliseconds; `None` before it.
     pub fn shutdown_age_ms(&self) -> Option<u64> {
-        let started_at = self.shutdown_started_at.get()?;
-        Some(clock::now().saturating_sub(started_at).as_millis() as u64)
+        let start = (*self.shutdown.borrow())?.start;
+        Some(clock::now().saturating_sub(start).as_millis() as u64)
     }
 
     /// Returns the socket for datagrams between hosts.
@@ -467,10 +476,25 @@
         self.state().reachability.is_cut_off()
     }
 
-    /// Starts the shutdown.
-    pub fn start_shutdown(&self) {
-        self.shutdown_started_at.set(Some(clock::now()));
+    /// Starts the shutdown and returns its schedule.
+    pub fn start_shutdown(&self) -> Schedule {
+        let schedule = Schedule::new(clock::now(), self.bounds().grace);
+        self.shutdown.send_replace(Some(schedule));
         self.shutdown_started.notify_waiters();
+        schedule
+    }
+
+    /// Waits until the shutdown has started, and returns its schedule.
+    pub async fn shutdown_scheduled(&self) -> Schedule {
+        let mut shutdown = self.shutdown.subscribe();
+        loop {
+            if let Some(schedule) = *shutdown.borrow_and_update() {
+                return schedule;
+            }
+            if shutdown.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        }
     }
 
     /// Returns whether the host can serve callers.
--- a/gateway/src/entry/forward.rs
+++ b/gateway/src/entry/forward.rs
@@ -18,7 +18,7 @@
     entry::{
         job::{self, Job, MAX_SILENCE_TIMEOUT},
         response::{self, Body, Chunks},
-        retry_after,
+        retry_after, shutdown,
         stream_relay::{self, Relay, next_event},
     },
     placement::selection,
@@ -41,6 +41,9 @@
 /// Retry delay sent to such callers while the other hosts cannot check keys either. By then each of
 /// them has called the store again.
 const STALE_RETRY_AFTER: Duration = Duration::from_millis(1000);
+/// Retry delay sent to callers of a host that is leaving; they go to other hosts, which may serve them
+/// at once.
+const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Maximum number of attempts whose request could not be sent, after which no further target is
 /// tried.
 const MAX_FAILED_CONNECTS: u32 = 4;
@@ -54,7 +57,12 @@
 ) -> Response<Body> {
     let arrived = clock::now();
     let id = job::request_id(request.headers(), &context.header_names);
-    let mut job = match Job::read(&context, request, ticket.as_ref()).await {
+    let read = tokio::select! {
+        biased;
+        read = Job::read(&context, request, ticket.as_ref()) => read,
+        () = shutdown::reading_ended(&context) => Err(Reason::Leaving),
+    };
+    let mut job = match read {
         Ok(job) => job,
         Err(reason) => {
             let reason = unless_stale(&context, reason);
@@ -73,7 +81,7 @@
     let response = match found {
         _ if is_poison => forwarder.give_up(Reason::CrashesTargets),
         Err(reason) => forwarder.give_up(reason),
-        Ok(()) => forwarder.run().await,
+        Ok(()) => forwarder.run_until_shutdown().await,
     };
     disconnect_guard.answered = true;
     finish_response(&context, response)
@@ -124,6 +132,7 @@
         Reason::NotReady => Some(NOT_READY_RETRY_AFTER),
         Reason::OutOfMemory => Some(OUT_OF_MEMORY_RETRY_AFTER),
         Reason::Stale => Some(stale_retry_after(context)),
+        Reason::Leaving => Some(LEAVING_RETRY_AFTER),
         _ => None,
     };
     response::local(status, reason.code(), retry_after)
@@ -208,6 +217,19 @@
         }
     }
 
+    /// Attempts the job until there is a response for the caller, or the host shuts down.
+    async fn run_until_shutdown(self) -> Response<Body> {
+        let (context, job) = (Rc::clone(&self.context), Rc::clone(&self.job));
+        tokio::select! {
+            // A request that comes too late is not sent.
+            biased;
+            reason = shutdown::interrupted(&context, &job) => {
+                Forwarder::new(&context, &job).give_up(reason)
+            }
+            response = self.run() => response,
+        }
+    }
+
     /// Attempts the job until there is a response for the caller.
     async fn run(mut self) -> Response<Body> {
         // Response with a server error, which is forwarded if no other attempt gets a response.
@@ -626,6 +648,8 @@
         let not_run = reason.verdict() == Verdict::NotRun && !self.may_have_run;
         let (status, retry_after) = if reason == Reason::Unauthorised {
             (status, None)
+        } else if reason == Reason::Leaving {
+            (status, Some(LEAVING_RETRY_AFTER))
         } else if not_run {
             let wait = match reason {
                 Reason::Stale => stale_retry_after(context),
@@ -654,6 +678,7 @@
     kind: &'static str,
 ) {
     let took = clock::now().saturating_sub(job.arrived);
+    context.state_mut().durations.record(&job.route.name, took);
     context.metrics.latency.with_label_values(&["whole"]).observe(took.as_secs_f64());
     tracing::info!(code = 8015,
         id = %job.id,
--- a/gateway/src/entry/job.rs
+++ b/gateway/src/entry/job.rs
@@ -86,6 +86,8 @@
     pub parts: Vec<id::Fingerprint>,
     /// Arrival time of the request head.
     pub arrived: Moment,
+    /// Time at which the request had been read whole.
+    pub read_at: Moment,
     /// Time for which the caller waits, counted from `arrived`.
     pub caller_timeout: Duration,
     /// Time that the caller had spent on earlier attempts before this request.
@@ -108,6 +110,8 @@
     pub is_run_counted: Cell<bool>,
     /// Whether another host sends the job through this one.
     pub is_from_peer: bool,
+    /// Whether the job was sent through another host.
+    pub is_delegated: Cell<bool>,
     /// Stream that the caller takes up after some events; empty when it doesn't name the stream, and
     /// `None` for a new request.
     pub resumed_stream: Option<id::Stream>,
@@ -200,6 +204,7 @@
             fingerprint: hasher.finish(),
             parts: part_fingerprints,
             arrived,
+            read_at: clock::now(),
             caller_timeout,
             prior_time,
             expires_at,
@@ -212,6 +217,7 @@
             is_counted: Cell::new(ticket.is_some_and(|it| it.is_counted)),
             is_run_counted: Cell::new(false),
             is_from_peer: ticket.is_some(),
+            is_delegated: Cell::default(),
             resumed_stream,
             origin: RefCell::default(),
             key,
@@ -312,6 +318,11 @@
         recognition::check(&identity, accounts, knowledge)
     }
 
+    /// Returns whether a target may have started the job.
+    pub fn may_have_started(&self) -> bool {
+        0 < self.attempts_sent.get() || self.is_delegated.get()
+    }
+
     /// Returns the time left until the job's deadline.
     pub fn time_left(&self) -> Duration {
         self.expires_at.saturating_sub(clock::now())
--- a/gateway/src/entry/mod.rs
+++ b/gateway/src/entry/mod.rs
@@ -3,6 +3,7 @@
 pub mod body_memory;
 pub mod deadline;
 pub mod directory;
+pub mod duration;
 pub mod forward;
 pub mod headers;
 pub mod http_server;
@@ -11,4 +12,5 @@
 pub mod prompt;
 pub mod response;
 pub mod retry_after;
+pub mod shutdown;
 pub mod stream_relay;
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -35,7 +35,7 @@
     signal::unix::{Signal, SignalKind, signal},
     sync,
     task::{JoinSet, spawn_local},
-    time::{Instant, sleep, timeout_at},
+    time::{sleep, timeout},
 };
 
 use crate::{
@@ -54,11 +54,6 @@
     upstream::probe,
 };
 
-/// Time from the start of a shutdown to closing the ports. Until then the host still takes
-/// requests, so that callers learn of the shutdown first.
-const CLOSE_DELAY: Duration = Duration::from_millis(2500);
-/// Time before the end of the grace period at which a shutdown stops waiting for open requests.
-const GRACE_MARGIN: Duration = Duration::from_millis(500);
 /// Interval at which the settings are reloaded without a signal.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(3);
 /// Time from the close of the last connection to the end of the process, in which the connections
@@ -232,19 +227,18 @@
 /// Shuts down in order: removes the host from the directory, closes the ports, waits until
 /// all connections are closed.
 async fn shut_down<S: Store>(context: &Rc<Context>, store: &S, phase: &sync::watch::Sender<Phase>) {
-    let started = Instant::now();
     tracing::info!(code = 8020, "shutting down; finishing open requests");
-    context.start_shutdown();
+    let schedule = context.start_shutdown();
     let name = context.settings.host.name.clone();
-    let withdrawal = tokio::time::timeout(WITHDRAW_TIMEOUT, store.withdraw(&name)).await;
+    let withdrawal = timeout(WITHDRAW_TIMEOUT, store.withdraw(&name)).await;
     if let Ok(Err(err)) = withdrawal {
         tracing::warn!(code = 8021, fault = %err, "cannot remove this host from the store; other hosts notice its missing heartbeats");
     }
-    sleep(CLOSE_DELAY.saturating_sub(started.elapsed())).await;
+    sleep(schedule.close.saturating_sub(clock::now())).await;
     phase.send_replace(Phase::Closing);
     // Each connection keeps a receiver until its last response is written.
-    let end = started + context.bounds().grace.saturating_sub(GRACE_MARGIN);
-    if timeout_at(end, phase.closed()).await.is_err() {
+    let time_left = schedule.end.saturating_sub(clock::now());
+    if timeout(time_left, phase.closed()).await.is_err() {
         tracing::debug!("connections are still open at the end of the grace period");
     }
     sleep(RELEASE_DELAY).await;
