fix(shutdown): a request that is still running at the end gets an answer

What callers saw: a request whose target was still at work at the end of the grace period ended with its connection, without a status. Streams that have begun go on to the end.

Measured: unanswered_at_end (2 kinds) failed before and passes.

--- a/core/src/verdict.rs
+++ b/core/src/verdict.rs
@@ -140,6 +140,8 @@
     TargetSilent = ("target-silent", 504, MayHaveRun);
     /// The deadline passed after the request was sent.
     DeadlineExceeded = ("deadline-exceeded", 504, MayHaveRun);
+    /// The host shut down while a target was running the request.
+    ShutDown = ("shut-down", 504, MayHaveRun);
     /// The request ran, but its stored response is lost.
     AnswerLost = ("answer-lost", 410, Ran);
     /// The host failed internally after the request may have been sent.
--- a/gateway/src/entry/shutdown.rs
+++ b/gateway/src/entry/shutdown.rs
@@ -76,7 +76,8 @@
             return Reason::Leaving;
         }
     }
-    std::future::pending().await
+    sleep_until(schedule.answer).await;
+    if job.may_have_started() { Reason::ShutDown } else { Reason::Leaving }
 }
 
 /// Waits until a request that has not been read whole has to be refused because the host shuts down.
