fix(stream_origin): a stream without a record goes on only where the store shows its origin

Callers got text of two software versions, or of two services, in one stream. A host without a record took the one version that it knew, and the service of today's route, for the ones that began the stream. Its list of targets may be 2 s old, older after it stood still, and nothing recalled former routes.

Now the host has the store show, by calls that start after the caller came, that no newer targets and no newer configuration exist (origin_proof). A host that was not there to observe its list (continuity), or whose store came back from a copy, starts its history anew. Else the take-up is refused as not run (origin-unknown).

Both faults are one cause, what is known of the past being concluded from the picture of now, and use one proof; so they are mended together.

--- a/gateway/src/cluster/membership.rs
+++ b/gateway/src/cluster/membership.rs
@@ -420,6 +420,16 @@
         self.registered && !own_store_unreachable && before < WATCHER_COUNT
     }
 
+    /// Returns the hosts that watch the store for all, as far as this host knows.
+    pub fn watchers(&self, own_store_unreachable: bool) -> Vec<id::Host> {
+        let own = (self.registered && !own_store_unreachable).then_some(&self.own);
+        let peers =
+            self.peers.values().filter(|it| it.up && !it.store_unreachable).map(|it| &it.host);
+        let mut hosts: Vec<&Host> = own.into_iter().chain(peers).collect();
+        hosts.sort_by_cached_key(|it| (Reverse(it.cpu_millicores), it.name.clone()));
+        hosts.into_iter().take(WATCHER_COUNT).map(|it| it.name.clone()).collect()
+    }
+
     /// Returns the host that archives the origins of streams, the first of the watchers; `None` if no
     /// host is known to reach the store.
     pub fn archivist(&self, own_store_unreachable: bool) -> Option<&id::Host> {
--- a/gateway/src/cluster/origin_lookup.rs
+++ b/gateway/src/cluster/origin_lookup.rs
@@ -16,6 +16,8 @@
 
 use crate::{
     cluster::{
+        origin_evidence::Evidence,
+        origin_proof::{self, Subject},
         peers::{self, Packet},
         stream_origin::{Knowledge, Origin},
     },
@@ -75,11 +77,16 @@
     }
 }
 
-/// Records where a stream began, and reports it to other hosts if they may need it.
-pub fn record_begin(context: &Context, stream: id::Stream, origin: Origin) {
+/// Records where a stream began, and reports it to other hosts if they may need it; `has_sole_service`
+/// says whether they can tell its service from its route.
+pub fn record_begin(context: &Context, stream: id::Stream, origin: Origin, has_sole_service: bool) {
     let now = clock::now();
-    let is_needed =
-        context.state_mut().stream_origins.record_begin(stream.clone(), origin.clone(), now);
+    let is_needed = context.state_mut().stream_origins.record_begin(
+        stream.clone(),
+        origin.clone(),
+        has_sole_service,
+        now,
+    );
     if is_needed {
         publish(context, vec![(stream, origin)]);
     }
@@ -117,31 +124,41 @@
 }
 
 /// Returns where a stream began; `None` if neither this host, nor those that keep its record, nor the
-/// archive know.
+/// archive know, and it cannot be shown.
 ///
-/// `service` is the only service that may have begun it, if there is only one.
+/// `subject` has the only service that may have begun it, if there is only one.
 pub async fn find(
     context: &Rc<Context>,
     stream: &id::Stream,
-    service: Option<&id::Service>,
+    subject: Option<&Subject>,
 ) -> Option<Origin> {
-    match ask_keepers(context, stream, service).await {
-        Some(origin) => Some(origin),
-        None if stream.is_empty() => None,
-        None => stream_archive::driver::find(context, stream).await,
+    let knowledge = ask_keepers(context, stream, subject.map(|it| &it.service)).await;
+    if knowledge.record.is_some() {
+        return knowledge.record;
+    }
+    if let Some(subject) = subject.filter(|_| knowledge.may_be_sole()) {
+        let known = Evidence { knowledge, ..Evidence::default() };
+        let shown = origin_proof::find(context, subject, known).await;
+        if shown.is_some() {
+            return shown;
+        }
+    }
+    match stream.is_empty() {
+        true => None,
+        false => stream_archive::driver::find(context, stream).await,
     }
 }
 
-/// Returns where a stream began according to this host and those that keep its record.
+/// Returns what this host and those that keep its record know of a stream.
 async fn ask_keepers(
     context: &Rc<Context>,
     stream: &id::Stream,
     service: Option<&id::Service>,
-) -> Option<Origin> {
+) -> Knowledge {
     let mut knowledge = context.state().stream_origins.knowledge(stream, service, clock::now());
     let keepers = context.state().membership.record_keepers(stream);
     if knowledge.record.is_some() || keepers.is_empty() {
-        return knowledge.into_origin(service);
+        return knowledge;
     }
     let (sender, mut answers) = mpsc::channel(ANSWER_CAPACITY);
     let number = rand::random();
@@ -164,11 +181,11 @@
             knowledge.merge(answer.knowledge);
             answered.insert(answer.host);
             if knowledge.record.is_some() || answered.len() == keepers.len() {
-                return knowledge.into_origin(service);
+                return knowledge;
             }
         }
     }
-    knowledge.into_origin(service)
+    knowledge
 }
 
 /// Answers another host's query.
--- a/gateway/src/cluster/stream_origin.rs
+++ b/gateway/src/cluster/stream_origin.rs
@@ -3,7 +3,8 @@
 //! What targets of two software versions write does not fit together, so a stream goes on only at the
 //! version that began it. A caller may take a stream up at any host. The host knows the version from
 //! its own record or from that of another host. Without a record, the service must have had one
-//! version only for as long as a stream may last.
+//! version only for as long as a stream may last, and the store must have shown since the caller came
+//! that there is no other by now ([`crate::cluster::origin_evidence`]).
 
 use std::{
     collections::{BTreeSet, HashMap, VecDeque},
@@ -13,12 +14,10 @@
 use fuchsiaknot_core::{clock::Moment, id};
 use serde::{Deserialize, Serialize};
 
-use crate::targets::target::Target;
+use crate::{cluster::continuity::Continuity, targets::target::Target};
 
 /// Longest time from the first event of a stream to its last resumption.
 pub const STREAM_LIFETIME: Duration = Duration::from_secs(30);
-/// Age of the list of targets up to which a host knows all versions of a service.
-const MAX_LIST_AGE: Duration = Duration::from_secs(2);
 /// Most records that are kept; the oldest are dropped first.
 const MAX_RECORDS: usize = 50_000;
 /// Longest identifier of a stream that is recorded; callers choose them.
@@ -54,7 +53,8 @@
     pub record: Option<Origin>,
     /// Versions that the service has had within [`STREAM_LIFETIME`], as far as known.
     pub versions: BTreeSet<Option<id::SoftwareVersion>>,
-    /// Whether these are all versions.
+    /// Whether these were all versions, except for those of the last moments: the list of targets may
+    /// be a little old.
     pub is_complete: bool,
 }
 
@@ -66,8 +66,8 @@
         self.is_complete |= other.is_complete;
     }
 
-    /// Returns where the stream of a service began; `None` if that is uncertain. Without a service,
-    /// a record is needed.
+    /// Returns where the stream of a service began, unless a version has appeared in the last moments;
+    /// `None` if that is uncertain. Without a service, a record is needed.
     pub fn into_origin(self, service: Option<&id::Service>) -> Option<Origin> {
         if self.record.is_some() {
             return self.record;
@@ -76,6 +76,11 @@
         Some(Origin { service: service?.clone(), version })
     }
 
+    /// Returns whether the service may have had one version only.
+    pub fn may_be_sole(&self) -> bool {
+        self.versions.len() <= 1
+    }
+
     /// Returns the version of the service if it is the only one.
     fn sole_version(&self) -> Option<&Option<id::SoftwareVersion>> {
         let only = self.versions.first()?;
@@ -105,8 +110,9 @@
     versions: HashMap<id::Service, LastListed>,
     /// Streams that this host began and has not reported for the archive.
     unarchived: BTreeSet<id::Stream>,
-    /// Time since which the list of targets was never too old; `None` while it is.
-    listed_since: Option<Moment>,
+    continuity: Continuity,
+    /// Whether a route has changed since streams were last reported to other hosts.
+    has_new_routes: bool,
 }
 
 impl Tracker {
@@ -117,22 +123,39 @@
         list_age: Duration,
         now: Moment,
     ) {
-        let is_current = list_age <= MAX_LIST_AGE;
-        self.listed_since = is_current.then(|| self.listed_since.unwrap_or(now));
+        self.continuity.observe(list_age, now);
         for target in targets {
             let versions = self.versions.entry(target.service.clone()).or_default();
             versions.insert(target.software_version.clone(), now);
         }
     }
 
+    /// Records that the store came back from a copy, whose targets may not be all.
+    pub fn interrupt(&mut self) {
+        self.continuity.interrupt();
+    }
+
+    /// Records that the configuration has changed, so that other hosts can no longer conclude the service
+    /// of a stream from its route.
+    pub fn record_route_change(&mut self) {
+        self.has_new_routes = true;
+    }
+
     /// Records where a stream began that this host forwards. Returns whether it has to be
-    /// reported to other hosts, since they cannot conclude it from the versions of the service.
-    pub fn record_begin(&mut self, stream: id::Stream, origin: Origin, now: Moment) -> bool {
+    /// reported to other hosts, since they cannot conclude it from the versions of the service, or
+    /// from the services of its route unless it `has_sole_service`.
+    pub fn record_begin(
+        &mut self,
+        stream: id::Stream,
+        origin: Origin,
+        has_sole_service: bool,
+        now: Moment,
+    ) -> bool {
         if MAX_STREAM_BYTES < stream.len() {
             return false;
         }
-        let is_needed =
-            self.knowledge(&stream, Some(&origin.service), now).sole_version().is_none();
+        let knowledge = self.knowledge(&stream, Some(&origin.service), now);
+        let is_needed = !has_sole_service || knowledge.sole_version().is_none();
         self.unarchived.insert(stream.clone());
         let record = Record { origin, recorded_at: now, is_unpublished: !is_needed, is_own: true };
         self.insert(stream, record);
@@ -222,25 +245,26 @@
         Knowledge {
             record: self.records.get(stream).map(|it| it.origin.clone()),
             versions: recent.map(|(version, _)| version.clone()).collect(),
-            is_complete: self.listed_since.is_some_and(|it| it + STREAM_LIFETIME <= now),
+            is_complete: self.continuity.covers(STREAM_LIFETIME, now),
         }
     }
 
     /// Returns the streams that this host began and that now have to be reported to other hosts,
-    /// since the versions of their service no longer determine their origin. Each is returned once.
+    /// since the versions of their service, or the services of their route, no longer determine their
+    /// origin. Each is returned once.
     pub fn take_unpublished(&mut self, now: Moment) -> Vec<(id::Stream, Origin)> {
         let services: Vec<id::Service> = self.versions.keys().cloned().collect();
         let none = id::Stream::default();
         let is_mixed =
             |it: &id::Service| self.knowledge(&none, Some(it), now).sole_version().is_none();
         let mixed: BTreeSet<id::Service> = services.into_iter().filter(is_mixed).collect();
-        if mixed.is_empty() {
+        let takes_all = std::mem::take(&mut self.has_new_routes);
+        if mixed.is_empty() && !takes_all {
             return Vec::new();
         }
-        let unpublished = self
-            .records
-            .iter_mut()
-            .filter(|(_, it)| it.is_unpublished && mixed.contains(&it.origin.service));
+        let is_due = |it: &Origin| takes_all || mixed.contains(&it.service);
+        let unpublished =
+            self.records.iter_mut().filter(|(_, it)| it.is_unpublished && is_due(&it.origin));
         let taken = unpublished.map(|(stream, record)| {
             record.is_unpublished = false;
             (stream.clone(), record.origin.clone())
--- a/gateway/src/configuration.rs
+++ b/gateway/src/configuration.rs
@@ -134,6 +134,20 @@
         };
         routes.iter().find(|it| path.starts_with(it.prefix.as_str()))
     }
+
+    /// Returns whether each request goes to the same services by both.
+    pub fn leads_like(&self, other: &Routes) -> bool {
+        let is_alike = |(one, two): (&Rc<Route>, &Rc<Route>)| {
+            let services = one.traffic_split.iter().map(|(service, _)| service);
+            one.prefix == two.prefix
+                && services.eq(two.traffic_split.iter().map(|(service, _)| service))
+        };
+        let are_alike = |(host, routes): (&SmolStr, &Vec<Rc<Route>>)| {
+            let others = other.by_host.get(host).filter(|it| it.len() == routes.len());
+            others.is_some_and(|it| routes.iter().zip(it).all(is_alike))
+        };
+        self.by_host.len() == other.by_host.len() && self.by_host.iter().all(are_alike)
+    }
 }
 
 impl FromIterator<Route> for Routes {
--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -14,7 +14,10 @@
     account::{self, recognition::Knowledge},
     cluster::{
         membership::{Host, Membership},
-        messages, origin_lookup, stream_origin,
+        messages, origin_lookup,
+        origin_proof::Prover,
+        route_history::RouteHistory,
+        stream_origin,
     },
     configuration::Configuration,
     duty,
@@ -122,6 +125,8 @@
     pub dispatcher: Dispatcher,
     /// This host's queries for the origins of streams.
     pub origin_queries: origin_lookup::Pending,
+    /// Calls by which the store shows that this host is current.
+    pub origin_prover: Prover,
     /// Records in the store of where streams began.
     pub stream_archive: Archive,
     /// Handlers of the messages from other hosts.
@@ -210,6 +215,8 @@
     pub deadlines: Deadlines,
     /// Software versions at which streams began.
     pub stream_origins: stream_origin::Tracker,
+    /// Former configurations, by which streams may have begun.
+    pub route_history: RouteHistory,
     /// Client accounts.
     pub accounts: account::State,
     /// Duties that one host performs for all.
@@ -274,6 +281,12 @@
         self.membership.is_watcher(self.is_store_unreachable())
     }
 
+    /// Returns the hosts that watch the store for this one; `None` if it does so itself.
+    pub fn other_watchers(&self) -> Option<Vec<id::Host>> {
+        let watchers = self.membership.watchers(self.is_store_unreachable());
+        (!watchers.contains(self.membership.own_name())).then_some(watchers)
+    }
+
     /// Returns the host that archives the origins of streams, if one reaches the store.
     pub fn archivist(&self) -> Option<id::Host> {
         self.membership.archivist(self.is_store_unreachable()).cloned()
@@ -290,8 +303,9 @@
         Some(until_available.max(self.rate_limits.time_until_available(key, now)))
     }
 
-    /// Records the software versions of the known targets.
+    /// Records the software versions of the known targets, and that the configuration is followed.
     pub fn observe_versions(&mut self, now: Moment) {
+        self.route_history.observe(self.configuration_watch.age(now), now);
         let list_age = self.targets_watch.age(now);
         self.stream_origins.observe(self.registry.all(), list_age, now);
     }
@@ -345,6 +359,7 @@
             poison_parts: poison_part::Detector::new(rand::random()),
             deadlines: Deadlines::default(),
             stream_origins: stream_origin::Tracker::default(),
+            route_history: RouteHistory::default(),
             accounts: account::State::default(),
             duties: duty::State::default(),
             scaling: scaling::State::default(),
@@ -367,6 +382,7 @@
             log,
             dispatcher: Dispatcher::default(),
             origin_queries: origin_lookup::Pending::default(),
+            origin_prover: Prover::default(),
             stream_archive: Archive::default(),
             handlers: messages::Handlers::default(),
             connect_failed: Notify::new(),
--- a/gateway/src/entry/job.rs
+++ b/gateway/src/entry/job.rs
@@ -24,6 +24,7 @@
     },
     cluster::{
         origin_lookup,
+        origin_proof::Subject,
         peer_ticket::{TICKET_HEADER, Ticket},
         stream_origin::Origin,
     },
@@ -230,11 +231,12 @@
     /// Returns the reason for refusing the request; nothing was sent to a target.
     pub async fn find_origin(&mut self, context: &Rc<Context>) -> Result<(), Reason> {
         let Some(stream) = &self.resumed_stream else { return Ok(()) };
-        let sole_service = match self.route.traffic_split.as_slice() {
-            [(service, _)] => Some(service),
-            _ => None,
-        };
-        let origin = origin_lookup::find(context, stream, sole_service).await;
+        let subject = self.sole_service(context).map(|service| Subject {
+            service,
+            host: authority(&self.uri, &self.headers).unwrap_or_default().into(),
+            path: self.uri.path().into(),
+        });
+        let origin = origin_lookup::find(context, stream, subject.as_ref()).await;
         let origin = origin.ok_or(Reason::OriginUnknown)?;
         if !self.route.traffic_split.iter().any(|(service, _)| *service == origin.service) {
             return Err(Reason::NoTarget);
@@ -250,6 +252,19 @@
         Ok(())
     }
 
+    /// Returns the service of the route, if requests like this one have gone to no other lately.
+    fn sole_service(&self, context: &Context) -> Option<id::Service> {
+        let state = context.state();
+        let [(service, _)] = self.route.traffic_split.as_slice() else { return None };
+        if !state.route_history.has_former() {
+            return Some(service.clone());
+        }
+        let host = authority(&self.uri, &self.headers)?;
+        let routes = &state.configuration.as_ref()?.routes;
+        let services = state.route_history.services(routes, host, self.uri.path());
+        services.iter().eq([service]).then(|| service.clone())
+    }
+
     /// Records that the stream began at a target, unless its caller had taken it up.
     pub fn record_origin(&self, context: &Context, target: &Target) {
         let origin = Origin::from(target);
@@ -257,7 +272,8 @@
         let stream = stream.unwrap_or_else(|| self.id.clone());
         *self.origin.borrow_mut() = Some(origin.clone());
         if !stream.is_empty() {
-            origin_lookup::record_begin(context, stream, origin);
+            let has_sole_service = self.sole_service(context).is_some();
+            origin_lookup::record_begin(context, stream, origin, has_sole_service);
         }
     }
 
@@ -484,13 +500,18 @@
     configuration: &Configuration,
     parts: &hyper::http::request::Parts,
 ) -> Option<Rc<Route>> {
-    let host = match parts.uri.authority() {
-        Some(authority) => authority.as_str(),
-        None => parts.headers.get(header::HOST)?.to_str().ok()?,
-    };
+    let host = authority(&parts.uri, &parts.headers)?;
     configuration.routes.find(host, parts.uri.path()).cloned()
 }
 
+/// Returns the host of a request.
+fn authority<'a>(uri: &'a Uri, headers: &'a HeaderMap) -> Option<&'a str> {
+    match uri.authority() {
+        Some(authority) => Some(authority.as_str()),
+        None => headers.get(header::HOST)?.to_str().ok(),
+    }
+}
+
 fn header_text<'a>(headers: &'a HeaderMap, name: &hyper::header::HeaderName) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -45,6 +45,8 @@
     pub store_calls: IntCounterVec,
     /// Streams whose origin this host has written to the store.
     pub archived_streams: IntCounter,
+    /// Streams without a record that callers took up, by whether their origin could be shown.
+    pub origins_shown: IntCounterVec,
     /// Duration of the stages of a request, in seconds: waiting for placement, until the first
     /// event, between two events, and the whole request.
     pub latency: HistogramVec,
@@ -169,6 +171,11 @@
                 "archived_streams_total",
                 "Streams whose origin was written to the store.",
             )?,
+            origins_shown: counters(
+                "origins_shown_total",
+                "Streams without a record that callers took up, by outcome.",
+                "outcome",
+            )?,
             latency: histograms("latency_seconds", "Time by stage of a request.", "stage")?,
             store_call_time: histograms(
                 "store_call_seconds",
--- a/gateway/src/store/sync.rs
+++ b/gateway/src/store/sync.rs
@@ -6,7 +6,10 @@
 
 use crate::{
     account::proof,
-    cluster::peers::{self, Packet},
+    cluster::{
+        origin_lookup,
+        peers::{self, Packet},
+    },
     configuration::Configuration,
     context::{Context, State},
     logging::Log,
@@ -343,6 +346,10 @@
     };
     let was_read = [&mut state.configuration_watch, &mut state.targets_watch].map(&mut start);
     state.registry.unsettle(state.targets_watch.reannounce_deadline());
+    if was_read.contains(&true) {
+        state.stream_origins.interrupt();
+        state.route_history.interrupt();
+    }
     context.metrics.store_era.set(i64::try_from(era).unwrap_or(i64::MAX));
     if was_read.contains(&true) {
         tracing::warn!(
@@ -483,7 +490,14 @@
         }
         return;
     }
-    context.state_mut().configuration = Some(Rc::new(configuration));
+    let configuration = Rc::new(configuration);
+    let former = context.state_mut().configuration.replace(Rc::clone(&configuration));
+    if let Some(former) = former.filter(|it| !it.routes.leads_like(&configuration.routes)) {
+        let state = &mut *context.state_mut();
+        state.route_history.record_former(former, clock::now());
+        state.stream_origins.record_route_change();
+    }
+    origin_lookup::publish_pending(context);
     context.metrics.configuration_version.set(i64::try_from(version).unwrap_or(i64::MAX));
     tracing::info!(
         code = 8010,
--- a/gateway/src/store/watch.rs
+++ b/gateway/src/store/watch.rs
@@ -200,6 +200,12 @@
         }
     }
 
+    /// Returns the version up to which all changes are known; `None` before the first full read in the
+    /// era.
+    pub fn known_version(&self) -> Option<id::Version> {
+        self.known_version
+    }
+
     /// Returns the call that is made now.
     pub fn begin_call(&self) -> Call {
         Call { missed_changes: self.missed_changes }
--- a/gateway/src/stream_archive/driver.rs
+++ b/gateway/src/stream_archive/driver.rs
@@ -17,6 +17,7 @@
 use crate::{
     cluster::{
         messages::{self, Kind, Message},
+        origin_proof,
         stream_origin::Origin,
     },
     context::Context,
@@ -95,8 +96,9 @@
     }
 }
 
-/// Registers the handler of the other hosts' reports.
+/// Registers the handlers of the other hosts' reports and queries.
 pub fn register(context: &Context) {
+    origin_proof::register(context);
     context.handlers.register(|context, _, Begun(groups)| context.stream_archive.push(groups));
 }
 
@@ -166,8 +168,16 @@
     }
 }
 
-/// Reads the records whenever they are wanted, forever.
+/// Reads from the store what is wanted to find where streams began, forever.
 pub async fn read<S: Store>(context: Rc<Context>, store: S) {
+    tokio::join!(
+        read_records(Rc::clone(&context), store.clone()),
+        origin_proof::run(context, store)
+    );
+}
+
+/// Reads the records whenever they are wanted, forever.
+async fn read_records<S: Store>(context: Rc<Context>, store: S) {
     let archive = &context.stream_archive;
     let mut backoff = Backoff::new("streams");
     loop {
--- a/gateway/tests/catalogue.rs
+++ b/gateway/tests/catalogue.rs
@@ -67,6 +67,7 @@
     metrics.target_notices.with_label_values(&["leaving"]);
     metrics.peer_requests.with_label_values(&["sent"]);
     metrics.excess_requests.with_label_values(&["placed"]);
+    metrics.origins_shown.with_label_values(&["shown"]);
     metrics.usage_reports.with_label_values(&["accepted"]);
     metrics.store_calls.with_label_values(&["answered"]);
     metrics.store_call_time.with_label_values(&["targets"]);
--- a/gateway/tests/stream_origin.rs
+++ b/gateway/tests/stream_origin.rs
@@ -2,11 +2,16 @@
 
 mod common;
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
 use common::{SERVICE, ms, target};
 use fuchsiaknot_gateway::{
-    cluster::stream_origin::{Knowledge, Origin, STREAM_LIFETIME, Tracker},
+    cluster::{
+        origin_evidence::Evidence,
+        route_history::{ROUTE_MEMORY, RouteHistory},
+        stream_origin::{Knowledge, Origin, STREAM_LIFETIME, Tracker},
+    },
+    configuration::{Configuration, Limits, RequestKind, Route, Routes},
     targets::target::Target,
 };
 use rstest::rstest;
@@ -39,7 +44,7 @@
 #[test]
 fn recorded_stream() {
     let mut tracker = Tracker::default();
-    assert!(tracker.record_begin("r1".into(), origin("v1"), ms(0)), "not reported");
+    assert!(tracker.record_begin("r1".into(), origin("v1"), true, ms(0)), "not reported");
     tracker.expire(STREAM_LIFETIME - ms(1));
     assert_eq!(find(&tracker, STREAM_LIFETIME - ms(1)), Some(origin("v1")));
     tracker.expire(STREAM_LIFETIME);
@@ -118,13 +123,13 @@
 fn reported_when_mixed() {
     let mut tracker = Tracker::default();
     observe(&mut tracker, &["v1"], ms(0), STREAM_LIFETIME);
-    assert!(!tracker.record_begin("r1".into(), origin("v1"), STREAM_LIFETIME));
+    assert!(!tracker.record_begin("r1".into(), origin("v1"), true, STREAM_LIFETIME));
     assert!(tracker.take_unpublished(STREAM_LIFETIME).is_empty());
     tracker.record_report("r2".into(), origin("v1"), STREAM_LIFETIME);
     observe(&mut tracker, &["v1", "v1.1"], STREAM_LIFETIME, STREAM_LIFETIME);
     assert_eq!(tracker.take_unpublished(STREAM_LIFETIME), [("r1".into(), origin("v1"))]);
     assert!(tracker.take_unpublished(STREAM_LIFETIME).is_empty());
-    assert!(tracker.record_begin("r3".into(), origin("v1.1"), STREAM_LIFETIME));
+    assert!(tracker.record_begin("r3".into(), origin("v1.1"), true, STREAM_LIFETIME));
 }
 
 /// Callers that choose long identifiers take no memory of the hosts.
@@ -132,7 +137,7 @@
 fn long_identifier() {
     let mut tracker = Tracker::default();
     let stream = "r".repeat(129);
-    assert!(!tracker.record_begin(stream.as_str().into(), origin("v1"), ms(0)));
+    assert!(!tracker.record_begin(stream.as_str().into(), origin("v1"), true, ms(0)));
     tracker.record_report(stream.into(), origin("v1"), ms(0));
     assert!(tracker.is_empty());
 }
@@ -153,12 +158,12 @@
 fn archived_when_mixed() {
     let mut tracker = Tracker::default();
     observe(&mut tracker, &["v1"], ms(0), ms(1000));
-    tracker.record_begin("r1".into(), origin("v1"), ms(1000));
+    tracker.record_begin("r1".into(), origin("v1"), true, ms(1000));
     tracker.record_report("r2".into(), origin("v1"), ms(1000));
     assert!(tracker.take_unarchived(ms(1000)).is_empty(), "one version");
     observe(&mut tracker, &["v1", "v1.1"], ms(9000), ms(9000));
     assert_eq!(tracker.take_unarchived(ms(9000)), [("r1".into(), origin("v1"))]);
-    tracker.record_begin("r3".into(), origin("v1.1"), ms(9000));
+    tracker.record_begin("r3".into(), origin("v1.1"), true, ms(9000));
     assert_eq!(tracker.take_unarchived(ms(9000)), [("r3".into(), origin("v1.1"))]);
     assert!(tracker.take_unarchived(ms(9000)).is_empty());
     tracker.archive_again(ms(5000), ms(9000));
@@ -175,3 +180,119 @@
     assert!(tracker.has_mixed_service(ms(1000)));
     assert!(!tracker.has_mixed_service(ms(1000) + STREAM_LIFETIME));
 }
+
+/// A host that stood still may have missed a version, though its list is current again.
+#[test]
+fn stood_still() {
+    let mut tracker = Tracker::default();
+    observe(&mut tracker, &["v1"], ms(0), STREAM_LIFETIME);
+    let resumed = STREAM_LIFETIME + ms(3000);
+    assert_eq!(find(&tracker, resumed), None, "before the list is looked at");
+    observe(&mut tracker, &["v1"], resumed, resumed);
+    assert_eq!(find(&tracker, resumed), None);
+    observe(&mut tracker, &["v1"], resumed, resumed + STREAM_LIFETIME);
+    assert_eq!(find(&tracker, resumed + STREAM_LIFETIME), Some(origin("v1")));
+}
+
+/// A store that came back from a copy may lack the targets of a version.
+#[test]
+fn store_copied() {
+    let mut tracker = Tracker::default();
+    observe(&mut tracker, &["v1"], ms(0), STREAM_LIFETIME);
+    tracker.interrupt();
+    assert_eq!(find(&tracker, STREAM_LIFETIME), None);
+}
+
+fn evidence(versions: &[&str], services: &[&str], newest: Option<u64>) -> Evidence {
+    Evidence {
+        knowledge: knowledge(None, versions, true),
+        services: services.iter().map(|it| (*it).into()).collect(),
+        knows_routes: true,
+        newest_configuration: newest,
+    }
+}
+
+/// A host took its own picture, which may be old, for what there is: a stream without a record needs a
+/// proof of the store that the one version and the one service are all.
+#[rstest]
+#[case::shown(evidence(&["v1"], &[SERVICE], None), evidence(&["v1"], &[SERVICE], Some(3)), true)]
+#[case::not_shown(evidence(&["v1"], &[SERVICE], None), evidence(&["v1"], &[SERVICE], None), false)]
+#[case::newer_version(
+    evidence(&["v1"], &[SERVICE], None), evidence(&["v1", "v2"], &[SERVICE], Some(3)), false
+)]
+#[case::newer_configuration(
+    evidence(&["v1"], &[SERVICE], Some(3)), evidence(&["v1"], &[SERVICE], Some(4)), false
+)]
+#[case::moved(evidence(&["v1"], &[SERVICE], None), evidence(&["v1"], &["s2"], Some(3)), false)]
+#[case::moved_from(evidence(&["v1"], &["s2"], None), evidence(&["v1"], &["s2"], Some(3)), false)]
+fn shown_origin(#[case] mut own: Evidence, #[case] watcher: Evidence, #[case] is_known: bool) {
+    own.merge(watcher);
+    let expected = is_known.then(|| origin("v1"));
+    assert_eq!(own.into_origin(&SERVICE.into(), 3), expected);
+}
+
+/// A host that has not followed the routes took the only one that it knows for all.
+#[test]
+fn routes_not_followed() {
+    let young = Evidence { knows_routes: false, ..evidence(&["v1"], &[SERVICE], Some(3)) };
+    assert_eq!(young.clone().into_origin(&SERVICE.into(), 3), None);
+    let mut own = young;
+    own.merge(evidence(&["v1"], &[SERVICE], Some(3)));
+    assert_eq!(own.into_origin(&SERVICE.into(), 3), Some(origin("v1")));
+}
+
+fn routes(services: &[&str]) -> Routes {
+    let route = Route {
+        name: "r".into(),
+        host: "site".into(),
+        prefix: "/a/".into(),
+        kind: RequestKind::Stream { resumable: true },
+        timeout: ms(5000),
+        latency_objective: ms(300),
+        max_event_gap: ms(300),
+        priority: 1,
+        traffic_split: services.iter().map(|it| ((*it).into(), 1)).collect(),
+        max_attempts: 2,
+        allows_anonymous: true,
+    };
+    [route].into_iter().collect()
+}
+
+fn former(services: &[&str]) -> Rc<Configuration> {
+    Rc::new(Configuration {
+        version: 1,
+        routes: routes(services),
+        services: [].into(),
+        limits: Limits::default(),
+        accounts: None,
+    })
+}
+
+/// A route that had moved, several times and back, led to its present service only.
+#[test]
+fn former_routes() {
+    let mut history = RouteHistory::default();
+    history.record_former(former(&["s1"]), ms(1000));
+    history.record_former(former(&["s2", "s3"]), ms(2000));
+    let current = routes(&["s1"]);
+    let services = |it: &RouteHistory| it.services(&current, "site", "/a/b");
+    assert_eq!(services(&history), ["s1", "s2", "s3"].map(Into::into).into());
+    history.observe(ms(0), ms(1000) + ROUTE_MEMORY);
+    assert_eq!(services(&history), ["s1", "s2", "s3"].map(Into::into).into());
+    history.observe(ms(0), ms(2000) + ROUTE_MEMORY);
+    assert_eq!(services(&history), ["s1"].map(Into::into).into());
+    assert!(routes(&["s1"]).leads_like(&current) && !routes(&["s1", "s2"]).leads_like(&current));
+    assert!(!Routes::default().leads_like(&current));
+}
+
+/// A stream whose route leads elsewhere lately is told to other hosts, also if it began before.
+#[test]
+fn reported_when_moved() {
+    let mut tracker = Tracker::default();
+    observe(&mut tracker, &["v1"], ms(0), STREAM_LIFETIME);
+    assert!(!tracker.record_begin("r1".into(), origin("v1"), true, STREAM_LIFETIME));
+    tracker.record_route_change();
+    assert_eq!(tracker.take_unpublished(STREAM_LIFETIME), [("r1".into(), origin("v1"))]);
+    assert!(tracker.take_unpublished(STREAM_LIFETIME).is_empty());
+    assert!(tracker.record_begin("r2".into(), origin("v1"), false, STREAM_LIFETIME));
+}
