fix(poison): recognise a request by service, host, method and caller too

Cause: the fingerprint of a request was a hash of path, query and body. An answer of another service to an equal request cleared the evidence against a request that crashes targets, at every host; and callers of a service could be refused for the crashes of another one.

Change: the fingerprint holds the service that runs the request, the host of its route, method, path, query, the name of the caller's account and the body. The account's name stands for the caller since targets get it and not the key. Without accounts callers are not told apart: an address is not the same on the caller's next connection, and the request would slip.

--- a/gateway/src/entry/forward.rs
+++ b/gateway/src/entry/forward.rs
@@ -68,7 +68,7 @@
     if !forwarder.uses_proxy() {
         job.count(&context);
     }
-    let is_poison = context.state().poison.is_refused(job.fingerprint, clock::now());
+    let is_poison = context.state().poison.is_refused(job.fingerprint(), clock::now());
     let response = match found {
         _ if is_poison => forwarder.give_up(Reason::CrashesTargets),
         Err(reason) => forwarder.give_up(reason),
--- a/gateway/src/entry/job.rs
+++ b/gateway/src/entry/job.rs
@@ -35,7 +35,11 @@
         prompt::Prompt,
     },
     placement::engine,
-    targets::{poison_part::MAX_PROMPT_PARTS, target::Target},
+    targets::{
+        poison::{self, Contents},
+        poison_part::MAX_PROMPT_PARTS,
+        target::Target,
+    },
     upstream::{
         attempt::Options,
         calls::{Call, Ledger},
@@ -79,8 +83,6 @@
     pub account: Option<Rc<Account>>,
     /// Prompt description from the headers.
     pub prompt: Prompt,
-    /// Hash of path, query and body, equal for all of the caller's attempts at the same request.
-    pub fingerprint: id::Fingerprint,
     /// Fingerprints of the prompt's shared parts, in order.
     pub parts: Vec<id::Fingerprint>,
     /// Arrival time of the request head.
@@ -116,6 +118,8 @@
     pub time_to_first_event: Cell<Option<Duration>>,
     /// Digest of the key that showed the account.
     key: Option<Digest>,
+    /// Digest of what makes requests to a service the same.
+    contents: u64,
     method: Method,
     uri: Uri,
     headers: HeaderMap,
@@ -186,8 +190,16 @@
         let mut calls = Ledger::default();
         (0..attempts_sent).for_each(|_| calls.record_call());
         let resumed_stream = resumed_stream(&route, &parts.headers, names);
-        let mut hasher = std::hash::DefaultHasher::new();
-        (parts.uri.path(), parts.uri.query(), &body).hash(&mut hasher);
+        let account_name = account.as_ref().map(|it| it.name.as_str());
+        let contents = Contents {
+            host: &route.host,
+            method: parts.method.as_str(),
+            path: parts.uri.path(),
+            query: parts.uri.query(),
+            account: account_name,
+            body: &body,
+        };
+        let contents = contents.digest();
         Ok(Job {
             id,
             route,
@@ -196,7 +208,6 @@
             configuration_version: configuration.version,
             account,
             prompt,
-            fingerprint: hasher.finish(),
             parts: part_fingerprints,
             arrived,
             caller_timeout,
@@ -214,6 +225,7 @@
             resumed_stream,
             origin: RefCell::default(),
             key,
+            contents,
             method: parts.method,
             uri: parts.uri,
             headers,
@@ -261,6 +273,11 @@
         }
     }
 
+    /// Returns a hash that is equal for all attempts at the same request.
+    pub fn fingerprint(&self) -> id::Fingerprint {
+        poison::fingerprint(&self.service, self.contents)
+    }
+
     /// Returns whether a target may run the job: any, or one of the software version that began the
     /// stream.
     pub fn allows(&self, target: &Target) -> bool {
--- a/gateway/src/targets/poison.rs
+++ b/gateway/src/targets/poison.rs
@@ -4,7 +4,11 @@
 //! interrupted run, and all refuse a request that was interrupted at several targets since a target
 //! last answered it.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::HashMap,
+    hash::{DefaultHasher, Hash, Hasher},
+    time::Duration,
+};
 
 use fuchsiaknot_core::{clock::Moment, id};
 
@@ -18,6 +22,43 @@
 /// Largest number of requests tracked; further ones are not tracked.
 const MAX_REQUESTS: usize = 4096;
 
+/// What makes requests the same, beside the service that runs them.
+///
+/// The account stands for the caller: targets get its name and not the key, so that a request crashes
+/// them with any of the account's keys. Callers without an account are not told apart, since a caller's
+/// address changes from one connection to the next.
+#[derive(Debug, Clone, Copy, Hash)]
+pub struct Contents<'a> {
+    /// Host of the route.
+    pub host: &'a str,
+    /// Method.
+    pub method: &'a str,
+    /// Path as sent.
+    pub path: &'a str,
+    /// Query as sent.
+    pub query: Option<&'a str>,
+    /// Name of the caller's account; `None` if the caller is anonymous.
+    pub account: Option<&'a str>,
+    /// Whole body.
+    pub body: &'a [u8],
+}
+
+impl Contents<'_> {
+    /// Returns a hash of the contents.
+    pub fn digest(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        self.hash(&mut hasher);
+        hasher.finish()
+    }
+}
+
+/// Returns the fingerprint of a request to a service; `digest` is that of its contents.
+pub fn fingerprint(service: &id::Service, digest: u64) -> id::Fingerprint {
+    let mut hasher = DefaultHasher::new();
+    (service, digest).hash(&mut hasher);
+    hasher.finish()
+}
+
 /// Interrupted runs, by request.
 #[derive(Debug, Default)]
 pub struct Detector {
--- a/gateway/src/targets/poison_reports.rs
+++ b/gateway/src/targets/poison_reports.rs
@@ -61,7 +61,7 @@
     /// later on.
     pub(crate) fn record_answer(&mut self) {
         self.record_sound_parts();
-        let request = self.job.fingerprint;
+        let request = self.job.fingerprint();
         let was_suspected = self.context.state_mut().poison.record_answer(request);
         if was_suspected {
             peers::send_to_all(&self.context, &Packet::RequestCleared(request));
@@ -120,7 +120,7 @@
     key: Key,
 ) -> Option<(id::Fingerprint, Run)> {
     let target = context.state().registry.get(key).map(Run::from)?;
-    let (request, now) = (job.fingerprint, clock::now());
+    let (request, now) = (job.fingerprint(), clock::now());
     let mut state = context.state_mut();
     state.poison_parts.record_break(request, &target, now);
     state.poison.record_interrupted_run(request, target.clone(), now);
--- a/gateway/tests/poison.rs
+++ b/gateway/tests/poison.rs
@@ -2,10 +2,39 @@
 
 mod common;
 
-use fuchsiaknot_gateway::targets::{poison::Detector, target::Run};
+use fuchsiaknot_gateway::targets::{
+    poison::{Contents, Detector, fingerprint},
+    target::Run,
+};
+use rstest::rstest;
 
 use common::ms;
 
+const CONTENTS: Contents<'_> = Contents {
+    host: "rents.example",
+    method: "GET",
+    path: "/lookup/42",
+    query: Some("a=1"),
+    account: Some("a"),
+    body: b"x",
+};
+
+/// Requests to another service, host or caller, or with another method, counted as the same, so that
+/// their answers cleared a request that crashes targets.
+#[rstest]
+#[case::service("flats", CONTENTS)]
+#[case::host("rents", Contents { host: "flats.example", ..CONTENTS })]
+#[case::method("rents", Contents { method: "POST", ..CONTENTS })]
+#[case::path("rents", Contents { path: "/lookup/4", ..CONTENTS })]
+#[case::query("rents", Contents { query: None, ..CONTENTS })]
+#[case::account("rents", Contents { account: None, ..CONTENTS })]
+#[case::body("rents", Contents { body: b"y", ..CONTENTS })]
+fn different_requests(#[case] service: &str, #[case] other: Contents<'_>) {
+    let request = fingerprint(&"rents".into(), CONTENTS.digest());
+    assert_eq!(fingerprint(&"rents".into(), { CONTENTS }.digest()), request);
+    assert_ne!(fingerprint(&service.into(), other.digest()), request);
+}
+
 #[test]
 fn different_targets() {
     let mut detector = Detector::default();
