fix(upstream): bound the interim heads before a response head

Callers of sound targets waited for seconds while other targets sent interim (1xx) heads without end. The client library parses every interim head, up to 256 KiB of them a connection, before another task runs; 10,000 heads of 25 bytes each cost far more than their bytes.

A connection now reads nothing more after 16 interim heads before one response head, and the attempt fails as "the response head is too long".

--- a/gateway/src/upstream/connection.rs
+++ b/gateway/src/upstream/connection.rs
@@ -6,6 +6,10 @@
     hash::{Hash, Hasher},
     io,
     rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
@@ -15,6 +19,7 @@
     Request, Response,
     body::Incoming,
     client::conn::http1::{self, SendRequest},
+    ext::on_informational,
 };
 use hyper_util::rt::TokioIo;
 use prometheus::IntCounter;
@@ -38,6 +43,9 @@
 /// Most bytes that are read until a response head is complete: the head, interim heads before it and
 /// the part of the body that is read with it.
 const MAX_BYTES_TO_HEAD: usize = 4 * BUFFER_BYTES;
+/// Most interim heads before a response head. Each is parsed, so that bytes alone do not bound what
+/// they cost.
+const MAX_INTERIM_HEADS: usize = 16;
 /// Most requests on one connection, which bounds the identifiers that it keeps.
 const MAX_REQUESTS: usize = 256;
 /// Maximum number of idle connections kept for each target.
@@ -73,21 +81,31 @@
 /// bound what a target may send before its response.
 #[derive(Debug, Clone)]
 struct Allowance {
-    bytes: Rc<Cell<usize>>,
+    bytes: Arc<AtomicUsize>,
     last_received: Rc<Cell<Moment>>,
 }
 
 impl Allowance {
     fn unlimited(last_received: Rc<Cell<Moment>>) -> Allowance {
-        Allowance { bytes: Rc::new(Cell::new(usize::MAX)), last_received }
+        Allowance { bytes: Arc::new(AtomicUsize::new(usize::MAX)), last_received }
     }
 
     fn set(&self, bytes: usize) {
-        self.bytes.set(bytes);
+        self.bytes.store(bytes, Ordering::Relaxed);
     }
 
     fn is_used_up(&self) -> bool {
-        self.bytes.get() == 0
+        self.bytes.load(Ordering::Relaxed) == 0
+    }
+
+    /// Ends the reading after too many interim heads before the response to a request.
+    fn count_interim_heads(&self, request: &mut Request<Full<Bytes>>) {
+        let (bytes, count) = (Arc::clone(&self.bytes), AtomicUsize::new(0));
+        on_informational(request, move |_| {
+            if MAX_INTERIM_HEADS <= count.fetch_add(1, Ordering::Relaxed) {
+                bytes.store(0, Ordering::Relaxed);
+            }
+        });
     }
 }
 
@@ -97,7 +115,7 @@
     }
 
     fn record_read(&self, bytes: usize) {
-        self.set(self.bytes.get().saturating_sub(bytes));
+        self.set(self.bytes.load(Ordering::Relaxed).saturating_sub(bytes));
         self.last_received.set(clock::now());
     }
 }
@@ -228,12 +246,13 @@
     pub async fn send(
         &mut self,
         request_id: &str,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, RequestError> {
         if !request_id.is_empty() {
             self.request_ids.push(hash(request_id));
         }
         self.allowance.set(MAX_BYTES_TO_HEAD);
+        self.allowance.count_interim_heads(&mut request);
         match self.sender.try_send_request(request).await {
             Ok(response) => {
                 self.allowance.set(usize::MAX);
