--- a/gateway/src/upstream/connection.rs
+++ b/gateway/src/upstream/connection.rs
@@ -80,26 +80,27 @@
 /// The client library skips any number of interim heads, so the size of its buffer alone does not
 /// bound what a target may send before its response.
 #[derive(Debug, Clone)]
-struct Allowance {
+pub struct Allowance {
     bytes: Arc<AtomicUsize>,
     last_received: Rc<Cell<Moment>>,
 }
 
+impl Default for Allowance {
+    /// Returns an allowance without a bound.
+    fn default() -> Allowance {
+        Allowance::unlimited(Rc::default())
+    }
+}
+
 impl Allowance {
     fn unlimited(last_received: Rc<Cell<Moment>>) -> Allowance {
         Allowance { bytes: Arc::new(AtomicUsize::new(usize::MAX)), last_received }
     }
 
-    fn set(&self, bytes: usize) {
-        self.bytes.store(bytes, Ordering::Relaxed);
-    }
-
-    fn is_used_up(&self) -> bool {
-        self.bytes.load(Ordering::Relaxed) == 0
-    }
-
-    /// Ends the reading after too many interim heads before the response to a request.
-    fn count_interim_heads(&self, request: &mut Request<Full<Bytes>>) {
+    /// Bounds what may be read until the head of the response to a request, which is about to be
+    /// sent, is complete.
+    pub fn begin(&self, request: &mut Request<Full<Bytes>>) {
+        self.set(MAX_BYTES_TO_HEAD);
         let (bytes, count) = (Arc::clone(&self.bytes), AtomicUsize::new(0));
         on_informational(request, move |_| {
             if MAX_INTERIM_HEADS <= count.fetch_add(1, Ordering::Relaxed) {
@@ -107,6 +108,19 @@
             }
         });
     }
+
+    /// Ends the bound once the head of the response is complete.
+    pub fn lift(&self) {
+        self.set(usize::MAX);
+    }
+
+    fn set(&self, bytes: usize) {
+        self.bytes.store(bytes, Ordering::Relaxed);
+    }
+
+    fn is_used_up(&self) -> bool {
+        self.bytes.load(Ordering::Relaxed) == 0
+    }
 }
 
 impl Tap for Allowance {
@@ -251,11 +265,10 @@
         if !request_id.is_empty() {
             self.request_ids.push(hash(request_id));
         }
-        self.allowance.set(MAX_BYTES_TO_HEAD);
-        self.allowance.count_interim_heads(&mut request);
+        self.allowance.begin(&mut request);
         match self.sender.try_send_request(request).await {
             Ok(response) => {
-                self.allowance.set(usize::MAX);
+                self.allowance.lift();
                 Ok(response)
             }
             Err(mut err) => match err.take_message() {
