fix(upstream): bound the time and size of the answer to a prefill call

An engine that was asked to prefill a prompt and sent its answer a byte at a time kept the caller until its deadline, with 504: only the head had to arrive within the time for the prefill, the body until the deadline of the request. The whole answer now has that time, and 64 KiB; then the request goes on as after any other failed prefill.

--- a/gateway/src/entry/response.rs
+++ b/gateway/src/entry/response.rs
@@ -86,12 +86,6 @@
         }
     }
 
-    /// Returns all bytes at once.
-    pub fn concat(mut self) -> Vec<u8> {
-        self.end_tail();
-        self.chunks.into_iter().flatten().collect()
-    }
-
     /// Returns the next part to write.
     fn next_part(&mut self) -> Option<Bytes> {
         if self.chunks.is_empty() {
--- a/gateway/src/upstream/prefill.rs
+++ b/gateway/src/upstream/prefill.rs
@@ -16,7 +16,6 @@
         attempt::{self, Failure, InFlight, Options},
         calls::{Call, Ledger},
         probe,
-        target_response::Read,
     },
 };
 use fuchsiaknot_core::clock;
@@ -130,15 +129,15 @@
     let mut headers = HeaderMap::new();
     headers.insert(context.header_names.stage.clone(), context.header_names.prefill_stage.clone());
     let started = clock::now();
-    let head_timeout = Some(estimate * TIMEOUT_FACTOR + TIMEOUT_MARGIN);
+    let max_wait = estimate * TIMEOUT_FACTOR + TIMEOUT_MARGIN;
+    let head_timeout = Some(max_wait);
     let options =
         Options { call: Call::Prefill, head_timeout, part_source: source, ..Options::default() };
     let response = attempt::send_request(context, job, key, options, headers).await?;
-    let target = response.target.clone();
-    let Read::Whole { status, body, .. } = response.read_whole(context, job).await? else {
-        return Err(Failure::Broken("no memory for the response".to_owned()));
-    };
-    let body = body.concat();
+    let (target, status) = (response.target.clone(), response.head.status);
+    // The head may have arrived at the end of its time.
+    let end = (started + max_wait).max(clock::now() + TIMEOUT_MARGIN);
+    let body = response.read_short(context, job, end).await?;
     let handle = (context.prefill_api.parse_handle)(&body).filter(|_| status.is_success());
     let handle =
         handle.ok_or_else(|| Failure::Broken(format!("engine returned no KV handle: {status}")))?;
--- a/gateway/src/upstream/target_response.rs
+++ b/gateway/src/upstream/target_response.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use fuchsiaknot_core::clock;
+use fuchsiaknot_core::clock::{self, Moment};
 use http_body_util::BodyExt;
 use hyper::{
     HeaderMap, Response, StatusCode,
@@ -30,6 +30,9 @@
 /// Most bytes of a discarded response that are read.
 const MAX_DISCARDED_BYTES: usize = 64 * 1024;
 
+/// Largest response to a call of this host itself.
+const MAX_SHORT_BYTES: usize = 64 * 1024;
+
 /// What was read of a response.
 #[derive(Debug)]
 pub enum Read {
@@ -184,6 +187,34 @@
         Ok(Read::Whole { status, headers, body })
     }
 
+    /// Reads the rest of a response to a call of this host itself, and returns the connection to the
+    /// pool.
+    ///
+    /// # Errors
+    /// Fails when the response breaks off, is too large, has not ended at `end`, or the job expires.
+    pub async fn read_short(
+        mut self,
+        context: &Context,
+        job: &Job,
+        end: Moment,
+    ) -> Result<Vec<u8>, Failure> {
+        let mut body = Vec::new();
+        loop {
+            let (left, time_left) = (end.saturating_sub(clock::now()), job.time_left());
+            let chunk = match self.chunk(left.min(time_left)).await {
+                Err(Failure::Expired) if left < time_left => return Err(Failure::Silent),
+                chunk => chunk?,
+            };
+            let Some(chunk) = chunk else { break };
+            if MAX_SHORT_BYTES < body.len() + chunk.len() {
+                return Err(Failure::Broken("the response is too large".to_owned()));
+            }
+            body.extend_from_slice(&chunk);
+        }
+        self.finish(context);
+        Ok(body)
+    }
+
     fn has_bounded_length(&self) -> bool {
         let length = self.body.size_hint().exact();
         length.is_some_and(|it| it <= MAX_BODY_BYTES as u64)
