fix(http_server): a caller that pauses is not reset before its time to read ends

Cause: the kernel's user timeout of callers' connections (5 s) also counts the time for which the caller's window is closed, and it was shorter than the 10 s that the watchdog gives a caller for 4 KB. The class: two timeouts for one matter, of which the one that cannot tell a slow caller from a dead one ends first. A caller whose machine died is noticed up to 6 s later; what its connection holds is bounded and evictable.

--- a/gateway/src/entry/http_server.rs
+++ b/gateway/src/entry/http_server.rs
@@ -24,9 +24,10 @@
 const BACKLOG: u32 = 1024;
 /// Delay after a failed accept, for example when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Time without acknowledgements after which a caller's connection fails; long enough for lost
-/// packets to be sent again.
-const CALLER_SILENCE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time without acknowledgements after which a caller's connection fails. The kernel also counts the
+/// time for which the caller's window is closed, so that the caller's time to read must end first.
+const CALLER_SILENCE_TIMEOUT: Duration =
+    watchdog::READ_TIMEOUT.saturating_add(Duration::from_secs(1));
 /// Smallest buffer size that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
--- a/gateway/src/watchdog.rs
+++ b/gateway/src/watchdog.rs
@@ -28,7 +28,7 @@
 /// request head, must send the rest.
 const LAST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time in which a caller for which bytes of its response wait must read [`MIN_PROGRESS`].
-const READ_TIMEOUT: Duration = Duration::from_secs(10);
+pub const READ_TIMEOUT: Duration = Duration::from_secs(10);
 /// Bytes that show that a caller reads its response; fewer than any link of a caller carries in
 /// [`READ_TIMEOUT`].
 const MIN_PROGRESS: usize = 4 * 1024;
