fix(upstream): pass on a sound answer that is too large to be held

Callers got 502 for an answer of more than 8 MiB or 32,768 chunks, though the users' pages name no such limit. The bound was there for bodies without end, which look the same until they end.

An answer that names its request (sound targets echo the identifier) now goes on as a stream with backpressure once it cannot be held whole; the path exists since answers may find no memory. What does not name the request may be no answer at all and is refused as before, so the checks of endless_once and endless_response hold unchanged. An endless answer that names its request is cut at the deadline and does not look complete.

Not changed: an answer through another host (cluster::peer_proxy) is still bounded to 8 MiB and 32,768 chunks.

--- a/gateway/src/entry/body_memory.rs
+++ b/gateway/src/entry/body_memory.rs
@@ -7,8 +7,8 @@
 //! 1. While more than half of the shared bytes are in use, a stream takes none; its target waits.
 //! 2. When all are in use, the caller that has read nothing for the longest time, and at least
 //!    [`MIN_STALL`], is cut. What it held is free at once.
-//! 3. Without such a caller, a response of known length goes on as a stream, and any other body that
-//!    needs more is refused; others keep what they have.
+//! 3. Without such a caller, a response of known length, or one that names its request, goes on as a
+//!    stream, and any other body that needs more is refused; others keep what they have.
 
 use std::{
     cell::{Cell, RefCell},
@@ -31,9 +31,9 @@
 const MIN_STALL: Duration = Duration::from_secs(1);
 /// Interval at which is checked whether a caller has stalled while bodies wait for memory.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Largest body of a response.
+/// Most bytes of a response that are held.
 pub const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
-/// Most chunks of a response; chunks of a few bytes each take more processor time than they are worth.
+/// Most chunks of a response that are held; chunks of a few bytes each take more processor time than they are worth.
 const MAX_CHUNKS: usize = 32 * 1024;
 
 /// Why a body is not read any further.
--- a/gateway/src/entry/forward.rs
+++ b/gateway/src/entry/forward.rs
@@ -533,7 +533,7 @@
         Ok(response)
     }
 
-    /// Forwards a response for which there is no memory as it arrives, from what has been read on.
+    /// Forwards a response that cannot be held whole as it arrives, from what has been read on.
     fn relay_rest(&self, attempt: Attempt, body: Chunks, next: Bytes) -> Response<Body> {
         let (sender, receiver) = response::stream_from(body);
         let mut response = Response::new(Body::Stream(receiver));
--- a/gateway/src/entry/stream_relay.rs
+++ b/gateway/src/entry/stream_relay.rs
@@ -355,7 +355,7 @@
             Err(failure) => {
                 attempt::record_health(&context, attempt.response.key, &failure);
                 drop(attempt);
-                log_cut(&context, &job, "without-memory", None);
+                log_cut(&context, &job, "not-whole", None);
                 return sender.cut(job.time_left()).await;
             }
         };
--- a/gateway/src/upstream/target_response.rs
+++ b/gateway/src/upstream/target_response.rs
@@ -45,7 +45,7 @@
         /// Complete body.
         body: Chunks,
     },
-    /// A part: there is no memory for the rest.
+    /// A part: the rest is too large to be held, or there is no memory for it.
     Partial {
         /// The response, with the rest of its body.
         response: Box<TargetResponse>,
@@ -170,13 +170,13 @@
     /// Reads the rest of the response and returns the connection to the pool.
     ///
     /// # Errors
-    /// Fails when the response breaks off, is too large, or the job expires.
+    /// Fails when the response breaks off or does not end, or the job expires.
     pub async fn read_whole(mut self, context: &Context, job: &Job) -> Result<Read, Failure> {
         let mut body = Chunks::new(context.body_memory.share());
         while let Some(chunk) = self.chunk(job.time_left()).await? {
             match body.push(chunk) {
                 Ok(()) => {}
-                Err((Exceeded::Shared, next)) if self.has_bounded_length() => {
+                Err((exceeded, next)) if self.may_be_relayed(context, exceeded) => {
                     return Ok(Read::Partial { response: Box::new(self), body, next });
                 }
                 Err((exceeded, _)) => return Err(Failure::Broken(exceeded.to_string())),
@@ -215,20 +215,30 @@
         Ok(body)
     }
 
-    fn has_bounded_length(&self) -> bool {
+    /// Returns whether the response may go to the caller before its end has arrived.
+    ///
+    /// One that names its request is an answer to it, however large. Any other one may be bytes
+    /// without end, unless its length is known.
+    fn may_be_relayed(&self, context: &Context, exceeded: Exceeded) -> bool {
         let length = self.body.size_hint().exact();
-        length.is_some_and(|it| it <= MAX_BODY_BYTES as u64)
+        let is_bounded = length.is_some_and(|it| it <= MAX_BODY_BYTES as u64);
+        self.names_request(context) || exceeded == Exceeded::Shared && is_bounded
+    }
+
+    /// Returns whether the response names its request, which was checked on arrival.
+    fn names_request(&self, context: &Context) -> bool {
+        self.head.headers.contains_key(&context.header_names.request_id)
     }
 
     /// Ends a complete response and returns its connection to the pool if the target keeps it open.
     pub fn finish(self, context: &Context) {
+        // A late copy of a response that doesn't name its request could not be recognised.
+        let names_request = self.names_request(context);
         let TargetResponse { key, head, connection, .. } = self;
         let is_framed = head.headers.contains_key(header::CONTENT_LENGTH)
             || head.headers.contains_key(header::TRANSFER_ENCODING);
         let closes = closes_connection(&head.headers);
         let is_leaving = context.state().availability.is_leaving(key);
-        // A late copy of a response that doesn't name its request could not be recognised.
-        let names_request = head.headers.contains_key(&context.header_names.request_id);
         if is_framed && names_request && !closes && !is_leaving {
             context.pool.put_back(key, connection, keep_alive(&head.headers));
         }
