fix(entry): accept messages of more than 100 header lines

Callers got 502 for a sound answer with more than 100 headers, and 431 for a request with more than 100 although it kept the configured limits. The client library's default bound on both sides was in force beside the bound on bytes. It is 512 lines now; a head of 16 KiB with lines of 32 bytes has as many.

many_headers (300 each way) failed before and passes now.

--- a/gateway/src/entry/http_server.rs
+++ b/gateway/src/entry/http_server.rs
@@ -153,6 +153,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(None)
         .max_buf_size(limits().max_header_bytes.max(MIN_BUFFER_BYTES))
+        .max_headers(connection::MAX_HEADERS)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let result = tokio::select! {
--- a/gateway/src/upstream/connection.rs
+++ b/gateway/src/upstream/connection.rs
@@ -40,6 +40,8 @@
 const MAX_IDLE_TIME: Duration = Duration::from_secs(3);
 /// Size of the buffer from which responses are parsed; a longer head fails.
 const BUFFER_BYTES: usize = 64 * 1024;
+/// Most header lines of a message; the library's own limit of 100 is below what the size permits.
+pub const MAX_HEADERS: usize = 512;
 /// Most bytes that are read until a response head is complete: the head, interim heads before it and
 /// the part of the body that is read with it.
 const MAX_BYTES_TO_HEAD: usize = 4 * BUFFER_BYTES;
@@ -306,6 +308,7 @@
     let stream = TappedStream::new(stream, allowance.clone());
     let handshake = http1::Builder::new()
         .max_buf_size(BUFFER_BYTES)
+        .max_headers(MAX_HEADERS)
         .handshake(TokioIo::new(stream))
         .await
         .map_err(io::Error::other)?;
