fix(targets): keep a target's pause while its entry is odd for a moment

A target that had sent 503 with Retry-After got requests within the pause: an odd entry replaced its own, which counts as removal, and the pause was forgotten with the target. Pauses are now remembered by the run of the target until they are over and applied when the run is listed again, as departures are already.

odd_entries::pause_kept failed before (a second request arrived) and passes now. Not changed: a rate limit is still forgotten with the entry, and learned again from the target's next response.

--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -587,11 +587,11 @@
                 Event::Added(key, id) => {
                     let version = self.software_version(key);
                     tracing::info!(code = 8001, target = %id, software = version.as_deref(), "target added");
-                    notice::restore_departure(self, key);
+                    notice::restore(self, key);
                 }
                 Event::Draining(key, id) => {
                     self.pool.close_idle(&key);
-                    notice::restore_departure(self, key);
+                    notice::restore(self, key);
                     tracing::info!(code = 8002, target = %id, "target draining; nothing new is sent to it");
                 }
                 Event::Withheld(_, id) => {
--- a/gateway/src/targets/availability.rs
+++ b/gateway/src/targets/availability.rs
@@ -11,7 +11,10 @@
 use serde::{Deserialize, Serialize};
 use slotmap::SecondaryMap;
 
-use crate::targets::{registry::Key, target::Target};
+use crate::targets::{
+    registry::Key,
+    target::{Run, Target},
+};
 
 /// Longest backoff; a longer one would take a target out of service until its next run.
 const MAX_BACKOFF: Duration = Duration::from_secs(600);
@@ -116,6 +119,15 @@
     states: SecondaryMap<Key, State>,
     /// Known departures, by target.
     departures: HashMap<id::Target, Known>,
+    /// Backoffs that are not over, by target.
+    backoffs: HashMap<id::Target, Remembered>,
+}
+
+/// A backoff of a run, which may leave the registry for a moment.
+#[derive(Debug)]
+struct Remembered {
+    run: Run,
+    until: Moment,
 }
 
 /// A departure that this host knows of.
@@ -190,6 +202,22 @@
         }
     }
 
+    /// Remembers the backoff of a target in case that it leaves the registry and comes back in the same
+    /// run.
+    pub fn remember_backoff(&mut self, key: Key, run: Run) {
+        let Some(until) = self.states.get(key).map(|it| it.backoff_until) else { return };
+        self.backoffs.insert(run.target.clone(), Remembered { run, until });
+    }
+
+    /// Applies a remembered backoff to a target that was added to the registry again.
+    pub fn restore_backoff(&mut self, key: Key, run: &Run) {
+        let remembered = self.backoffs.get(&run.target).filter(|it| it.run == *run);
+        if let (Some(remembered), Some(entry)) = (remembered, self.states.entry(key)) {
+            let state = entry.or_default();
+            state.backoff_until = state.backoff_until.max(remembered.until);
+        }
+    }
+
     /// Records a request that is about to be sent to a target.
     pub fn record_request(&mut self, key: Key, slots: u32, now: Moment) {
         let Some(state) = self.states.get_mut(key) else { return };
@@ -235,8 +263,9 @@
         }
     }
 
-    /// Drops departures whose time is over.
+    /// Drops departures and backoffs whose time is over.
     pub fn expire(&mut self, now: Moment) {
+        self.backoffs.retain(|_, it| now < it.until + RAMP_TIME);
         self.departures.retain(|_, it| it.expires_at.is_none_or(|at| now < at));
     }
 }
--- a/gateway/src/targets/notice.rs
+++ b/gateway/src/targets/notice.rs
@@ -101,11 +101,15 @@
 }
 
 fn record_backoff(context: &Context, key: Key, value: &str) {
-    let Some(target) = context.state().registry.get(key).map(|it| it.id.clone()) else { return };
+    let Some(run) = context.state().registry.get(key).map(Run::from) else { return };
+    let target = run.target.clone();
     match Backoff::try_from(value) {
         Ok(backoff) => {
             context.metrics.target_notices.with_label_values(&["backoff"]).inc();
-            context.state_mut().availability.record_backoff(key, backoff, clock::now());
+            let mut state = context.state_mut();
+            state.availability.record_backoff(key, backoff, clock::now());
+            state.availability.remember_backoff(key, run);
+            drop(state);
             let backoff_ms = std::time::Duration::from(backoff).as_millis() as u64;
             tracing::info!(code = 8050, notice = "backoff", %target, backoff_ms, "target asks for a pause; nothing is sent to it until its end");
         }
@@ -129,8 +133,12 @@
     }
 }
 
-/// Applies a remembered departure to a target that was added to the registry again.
-pub fn restore_departure(context: &Context, key: Key) {
+/// Applies a remembered departure or backoff to a target that was added to the registry again.
+pub fn restore(context: &Context, key: Key) {
+    let run = context.state().registry.get(key).map(Run::from);
+    if let Some(run) = run {
+        context.state_mut().availability.restore_backoff(key, &run);
+    }
     let departure = context.state().registry.get(key).map(Departure::from);
     let departure = departure.filter(|it| context.state().availability.has_departed(it));
     if let Some(departure) = departure {
