fix(targets): use a new run of a target whose start is earlier

A new run with a lower `born` than the one before (the clock of its machine was set back) was ignored as an old announcement: its address, slots and draining were never taken over, until its entry was removed. Such an announcement may also be a late write of the earlier run. It is kept now, and replaces the known run once the entries were current 5 s later and the known run has not announced itself since; never while the store may still lack what it lost.

registry::run_with_earlier_start failed before (no event) and passes now; late_announcement is unchanged.

--- a/gateway/src/targets/registry.rs
+++ b/gateway/src/targets/registry.rs
@@ -12,6 +12,10 @@
 /// is some seconds old.
 const DEPARTURE_TTL: Duration = Duration::from_secs(60);
 
+/// Time for which the run of a target with the latest start may announce itself again after another
+/// run did; a target writes its entry every second or so.
+const RIVAL_TIME: Duration = Duration::from_secs(5);
+
 slotmap::new_key_type! {
     /// Key of a target in the registry; a new incarnation of a target gets a new key.
     pub struct Key;
@@ -65,6 +69,15 @@
     missing_until: Option<Moment>,
     /// Whether the target is not used because its announcement may be from before it was removed.
     withheld: bool,
+    /// Announcement of a run with an earlier start, since the last one of this run: a late one, or the
+    /// clock of the target's machine was set back.
+    rival: Option<Rival>,
+}
+
+#[derive(Debug)]
+struct Rival {
+    target: Target,
+    announced_at: Moment,
 }
 
 impl Registry {
@@ -87,7 +100,8 @@
         self.unsettled_until = self.unsettled_until.map(|it| it.max(reannounce_deadline));
         let listed: HashMap<id::Target, ()> =
             targets.iter().map(|it| (it.id.clone(), ())).collect();
-        let mut events: Vec<Event> = targets.into_iter().filter_map(|it| self.upsert(it)).collect();
+        let mut events: Vec<Event> =
+            targets.into_iter().filter_map(|it| self.upsert(it, now)).collect();
         let missing: Vec<Key> = self
             .entries
             .iter()
@@ -107,7 +121,7 @@
         now: Moment,
     ) -> Option<Event> {
         match change {
-            Change::Announced(target) => self.upsert(target),
+            Change::Announced(target) => self.upsert(target, now),
             Change::Removed(id) => {
                 let key = *self.by_id.get(&id)?;
                 self.mark_missing(key, reannounce_deadline, now)
@@ -141,8 +155,13 @@
     /// removal may be on its way, or an announcement from before a target drained.
     pub fn settle(&mut self, current_at: Moment, now: Moment) -> Vec<Event> {
         let mut events = self.remove_missing(current_at, now, |it| it.draining);
-        if self.unsettled_until.is_none_or(|it| current_at < it) {
-            return events;
+        match self.unsettled_until {
+            None => {
+                events.extend(self.adopt_rivals(current_at, now));
+                return events;
+            }
+            Some(until) if current_at < until => return events,
+            Some(_) => {}
         }
         self.unsettled_until = None;
         for (key, entry) in &mut self.entries {
@@ -199,13 +218,24 @@
         self.entries.is_empty()
     }
 
-    fn upsert(&mut self, target: Target) -> Option<Event> {
+    fn upsert(&mut self, target: Target, now: Moment) -> Option<Event> {
         let departure = self.departures.get(&target.id);
         let withheld = self.unsettled_until.is_some()
             && !target.draining
             && departure.is_some_and(|it| target.incarnation <= it.incarnation);
         if let Some(key) = self.by_id.get(&target.id).copied() {
             let entry = self.entries.get_mut(key)?;
+            if target.incarnation < entry.target.incarnation {
+                let announced_at = match &entry.rival {
+                    Some(it) if it.target.incarnation == target.incarnation => it.announced_at,
+                    _ => now,
+                };
+                entry.rival = Some(Rival { target, announced_at });
+                // Listed, if not in this run.
+                entry.missing_until = None;
+                return None;
+            }
+            entry.rival = None;
             if is_older(&target, &entry.target) {
                 return None;
             }
@@ -232,7 +262,8 @@
         }
         let (id, service) = (target.id.clone(), target.service.clone());
         let draining = target.draining;
-        let key = self.entries.insert(Entry { target, missing_until: None, withheld });
+        let entry = Entry { target, missing_until: None, withheld, rival: None };
+        let key = self.entries.insert(entry);
         self.by_id.insert(id.clone(), key);
         self.by_service.entry(service).or_default().push(key);
         if withheld {
@@ -242,6 +273,22 @@
         Some(if draining { Event::Draining(key, id) } else { Event::Added(key, id) })
     }
 
+    /// Replaces runs that have not announced themselves for [`RIVAL_TIME`] since another one did.
+    fn adopt_rivals(&mut self, current_at: Moment, now: Moment) -> Vec<Event> {
+        let is_due = |it: &Rival| it.announced_at + RIVAL_TIME <= current_at;
+        let entries = self.entries.iter();
+        let due = entries.filter(|(_, it)| it.rival.as_ref().is_some_and(is_due));
+        let keys: Vec<Key> = due.map(|(key, _)| key).collect();
+        let mut events = Vec::new();
+        for key in keys {
+            let rival = self.entries.get_mut(key).and_then(|it| it.rival.take());
+            let Some(rival) = rival else { continue };
+            events.extend(self.remove(key));
+            events.extend(self.upsert(rival.target, now));
+        }
+        events
+    }
+
     fn mark_missing(
         &mut self,
         key: Key,
@@ -249,6 +296,7 @@
         now: Moment,
     ) -> Option<Event> {
         let entry = self.entries.get_mut(key)?;
+        entry.rival = None;
         if reannounce_deadline <= now {
             return self.depart(key, now);
         }
@@ -300,8 +348,7 @@
     }
 }
 
-/// Returns whether an announcement is older than the known one.
+/// Returns whether an announcement is older than the known one of the same run.
 fn is_older(target: &Target, known: &Target) -> bool {
-    let same_run = target.incarnation == known.incarnation;
-    target.incarnation < known.incarnation || (same_run && target.sequence < known.sequence)
+    target.incarnation == known.incarnation && target.sequence < known.sequence
 }
--- a/gateway/tests/registry.rs
+++ b/gateway/tests/registry.rs
@@ -198,3 +198,26 @@
     let event = registry.apply(Change::Announced(target("one", 3)), ms(63_000), ms(61_000));
     assert!(matches!(event, Some(Event::Added(..))));
 }
+
+/// A new run whose clock is behind that of the run before was never used. The run before may also have
+/// written late, so it has a few seconds to announce itself again.
+#[test]
+fn run_with_earlier_start() {
+    let mut registry = Registry::new();
+    registry.replace(vec![target("one", 9)], ms(0), ms(0));
+    let mut earlier = target("one", 1);
+    earlier.incarnation = Some(0);
+    earlier.draining = true;
+    registry.apply(Change::Announced(earlier.clone()), ms(0), ms(100));
+    assert!(registry.settle(ms(3000), ms(3100)).is_empty());
+    registry.apply(Change::Announced(target("one", 9)), ms(0), ms(3200));
+    assert!(registry.settle(ms(9000), ms(9100)).is_empty());
+    earlier.draining = false;
+    earlier.slots = 77;
+    registry.apply(Change::Announced(earlier), ms(0), ms(10_000));
+    // The store has not been read since.
+    assert!(registry.settle(ms(10_100), ms(20_000)).is_empty());
+    let events = registry.settle(ms(16_000), ms(16_100));
+    assert!(matches!(events[..], [Event::Removed(..), Event::Added(..)]), "{events:?}");
+    assert_eq!(registry.usable("models").map(|(_, it)| it.slots).collect::<Vec<_>>(), [77]);
+}
