fix(poison): refuse a recognised request while it keeps coming, also after restarts

The retry loop did not look at the detector either.

Change: a recognised request has a record of its own, which each arrival keeps alive. At most 1,024 records. One host tries it after 60 s and after 10 more minutes, so that a sound request is served again; an answer clears it everywhere. Retries are refused too. Hosts report records to all at recognition, to three at random when they learn of them and each second (64 at most); a host that starts asks others until one with complete knowledge has answered. New messages 50 to 52; packets are unchanged, and hosts of the previous build count and ignore them. Events 8210 to 8214, gauge recognised_requests; SIGUSR1 clears all records at all hosts.

Both faults are in one commit since the record and its reports are one structure.

Test old_runs_expire asserted that a recognised request is let through after 60 s, which is the fault; it now asserts that two runs older than that do not count, and keeps_coming that a recognised one stays so.

--- a/gateway/src/cluster/messages.rs
+++ b/gateway/src/cluster/messages.rs
@@ -3,7 +3,7 @@
 //! A part defines its messages and registers a handler for each, so that [`super::peers`] need not
 //! know them. A host that does not know a message counts it and goes on.
 
-use std::{cell::RefCell, collections::HashMap, fmt, rc::Rc};
+use std::{cell::RefCell, collections::HashMap, fmt, net::SocketAddr, rc::Rc};
 
 use fuchsiaknot_core::id;
 use serde::{Serialize, de::DeserializeOwned};
@@ -57,6 +57,13 @@
     }
 }
 
+/// Sends a message to each address.
+pub fn send_to<M: Message>(context: &Context, addresses: &[SocketAddr], message: &M) {
+    if let Some(packet) = packet(context, message) {
+        peers::send_to(context, addresses, &packet);
+    }
+}
+
 fn packet<M: Message>(context: &Context, message: &M) -> Option<Packet> {
     match postcard::to_stdvec(message) {
         Ok(bytes) => Some(Packet::Message(M::KIND, context.settings.host.name.clone(), bytes)),
--- a/gateway/src/cluster/peers.rs
+++ b/gateway/src/cluster/peers.rs
@@ -390,9 +390,7 @@
         Packet::Message(kind, sender, bytes) => messages::handle(context, kind, sender, &bytes),
         Packet::TargetUpdate(update) => store_sync::handle_target_update(context, update),
         Packet::AttemptBroken(request, target) => {
-            let (mut state, now) = (context.state_mut(), clock::now());
-            state.poison_parts.record_break(request, &target, now);
-            state.poison.record_interrupted_run(request, target, now);
+            poison_reports::handle_break(context, request, target)
         }
         Packet::TargetLeaving(departure) => notice::handle_departure(context, departure),
         Packet::ConnectionRefused(host, run) => dispatcher::handle_refusal(context, &host, &run),
@@ -406,7 +404,7 @@
             poison_reports::handle_crash(context, request, &parts, &target)
         }
         Packet::RequestCleared(request) => {
-            context.state_mut().poison.record_answer(request);
+            poison_reports::handle_request_clearing(context, request)
         }
         Packet::PartsCleared(parts) => poison_reports::handle_clearing(context, &parts),
         Packet::StreamsBegan(streams) => origin_lookup::handle_report(context, streams),
--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -40,7 +40,7 @@
     targets::{
         availability,
         health::Health,
-        notice, poison, poison_part, rate_limit, reachability, refusal,
+        notice, poison, poison_inquiry, poison_part, rate_limit, reachability, refusal,
         registry::{Event, Key, Registry},
     },
     upstream::{
@@ -204,6 +204,8 @@
     pub latency_models: HashMap<id::Service, LatencyModel>,
     /// Detector of requests that crash targets.
     pub poison: poison::Detector,
+    /// Inquiry after the requests that the other hosts have recognised.
+    pub poison_inquiry: poison_inquiry::Inquiry,
     /// Detector of prompt parts that crash targets.
     pub poison_parts: poison_part::Detector,
     /// Initial deadlines of callers, by route.
@@ -342,6 +344,7 @@
             slowness: slowness::Tracker::default(),
             latency_models: HashMap::new(),
             poison: poison::Detector::default(),
+            poison_inquiry: poison_inquiry::Inquiry::new(clock::now()),
             poison_parts: poison_part::Detector::new(rand::random()),
             deadlines: Deadlines::default(),
             stream_origins: stream_origin::Tracker::default(),
--- a/gateway/src/entry/forward.rs
+++ b/gateway/src/entry/forward.rs
@@ -64,11 +64,11 @@
     let mut disconnect_guard = DisconnectGuard::new(&context, &id);
     let found = job.find_origin(&context).await;
     let job = Rc::new(job);
-    let forwarder = Forwarder::new(&context, &job);
+    let mut forwarder = Forwarder::new(&context, &job);
     if !forwarder.uses_proxy() {
         job.count(&context);
     }
-    let is_poison = context.state().poison.is_refused(job.fingerprint(), clock::now());
+    let is_poison = !forwarder.is_admitted();
     let response = match found {
         _ if is_poison => forwarder.give_up(Reason::CrashesTargets),
         Err(reason) => forwarder.give_up(reason),
@@ -190,6 +190,8 @@
     pub(crate) first_event_at: Option<Moment>,
     /// Whether a run has shown that the job crashes no target.
     pub(crate) is_sound: bool,
+    /// Whether the job is a trial of a recognised request.
+    pub(crate) is_trial: bool,
 }
 
 impl Forwarder {
@@ -204,6 +206,7 @@
             queue_time: Duration::ZERO,
             first_event_at: None,
             is_sound: false,
+            is_trial: false,
         }
     }
 
@@ -573,6 +576,7 @@
             queue_time: Duration::ZERO,
             first_event_at: None,
             is_sound: false,
+            is_trial: false,
         };
         let relay = Relay::new(forwarder, sender);
         tokio::task::spawn_local(relay.run(attempt, splitter, first));
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -83,6 +83,7 @@
 ) -> io::Result<()> {
     let (phase, phase_watch) = sync::watch::channel(Phase::Open);
     proof::register(&context);
+    poison_reports::register(&context);
     stream_archive::driver::register(&context);
     serve_ports(&context, directory, &phase_watch)?;
     drop(phase_watch);
@@ -101,6 +102,11 @@
     tasks.spawn_local(store_sync::log_statistics(Rc::clone(&context)));
     tasks.spawn_local(store_sync::expire_state(Rc::clone(&context)));
     tasks.spawn_local(poison_reports::repeat_reports(Rc::clone(&context)));
+    tasks.spawn_local(poison_reports::inquire(Rc::clone(&context)));
+    tasks.spawn_local(poison_reports::clear_on_signal(
+        Rc::clone(&context),
+        signal(SignalKind::user_defined1())?,
+    ));
     tasks.spawn_local(run_peers(Rc::clone(&context)));
     tasks.spawn_local(peers::report_work(Rc::clone(&context)));
     tasks.spawn_local(dispatcher::run(Rc::clone(&context)));
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -81,6 +81,8 @@
     pub target_count: IntGauge,
     /// Number of hosts that are up, including this one.
     pub host_count: IntGauge,
+    /// Requests that are refused since they crash targets.
+    pub recognised_requests: IntGauge,
 }
 
 impl Metrics {
@@ -201,6 +203,10 @@
             usage_missed: counter("usage_missed_total", "Windows without a usage report.")?,
             target_count: gauge("targets", "Targets known.")?,
             host_count: gauge("hosts", "Hosts that are there.")?,
+            recognised_requests: gauge(
+                "recognised_requests",
+                "Requests that are refused since they crash targets.",
+            )?,
             registry,
         };
         for direction in ["requests", "responses"] {
--- a/gateway/src/store/sync.rs
+++ b/gateway/src/store/sync.rs
@@ -647,7 +647,6 @@
         let now = clock::now();
         let mut state = context.state_mut();
         state.load.expire(now);
-        state.poison.expire(now);
         state.poison_parts.expire(now);
         state.availability.expire(now);
         state.observe_versions(now);
--- a/gateway/src/targets/mod.rs
+++ b/gateway/src/targets/mod.rs
@@ -4,6 +4,7 @@
 pub mod health;
 pub mod notice;
 pub mod poison;
+pub mod poison_inquiry;
 pub mod poison_part;
 pub(crate) mod poison_reports;
 pub mod rate_limit;
--- a/gateway/src/targets/poison.rs
+++ b/gateway/src/targets/poison.rs
@@ -2,25 +2,45 @@
 //!
 //! The caller of such a request may retry it at any host. The hosts inform each other of every
 //! interrupted run, and all refuse a request that was interrupted at several targets since a target
-//! last answered it.
+//! last answered it. They do so while it keeps coming, and inform each other that it does.
+//!
+//! A sound request may be recognised too, when its targets failed for other reasons. So that it is
+//! served again, one host tries a recognised request a few times, at growing intervals; an answer
+//! clears it everywhere.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     hash::{DefaultHasher, Hash, Hasher},
+    ops::Bound,
     time::Duration,
 };
 
 use fuchsiaknot_core::{clock::Moment, id};
+use serde::{Deserialize, Serialize};
 
 use crate::targets::target::Run;
 
 /// Number of different targets at which a request must have been interrupted to be refused.
 const REFUSAL_THRESHOLD: usize = 3;
-/// Time for which an interrupted run counts; after it, the targets have restarted and the caller
-/// has given up.
+/// Time for which an interrupted run counts against a request that is not recognised.
 const RUN_TTL: Duration = Duration::from_secs(60);
 /// Largest number of requests tracked; further ones are not tracked.
 const MAX_REQUESTS: usize = 4096;
+/// Time without an arrival after which a recognised request is let through again.
+pub const QUIET_TIME: Duration = Duration::from_secs(3600);
+/// Time without an arrival after which it is forgotten; before, one interrupted run is enough for it
+/// to be refused again.
+pub const MEMORY_TIME: Duration = Duration::from_secs(24 * 3600);
+/// Time from recognition to the first trial, and from one trial to the next; there are no further ones.
+pub const TRIAL_DELAYS: [Duration; 2] = [Duration::from_secs(60), Duration::from_secs(600)];
+/// Largest number of recognised requests; beyond it, the one that has been quiet longest is dropped.
+pub const MAX_RECOGNISED: usize = 1024;
+/// Largest number of recognised requests in one report.
+pub const MAX_REPORTED: usize = 64;
+/// Largest number of cleared requests that are known as such.
+const MAX_CLEARED: usize = 4096;
+/// Difference in time up to which a report is no news, since reports take time on their way.
+const REPORT_TOLERANCE: Duration = Duration::from_secs(2);
 
 /// What makes requests the same, beside the service that runs them.
 ///
@@ -59,45 +79,252 @@
     hasher.finish()
 }
 
-/// Interrupted runs, by request.
+/// Interrupted runs, and recognised requests.
 #[derive(Debug, Default)]
 pub struct Detector {
+    /// Interrupted runs of requests that are not recognised.
     interrupted_runs: HashMap<id::Fingerprint, Vec<(Run, Moment)>>,
+    recognised: BTreeMap<id::Fingerprint, Record>,
+    /// Times at which requests were cleared, so that late reports don't bring them back.
+    cleared: HashMap<id::Fingerprint, Moment>,
+    /// Last request in the previous report.
+    last_reported: id::Fingerprint,
+}
+
+/// What is known of a recognised request.
+#[derive(Debug, Clone, Copy)]
+struct Record {
+    /// Time of the recognition or of the last trial.
+    since: Moment,
+    /// Time of the last arrival or interrupted run at any host, as far as this host knows.
+    seen_at: Moment,
+    trials: u8,
+    /// Whether the request is let through since it has not come for long.
+    is_quiet: bool,
+}
+
+impl Record {
+    fn is_refused(&self, now: Moment) -> bool {
+        now < self.seen_at + QUIET_TIME
+    }
+
+    fn is_trial_due(&self, now: Moment) -> bool {
+        TRIAL_DELAYS.get(usize::from(self.trials)).is_some_and(|it| self.since + *it <= now)
+    }
+}
+
+/// A recognised request, as the hosts report it to each other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// The request.
+    pub request: id::Fingerprint,
+    /// Time since its recognition or its last trial, in milliseconds.
+    pub age_ms: u64,
+    /// Time since its last arrival, in milliseconds.
+    pub quiet_ms: u64,
+    /// Number of its trials.
+    pub trials: u8,
+}
+
+/// What follows from other hosts' reports.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Findings {
+    /// Requests that are refused from now on.
+    pub learned: Vec<id::Fingerprint>,
+    /// Requests in the reports that were answered since.
+    pub cleared: Vec<id::Fingerprint>,
+}
+
+/// What is to be done with a request that arrives.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// It is sent.
+    Admitted,
+    /// It is recognised, and sent once to find out whether it still crashes targets.
+    Tried,
+    /// It is not sent.
+    Refused,
 }
 
 impl Detector {
-    /// Records that a request's run at a target was interrupted.
-    pub fn record_interrupted_run(&mut self, request: id::Fingerprint, target: Run, now: Moment) {
+    /// Records that a request's run at a target was interrupted; returns whether the request is
+    /// refused from now on.
+    pub fn record_interrupted_run(
+        &mut self,
+        request: id::Fingerprint,
+        target: Run,
+        now: Moment,
+    ) -> bool {
+        if let Some(record) = self.recognised.get_mut(&request) {
+            let was_refused = record.is_refused(now);
+            (record.seen_at, record.is_quiet) = (now, false);
+            return !was_refused;
+        }
         if MAX_REQUESTS <= self.interrupted_runs.len()
             && !self.interrupted_runs.contains_key(&request)
         {
-            self.expire(now);
+            self.expire_runs(now);
             if MAX_REQUESTS <= self.interrupted_runs.len() {
-                return;
+                return false;
             }
         }
         let runs = self.interrupted_runs.entry(request).or_default();
         runs.retain(|(it, at)| *it != target && now < *at + RUN_TTL);
         runs.push((target, now));
+        if runs.len() < REFUSAL_THRESHOLD {
+            return false;
+        }
+        self.interrupted_runs.remove(&request);
+        let record = Record { since: now, seen_at: now, trials: 0, is_quiet: false };
+        self.recognise(request, record);
+        true
     }
 
     /// Records that a target answered a request, which is therefore no poison; returns whether
     /// interrupted runs counted against it.
-    pub fn record_answer(&mut self, request: id::Fingerprint) -> bool {
-        self.interrupted_runs.remove(&request).is_some()
+    pub fn record_answer(&mut self, request: id::Fingerprint, now: Moment) -> bool {
+        let had_runs = self.interrupted_runs.remove(&request).is_some();
+        let was_suspected = self.recognised.remove(&request).is_some() || had_runs;
+        if was_suspected
+            && (self.cleared.len() < MAX_CLEARED || self.cleared.contains_key(&request))
+        {
+            self.cleared.insert(request, now);
+        }
+        was_suspected
+    }
+
+    /// Records the arrival of a request; `may_try` tells whether this host may try a recognised one.
+    pub fn admit(&mut self, request: id::Fingerprint, may_try: bool, now: Moment) -> Admission {
+        let record = self.recognised.get_mut(&request).filter(|it| it.is_refused(now));
+        let Some(record) = record else { return Admission::Admitted };
+        record.seen_at = now;
+        if !(may_try && record.is_trial_due(now)) {
+            return Admission::Refused;
+        }
+        record.since = now;
+        record.trials += 1;
+        Admission::Tried
     }
 
     /// Returns whether a request is refused as poison.
     pub fn is_refused(&self, request: id::Fingerprint, now: Moment) -> bool {
-        let runs = self.interrupted_runs.get(&request).map_or(&[][..], Vec::as_slice);
-        REFUSAL_THRESHOLD <= runs.iter().filter(|(_, at)| now < *at + RUN_TTL).count()
+        self.recognised.get(&request).is_some_and(|it| it.is_refused(now))
+    }
+
+    /// Returns the number of requests that are refused.
+    pub fn refused_count(&self, now: Moment) -> usize {
+        self.recognised.values().filter(|it| it.is_refused(now)).count()
+    }
+
+    /// Returns the requests that are refused.
+    pub fn refused(&self, now: Moment) -> Vec<id::Fingerprint> {
+        let refused = self.recognised.iter().filter(|(_, it)| it.is_refused(now));
+        refused.map(|(request, _)| *request).collect()
+    }
+
+    /// Returns a report of one recognised request.
+    pub fn report(&self, request: id::Fingerprint, now: Moment) -> Option<Report> {
+        self.recognised.get(&request).map(|it| {
+            // Rounded up, so that passing a report on makes no request seem to have come later.
+            let millis = |at| (now.saturating_sub(at).as_micros() as u64).div_ceil(1000);
+            Report {
+                request,
+                age_ms: millis(it.since),
+                quiet_ms: millis(it.seen_at),
+                trials: it.trials,
+            }
+        })
+    }
+
+    /// Returns a report of the recognised requests after this one, in ascending order; of the first
+    /// ones for `None`.
+    pub fn reports_after(&self, request: Option<id::Fingerprint>, now: Moment) -> Vec<Report> {
+        let start = request.map_or(Bound::Unbounded, Bound::Excluded);
+        let requests = self.recognised.range((start, Bound::Unbounded)).take(MAX_REPORTED);
+        requests.filter_map(|(request, _)| self.report(*request, now)).collect()
+    }
+
+    /// Returns the next report in a round over all recognised requests.
+    pub fn next_reports(&mut self, now: Moment) -> Vec<Report> {
+        let mut reports = self.reports_after(Some(self.last_reported), now);
+        if reports.is_empty() {
+            reports = self.reports_after(None, now);
+        }
+        self.last_reported = reports.last().map_or(0, |it| it.request);
+        reports
+    }
+
+    /// Applies another host's reports.
+    pub fn apply_reports(&mut self, reports: &[Report], now: Moment) -> Findings {
+        let mut findings = Findings::default();
+        for report in reports.iter().take(MAX_REPORTED) {
+            let age = |ms| Duration::from_millis(ms);
+            let (since, seen_at) =
+                (now.saturating_sub(age(report.age_ms)), now.saturating_sub(age(report.quiet_ms)));
+            if self.cleared.get(&report.request).is_some_and(|it| since <= *it) {
+                findings.cleared.push(report.request);
+                continue;
+            }
+            if MEMORY_TIME <= age(report.quiet_ms) {
+                continue;
+            }
+            let was_refused = self.is_refused(report.request, now);
+            match self.recognised.get_mut(&report.request) {
+                Some(record) => {
+                    let is_later = record.since + REPORT_TOLERANCE < since;
+                    if record.trials < report.trials || record.trials == report.trials && is_later {
+                        (record.trials, record.since) = (report.trials, since);
+                    }
+                    if record.seen_at + REPORT_TOLERANCE < seen_at {
+                        record.seen_at = seen_at;
+                    }
+                }
+                None => {
+                    self.interrupted_runs.remove(&report.request);
+                    let trials = report.trials;
+                    let record = Record { since, seen_at, trials, is_quiet: false };
+                    self.recognise(report.request, record);
+                }
+            }
+            if !was_refused && self.is_refused(report.request, now) {
+                findings.learned.push(report.request);
+            }
+        }
+        findings
+    }
+
+    /// Drops what no longer counts; returns the requests that are let through again since they have
+    /// not come for long.
+    pub fn expire(&mut self, now: Moment) -> Vec<id::Fingerprint> {
+        self.expire_runs(now);
+        self.cleared.retain(|_, at| now < *at + QUIET_TIME);
+        self.recognised.retain(|_, it| now < it.seen_at + MEMORY_TIME);
+        let mut quiet = Vec::new();
+        for (request, record) in &mut self.recognised {
+            let is_quiet = !record.is_refused(now);
+            if is_quiet && !record.is_quiet {
+                quiet.push(*request);
+            }
+            record.is_quiet = is_quiet;
+        }
+        quiet
     }
 
-    /// Drops the runs that no longer count.
-    pub fn expire(&mut self, now: Moment) {
+    fn expire_runs(&mut self, now: Moment) {
         self.interrupted_runs.retain(|_, runs| {
             runs.retain(|(_, at)| now < *at + RUN_TTL);
             !runs.is_empty()
         });
     }
+
+    fn recognise(&mut self, request: id::Fingerprint, record: Record) {
+        if MAX_RECOGNISED <= self.recognised.len() {
+            let quietest = self.recognised.iter().min_by_key(|(_, it)| it.seen_at);
+            if let Some(quietest) = quietest.map(|(it, _)| *it) {
+                self.recognised.remove(&quietest);
+            }
+        }
+        self.cleared.remove(&request);
+        self.recognised.insert(request, record);
+    }
 }
