--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -8,20 +8,29 @@
     time::Duration,
 };
 
-use tokio::{net::UdpSocket, sync::Notify};
+use tokio::{
+    net::UdpSocket,
+    sync::{Notify, watch},
+};
 
 use crate::{
     account::{self, recognition::Knowledge},
     cluster::{
         membership::{Host, Membership},
-        messages, origin_lookup, stream_origin,
+        messages, origin_lookup,
+        origin_proof::Prover,
+        route_history::RouteHistory,
+        stream_origin,
     },
     configuration::Configuration,
     duty,
     entry::{
         body_memory,
         deadline::Deadlines,
+        duration,
         headers::{HeaderNames, PrefillApi},
+        open_request,
+        shutdown::Schedule,
     },
     logging::Log,
     metrics::Metrics,
@@ -116,12 +125,16 @@
     pub request_memory: body_memory::Memory,
     /// Log writer, for its count of dropped lines.
     pub log: Option<Log>,
+    /// Open requests of callers, and those that this host sends on for other hosts.
+    pub open_requests: open_request::Registry,
     /// Notified when the shutdown starts.
     pub shutdown_started: Notify,
     /// This host's pending placement requests, and the queue for when it is the dispatcher.
     pub dispatcher: Dispatcher,
     /// This host's queries for the origins of streams.
     pub origin_queries: origin_lookup::Pending,
+    /// Calls by which the store shows that this host is current.
+    pub origin_prover: Prover,
     /// Records in the store of where streams began.
     pub stream_archive: Archive,
     /// Handlers of the messages from other hosts.
@@ -140,16 +153,16 @@
     /// Number of the last grant of each dispatcher that this host's own work includes.
     last_grants: RefCell<HashMap<id::Host, u64>>,
     peer_socket: RefCell<Option<Rc<UdpSocket>>>,
-    shutting_down: Cell<bool>,
+    /// Schedule of the shutdown; `None` before it.
+    shutdown: watch::Sender<Option<Schedule>>,
     /// Start of this process.
     started_at: Moment,
-    open_requests: Rc<Cell<usize>>,
     /// Requests of other hosts that this one sends on.
     open_peer_requests: Rc<Cell<usize>>,
     state: RefCell<State>,
 }
 
-/// Guard that counts a request as open until it is dropped.
+/// Guard that counts a request of another host as open until it is dropped.
 #[derive(Debug)]
 pub struct OpenRequest(Rc<Cell<usize>>);
 
@@ -208,8 +221,12 @@
     pub poison_parts: poison_part::Detector,
     /// Initial deadlines of callers, by route.
     pub deadlines: Deadlines,
+    /// Time that the requests of each route take.
+    pub durations: duration::Tracker,
     /// Software versions at which streams began.
     pub stream_origins: stream_origin::Tracker,
+    /// Former configurations, by which streams may have begun.
+    pub route_history: RouteHistory,
     /// Client accounts.
     pub accounts: account::State,
     /// Duties that one host performs for all.
@@ -274,6 +291,12 @@
         self.membership.is_watcher(self.is_store_unreachable())
     }
 
+    /// Returns the hosts that watch the store for this one; `None` if it does so itself.
+    pub fn other_watchers(&self) -> Option<Vec<id::Host>> {
+        let watchers = self.membership.watchers(self.is_store_unreachable());
+        (!watchers.contains(self.membership.own_name())).then_some(watchers)
+    }
+
     /// Returns the host that archives the origins of streams, if one reaches the store.
     pub fn archivist(&self) -> Option<id::Host> {
         self.membership.archivist(self.is_store_unreachable()).cloned()
@@ -290,8 +313,9 @@
         Some(until_available.max(self.rate_limits.time_until_available(key, now)))
     }
 
-    /// Records the software versions of the known targets.
+    /// Records the software versions of the known targets, and that the configuration is followed.
     pub fn observe_versions(&mut self, now: Moment) {
+        self.route_history.observe(self.configuration_watch.age(now), now);
         let list_age = self.targets_watch.age(now);
         self.stream_origins.observe(self.registry.all(), list_age, now);
     }
@@ -344,7 +368,9 @@
             poison: poison::Detector::default(),
             poison_parts: poison_part::Detector::new(rand::random()),
             deadlines: Deadlines::default(),
+            durations: duration::Tracker::default(),
             stream_origins: stream_origin::Tracker::default(),
+            route_history: RouteHistory::default(),
             accounts: account::State::default(),
             duties: duty::State::default(),
             scaling: scaling::State::default(),
@@ -367,6 +393,7 @@
             log,
             dispatcher: Dispatcher::default(),
             origin_queries: origin_lookup::Pending::default(),
+            origin_prover: Prover::default(),
             stream_archive: Archive::default(),
             handlers: messages::Handlers::default(),
             connect_failed: Notify::new(),
@@ -376,10 +403,10 @@
             watch_role_changed: Notify::new(),
             last_grants: RefCell::default(),
             peer_socket: RefCell::default(),
+            open_requests: open_request::Registry::default(),
             shutdown_started: Notify::new(),
-            shutting_down: Cell::new(false),
+            shutdown: watch::Sender::default(),
             started_at: clock::now(),
-            open_requests: Rc::default(),
             open_peer_requests: Rc::default(),
             state: RefCell::new(state),
         }
@@ -412,7 +439,13 @@
 
     /// Returns whether the host is shutting down.
     pub fn is_shutting_down(&self) -> bool {
-        self.shutting_down.get()
+        self.shutdown.borrow().is_some()
+    }
+
+    /// Returns the time since the start of the shutdown, in milliseconds; `None` before it.
+    pub fn shutdown_age_ms(&self) -> Option<u64> {
+        let start = (*self.shutdown.borrow())?.start;
+        Some(clock::now().saturating_sub(start).as_millis() as u64)
     }
 
     /// Returns the socket for datagrams between hosts.
@@ -442,11 +475,6 @@
         self.last_grants.borrow().get(dispatcher).copied().unwrap_or_default()
     }
 
-    /// Counts a caller's request as open until the returned guard is dropped.
-    pub fn open_request(&self) -> OpenRequest {
-        OpenRequest::new(&self.open_requests)
-    }
-
     /// Counts another host's request as open until the returned guard is dropped; `None` if `most`
     /// are open.
     pub fn open_peer_request(&self, most: usize) -> Option<OpenRequest> {
@@ -464,15 +492,25 @@
         self.state().reachability.is_cut_off()
     }
 
-    /// Returns the number of open requests of callers.
-    pub fn open_request_count(&self) -> usize {
-        self.open_requests.get()
+    /// Starts the shutdown and returns its schedule.
+    pub fn start_shutdown(&self) -> Schedule {
+        let schedule = Schedule::new(clock::now(), self.bounds().grace);
+        self.shutdown.send_replace(Some(schedule));
+        self.shutdown_started.notify_waiters();
+        schedule
     }
 
-    /// Starts the shutdown.
-    pub fn start_shutdown(&self) {
-        self.shutting_down.set(true);
-        self.shutdown_started.notify_waiters();
+    /// Waits until the shutdown has started, and returns its schedule.
+    pub async fn shutdown_scheduled(&self) -> Schedule {
+        let mut shutdown = self.shutdown.subscribe();
+        loop {
+            if let Some(schedule) = *shutdown.borrow_and_update() {
+                return schedule;
+            }
+            if shutdown.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        }
     }
 
     /// Returns whether the host can serve callers.
--- a/gateway/src/entry/job.rs
+++ b/gateway/src/entry/job.rs
@@ -24,18 +24,24 @@
     },
     cluster::{
         origin_lookup,
+        origin_proof::Subject,
         peer_ticket::{TICKET_HEADER, Ticket},
         stream_origin::Origin,
     },
     configuration::{Configuration, RequestKind, Route},
-    context::{Context, OpenRequest},
+    context::Context,
     entry::{
         body_memory,
         headers::{HeaderNames, end_to_end, head_bytes},
+        open_request,
         prompt::Prompt,
     },
     placement::engine,
-    targets::{poison_part::MAX_PROMPT_PARTS, target::Target},
+    targets::{
+        poison::{self, Contents},
+        poison_part::MAX_PROMPT_PARTS,
+        target::Target,
+    },
     upstream::{
         attempt::Options,
         calls::{Call, Ledger},
@@ -79,12 +85,12 @@
     pub account: Option<Rc<Account>>,
     /// Prompt description from the headers.
     pub prompt: Prompt,
-    /// Hash of path, query and body, equal for all of the caller's attempts at the same request.
-    pub fingerprint: id::Fingerprint,
     /// Fingerprints of the prompt's shared parts, in order.
     pub parts: Vec<id::Fingerprint>,
     /// Arrival time of the request head.
     pub arrived: Moment,
+    /// Time at which the request had been read whole.
+    pub read_at: Moment,
     /// Time for which the caller waits, counted from `arrived`.
     pub caller_timeout: Duration,
     /// Time that the caller had spent on earlier attempts before this request.
@@ -107,6 +113,8 @@
     pub is_run_counted: Cell<bool>,
     /// Whether another host sends the job through this one.
     pub is_from_peer: bool,
+    /// Whether the job was sent through another host.
+    pub is_delegated: Cell<bool>,
     /// Stream that the caller takes up after some events; empty when it doesn't name the stream, and
     /// `None` for a new request.
     pub resumed_stream: Option<id::Stream>,
@@ -116,12 +124,14 @@
     pub time_to_first_event: Cell<Option<Duration>>,
     /// Digest of the key that showed the account.
     key: Option<Digest>,
+    /// Digest of what makes requests to a service the same.
+    contents: u64,
     method: Method,
     uri: Uri,
     headers: HeaderMap,
     body: Bytes,
     _memory: body_memory::Share,
-    _open: OpenRequest,
+    open: open_request::Guard,
 }
 
 impl Job {
@@ -134,7 +144,7 @@
         request: Request<Incoming>,
         ticket: Option<&Ticket>,
     ) -> Result<Job, Reason> {
-        let (arrived, open) = (clock::now(), context.open_request());
+        let (arrived, open) = (clock::now(), context.open_requests.open());
         let configuration = context.state().configuration.clone();
         let (parts, body) = request.into_parts();
         // A newer configuration may send the request elsewhere or not allow it.
@@ -186,8 +196,16 @@
         let mut calls = Ledger::default();
         (0..attempts_sent).for_each(|_| calls.record_call());
         let resumed_stream = resumed_stream(&route, &parts.headers, names);
-        let mut hasher = std::hash::DefaultHasher::new();
-        (parts.uri.path(), parts.uri.query(), &body).hash(&mut hasher);
+        let account_name = account.as_ref().map(|it| it.name.as_str());
+        let contents = Contents {
+            host: &route.host,
+            method: parts.method.as_str(),
+            path: parts.uri.path(),
+            query: parts.uri.query(),
+            account: account_name,
+            body: &body,
+        };
+        let contents = contents.digest();
         Ok(Job {
             id,
             route,
@@ -196,9 +214,9 @@
             configuration_version: configuration.version,
             account,
             prompt,
-            fingerprint: hasher.finish(),
             parts: part_fingerprints,
             arrived,
+            read_at: clock::now(),
             caller_timeout,
             prior_time,
             expires_at,
@@ -211,18 +229,25 @@
             is_counted: Cell::new(ticket.is_some_and(|it| it.is_counted)),
             is_run_counted: Cell::new(false),
             is_from_peer: ticket.is_some(),
+            is_delegated: Cell::default(),
             resumed_stream,
             origin: RefCell::default(),
             key,
+            contents,
             method: parts.method,
             uri: parts.uri,
             headers,
             body,
             _memory: memory,
-            _open: open,
+            open,
         })
     }
 
+    /// Has the job counted and listed among the host's open requests.
+    pub fn register(self: &Rc<Job>) {
+        self.open.attach(self);
+    }
+
     /// Finds where the stream began that the caller takes up, if it does, so that the stream goes on
     /// there.
     ///
@@ -230,11 +255,12 @@
     /// Returns the reason for refusing the request; nothing was sent to a target.
     pub async fn find_origin(&mut self, context: &Rc<Context>) -> Result<(), Reason> {
         let Some(stream) = &self.resumed_stream else { return Ok(()) };
-        let sole_service = match self.route.traffic_split.as_slice() {
-            [(service, _)] => Some(service),
-            _ => None,
-        };
-        let origin = origin_lookup::find(context, stream, sole_service).await;
+        let subject = self.sole_service(context).map(|service| Subject {
+            service,
+            host: authority(&self.uri, &self.headers).unwrap_or_default().into(),
+            path: self.uri.path().into(),
+        });
+        let origin = origin_lookup::find(context, stream, subject.as_ref()).await;
         let origin = origin.ok_or(Reason::OriginUnknown)?;
         if !self.route.traffic_split.iter().any(|(service, _)| *service == origin.service) {
             return Err(Reason::NoTarget);
@@ -250,6 +276,19 @@
         Ok(())
     }
 
+    /// Returns the service of the route, if requests like this one have gone to no other lately.
+    fn sole_service(&self, context: &Context) -> Option<id::Service> {
+        let state = context.state();
+        let [(service, _)] = self.route.traffic_split.as_slice() else { return None };
+        if !state.route_history.has_former() {
+            return Some(service.clone());
+        }
+        let host = authority(&self.uri, &self.headers)?;
+        let routes = &state.configuration.as_ref()?.routes;
+        let services = state.route_history.services(routes, host, self.uri.path());
+        services.iter().eq([service]).then(|| service.clone())
+    }
+
     /// Records that the stream began at a target, unless its caller had taken it up.
     pub fn record_origin(&self, context: &Context, target: &Target) {
         let origin = Origin::from(target);
@@ -257,10 +296,16 @@
         let stream = stream.unwrap_or_else(|| self.id.clone());
         *self.origin.borrow_mut() = Some(origin.clone());
         if !stream.is_empty() {
-            origin_lookup::record_begin(context, stream, origin);
+            let has_sole_service = self.sole_service(context).is_some();
+            origin_lookup::record_begin(context, stream, origin, has_sole_service);
         }
     }
 
+    /// Returns a hash that is equal for all attempts at the same request.
+    pub fn fingerprint(&self) -> id::Fingerprint {
+        poison::fingerprint(&self.service, self.contents)
+    }
+
     /// Returns whether a target may run the job: any, or one of the software version that began the
     /// stream.
     pub fn allows(&self, target: &Target) -> bool {
@@ -306,6 +351,11 @@
         recognition::check(&identity, accounts, knowledge)
     }
 
+    /// Returns whether a target may have started the job.
+    pub fn may_have_started(&self) -> bool {
+        0 < self.attempts_sent.get() || self.is_delegated.get()
+    }
+
     /// Returns the time left until the job's deadline.
     pub fn time_left(&self) -> Duration {
         self.expires_at.saturating_sub(clock::now())
@@ -484,13 +534,18 @@
     configuration: &Configuration,
     parts: &hyper::http::request::Parts,
 ) -> Option<Rc<Route>> {
-    let host = match parts.uri.authority() {
-        Some(authority) => authority.as_str(),
-        None => parts.headers.get(header::HOST)?.to_str().ok()?,
-    };
+    let host = authority(&parts.uri, &parts.headers)?;
     configuration.routes.find(host, parts.uri.path()).cloned()
 }
 
+/// Returns the host of a request.
+fn authority<'a>(uri: &'a Uri, headers: &'a HeaderMap) -> Option<&'a str> {
+    match uri.authority() {
+        Some(authority) => Some(authority.as_str()),
+        None => headers.get(header::HOST)?.to_str().ok(),
+    }
+}
+
 fn header_text<'a>(headers: &'a HeaderMap, name: &hyper::header::HeaderName) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -29,12 +29,13 @@
 
 use std::{io, rc::Rc, time::Duration};
 
+use fuchsiaknot_core::clock;
 use hyper::Request;
 use tokio::{
     signal::unix::{Signal, SignalKind, signal},
     sync,
     task::{JoinSet, spawn_local},
-    time::{Instant, sleep, timeout_at},
+    time::{sleep, timeout},
 };
 
 use crate::{
@@ -53,11 +54,6 @@
     upstream::probe,
 };
 
-/// Time from the start of a shutdown to closing the ports. Until then the host still takes
-/// requests, so that callers learn of the shutdown first.
-const CLOSE_DELAY: Duration = Duration::from_millis(2500);
-/// Time before the end of the grace period at which a shutdown stops waiting for open requests.
-const GRACE_MARGIN: Duration = Duration::from_millis(500);
 /// Interval at which the settings are reloaded without a signal.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(3);
 /// Time from the close of the last connection to the end of the process, in which the connections
@@ -231,21 +227,40 @@
 /// Shuts down in order: removes the host from the directory, closes the ports, waits until
 /// all connections are closed.
 async fn shut_down<S: Store>(context: &Rc<Context>, store: &S, phase: &sync::watch::Sender<Phase>) {
-    let started = Instant::now();
     tracing::info!(code = 8020, "shutting down; finishing open requests");
-    context.start_shutdown();
+    let schedule = context.start_shutdown();
     let name = context.settings.host.name.clone();
-    let withdrawal = tokio::time::timeout(WITHDRAW_TIMEOUT, store.withdraw(&name)).await;
+    let withdrawal = timeout(WITHDRAW_TIMEOUT, store.withdraw(&name)).await;
     if let Ok(Err(err)) = withdrawal {
         tracing::warn!(code = 8021, fault = %err, "cannot remove this host from the store; other hosts notice its missing heartbeats");
     }
-    sleep(CLOSE_DELAY.saturating_sub(started.elapsed())).await;
+    sleep(schedule.close.saturating_sub(clock::now())).await;
     phase.send_replace(Phase::Closing);
     // Each connection keeps a receiver until its last response is written.
-    let end = started + context.bounds().grace.saturating_sub(GRACE_MARGIN);
-    if timeout_at(end, phase.closed()).await.is_err() {
+    let time_left = schedule.end.saturating_sub(clock::now());
+    if timeout(time_left, phase.closed()).await.is_err() {
         tracing::debug!("connections are still open at the end of the grace period");
     }
     sleep(RELEASE_DELAY).await;
-    tracing::info!(code = 8022, open = context.open_request_count(), "stopped");
+    log_open_requests(context);
+    let (open, connections) = (context.open_requests.count(), phase.receiver_count());
+    tracing::info!(code = 8022, open, connections, "stopped");
+}
+
+/// Logs the requests that end with the process.
+fn log_open_requests(context: &Context) {
+    let now = clock::now();
+    for job in context.open_requests.jobs() {
+        tracing::warn!(code = 8181,
+            id = %job.id,
+            route = %job.route.name,
+            service = %job.service,
+            sent = job.attempts_sent.get(),
+            first_ms = job.time_to_first_event.get().map(|it| it.as_millis() as u64),
+            waited_ms = now.saturating_sub(job.arrived).as_millis() as u64,
+            left_ms = job.time_left().as_millis() as u64,
+            shutdown_ms = context.shutdown_age_ms(),
+            "request is open at the end of the shutdown"
+        );
+    }
 }
