fix(entry): give up a body without a name after 8,192 chunks

A body without end in chunks of a few bytes took 0.8 to 2.2 s of a debug build before it was given up (load 40), and endless_once and endless_response missed their 3 s on a busy machine. The bound is a quarter now.

--- a/gateway/src/entry/body_memory.rs
+++ b/gateway/src/entry/body_memory.rs
@@ -34,7 +34,7 @@
 /// Most bytes of a response that are held.
 pub const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
 /// Most chunks of a response that are held; chunks of a few bytes each take more processor time than they are worth.
-const MAX_CHUNKS: usize = 32 * 1024;
+const MAX_CHUNKS: usize = 8 * 1024;
 
 /// Why a body is not read any further.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
