fix(stream_origin): a host that has just started asks others to show a stream's origin

Callers whose streams were taken up at a host that had started in the last 30 s and watches the store itself got 503 though the service had had one version only: such a host asked nobody else for the routes of that time.

--- a/gateway/src/cluster/origin_evidence.rs
+++ b/gateway/src/cluster/origin_evidence.rs
@@ -34,6 +34,11 @@
         self.newest_configuration = self.newest_configuration.max(other.newest_configuration);
     }
 
+    /// Returns whether versions and services were followed for as long as a stream may last.
+    pub fn knows_all(&self) -> bool {
+        self.knows_routes && self.knowledge.is_complete
+    }
+
     /// Returns where the stream of a service began, at a host with the configuration `in_force`; `None`
     /// if that is not shown.
     pub fn into_origin(self, service: &id::Service, in_force: id::Version) -> Option<Origin> {
--- a/gateway/src/cluster/origin_proof.rs
+++ b/gateway/src/cluster/origin_proof.rs
@@ -7,7 +7,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     rc::Rc,
     time::Duration,
 };
@@ -130,15 +130,10 @@
 /// know already.
 pub async fn find(context: &Context, subject: &Subject, known: Evidence) -> Option<Origin> {
     let mut known = known;
+    known.merge(evidence(context, subject, false));
     let end = Instant::now() + PROOF_TIMEOUT;
-    let answered = match ask_watchers(context, subject).await {
-        Some(evidence) => {
-            known.merge(evidence);
-            true
-        }
-        None => false,
-    };
-    let is_proven = !answered && prove(context, end).await;
+    let is_answered = ask_others(context, subject, &mut known).await;
+    let is_proven = !is_answered && prove(context, end).await;
     known.merge(evidence(context, subject, is_proven));
     let in_force = context.state().configuration.as_ref().map(|it| it.version)?;
     let origin = known.into_origin(&subject.service, in_force);
@@ -162,23 +157,43 @@
     }
 }
 
-/// Returns the first answer of a watcher; `None` if this host is one or none answers.
-async fn ask_watchers(context: &Context, subject: &Subject) -> Option<Evidence> {
+/// Asks other hosts unless this one can show the origin by itself, and adds their evidence until it
+/// suffices. Returns whether any has answered.
+async fn ask_others(context: &Context, subject: &Subject, known: &mut Evidence) -> bool {
     if MAX_PATH_BYTES < subject.host.len() + subject.path.len() {
-        return None;
+        return false;
     }
-    let watchers = context.state().other_watchers()?;
-    let (sender, mut answers) = mpsc::channel(1);
+    let hosts = hosts_to_ask(context, known);
+    let (sender, mut answers) = mpsc::channel(hosts.len().max(1));
     let number = rand::random();
     let prover = &context.origin_prover;
     prover.pending.borrow_mut().insert(number, sender);
     let _guard = PendingGuard { prover, number };
     let query = Query { number, subject: subject.clone() };
-    let asked = watchers.iter().filter(|it| messages::send(context, it, &query)).count();
-    if asked == 0 {
-        return None;
+    let asked = hosts.iter().filter(|it| messages::send(context, it, &query)).count();
+    let end = Instant::now() + WATCHER_TIMEOUT;
+    for answered in 0..asked {
+        let Ok(Some(evidence)) = timeout_at(end, answers.recv()).await else {
+            return 0 < answered;
+        };
+        known.merge(evidence);
+        if known.knows_all() {
+            return true;
+        }
+    }
+    0 < asked
+}
+
+/// Returns the watchers, unless this host is one. A host that has not followed versions and routes for
+/// long enough asks a few others too, since the watchers may have started as lately.
+fn hosts_to_ask(context: &Context, known: &Evidence) -> BTreeSet<id::Host> {
+    let state = context.state();
+    let watchers = state.other_watchers();
+    if known.knows_all() {
+        return watchers.unwrap_or_default().into_iter().collect();
     }
-    timeout_at(Instant::now() + WATCHER_TIMEOUT, answers.recv()).await.ok()?
+    let others = state.membership.record_keepers("");
+    watchers.unwrap_or_default().into_iter().chain(others).collect()
 }
 
 /// Returns whether the store shows, by calls that start from now on, that this host's targets and
