--- a/gateway/src/entry/forward.rs
+++ b/gateway/src/entry/forward.rs
@@ -73,11 +73,11 @@
     let found = job.find_origin(&context).await;
     let job = Rc::new(job);
     job.register();
-    let forwarder = Forwarder::new(&context, &job);
+    let mut forwarder = Forwarder::new(&context, &job);
     if !forwarder.uses_proxy() {
         job.count(&context);
     }
-    let is_poison = context.state().poison.is_refused(job.fingerprint(), clock::now());
+    let is_poison = !forwarder.is_admitted();
     let response = match found {
         _ if is_poison => forwarder.give_up(Reason::CrashesTargets),
         Err(reason) => forwarder.give_up(reason),
@@ -200,6 +200,8 @@
     pub(crate) first_event_at: Option<Moment>,
     /// Whether a run has shown that the job crashes no target.
     pub(crate) is_sound: bool,
+    /// Whether the job is a trial of a recognised request.
+    pub(crate) is_trial: bool,
 }
 
 impl Forwarder {
@@ -214,6 +216,7 @@
             queue_time: Duration::ZERO,
             first_event_at: None,
             is_sound: false,
+            is_trial: false,
         }
     }
 
@@ -556,7 +559,7 @@
         Ok(response)
     }
 
-    /// Forwards a response for which there is no memory as it arrives, from what has been read on.
+    /// Forwards a response that cannot be held whole as it arrives, from what has been read on.
     fn relay_rest(&self, attempt: Attempt, body: Chunks, next: Bytes) -> Response<Body> {
         let (sender, receiver) = response::stream_from(body);
         let mut response = Response::new(Body::Stream(receiver));
@@ -596,6 +599,7 @@
             queue_time: Duration::ZERO,
             first_event_at: None,
             is_sound: false,
+            is_trial: false,
         };
         let relay = Relay::new(forwarder, sender);
         tokio::task::spawn_local(relay.run(attempt, splitter, first));
