fix(sync): versions and routes that come and go between two answers are known

What callers got: text of two versions or services in one stream. A target that joined and left within one answer of the store left no version, and a configuration that was replaced within one answer no route, so the history counted as whole although it was not, and a stream that had begun there went on elsewhere.

Each announcement's version is recorded as it is applied.

--- a/gateway/src/store/mod.rs
+++ b/gateway/src/store/mod.rs
@@ -46,6 +46,8 @@
     pub read_at: Option<Duration>,
     /// Whether all of the contents could be decoded.
     pub is_complete: bool,
+    /// Whether there were changes that are not among the contents, since later ones replaced them.
+    pub has_skipped: bool,
     /// The contents.
     pub contents: T,
 }
@@ -53,8 +55,8 @@
 impl<T> Snapshot<T> {
     /// Converts the contents and keeps the rest.
     pub fn map<U>(self, change: impl FnOnce(T) -> U) -> Snapshot<U> {
-        let Snapshot { era, version, read_at, is_complete, contents } = self;
-        Snapshot { era, version, read_at, is_complete, contents: change(contents) }
+        let Snapshot { era, version, read_at, is_complete, has_skipped, contents } = self;
+        Snapshot { era, version, read_at, is_complete, has_skipped, contents: change(contents) }
     }
 }
 
--- a/gateway/src/store/sync.rs
+++ b/gateway/src/store/sync.rs
@@ -9,6 +9,7 @@
     cluster::{
         origin_lookup,
         peers::{self, Packet},
+        stream_origin::Origin,
     },
     configuration::Configuration,
     context::{Context, State},
@@ -270,6 +271,9 @@
                     Ok(snapshot) => {
                         observe_call(&context, T::NAME, started);
                         proof::record_call(&context, &snapshot, call_era, started);
+                        if snapshot.has_skipped {
+                            context.state_mut().route_history.interrupt();
+                        }
                         let Snapshot { version, read_at, is_complete, contents, .. } = snapshot;
                         let behind = time_behind::<T>(&context);
                         let age = answer_age(started, wait);
@@ -492,6 +496,10 @@
     }
     let configuration = Rc::new(configuration);
     let former = context.state_mut().configuration.replace(Rc::clone(&configuration));
+    if former.is_some() && coverage.method == Method::Read {
+        // Others may have been in force since the last answer.
+        context.state_mut().route_history.interrupt();
+    }
     if let Some(former) = former.filter(|it| !it.routes.leads_like(&configuration.routes)) {
         let state = &mut *context.state_mut();
         state.route_history.record_former(former, clock::now());
@@ -544,6 +552,10 @@
         let events = {
             let mut state = context.state_mut();
             let reannounce_deadline = state.targets_watch.reannounce_deadline();
+            if !state.registry.is_empty() {
+                // Targets may have come and gone since the last answer.
+                state.stream_origins.interrupt();
+            }
             state.registry.replace(contents, reannounce_deadline, clock::now())
         };
         // In a new era, the other hosts have yet to read the table.
@@ -605,15 +617,24 @@
     known: id::Version,
 ) {
     let events = {
-        let mut state = context.state_mut();
+        let state = &mut *context.state_mut();
         let reannounce_deadline = state.targets_watch.reannounce_deadline();
         let now = clock::now();
-        let registry = &mut state.registry;
-        changes
-            .into_iter()
-            .filter(|(version, _)| known < *version)
-            .filter_map(|(_, it)| registry.apply(it, reannounce_deadline, now))
-            .collect()
+        let mut events = Vec::new();
+        for (_, change) in changes.into_iter().filter(|(version, _)| known < *version) {
+            // A target may have gone again by the end of the changes.
+            match &change {
+                Change::Announced(target) => {
+                    state.stream_origins.record_version(&Origin::from(target), now);
+                }
+                Change::Removed(id) if state.registry.key(id).is_none() => {
+                    state.stream_origins.interrupt();
+                }
+                Change::Removed(_) => {}
+            }
+            events.extend(state.registry.apply(change, reannounce_deadline, now));
+        }
+        events
     };
     context.record_target_events(events);
 }
