fix(shutdown): looking for an origin and further attempts know the end too

A stream that a caller took up late in the grace period was cut with its connection while the host looked for its origin (store silent, body read 7.1 s after SIGTERM). A request that a target had refused as not run 4 s after the signal was sent to another target and ended with 504, also one that may not be repeated.

The lookup is bounded by the schedule like the attempts, and before each attempt a request that has not run is checked against it.

--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -503,6 +503,11 @@
         schedule
     }
 
+    /// Returns the schedule of the shutdown; `None` before it.
+    pub fn shutdown_schedule(&self) -> Option<Schedule> {
+        *self.shutdown.borrow()
+    }
+
     /// Waits until the shutdown has started, and returns its schedule.
     pub async fn shutdown_scheduled(&self) -> Schedule {
         let mut shutdown = self.shutdown.subscribe();
--- a/gateway/src/entry/forward.rs
+++ b/gateway/src/entry/forward.rs
@@ -70,7 +70,16 @@
         }
     };
     let mut disconnect_guard = DisconnectGuard::new(&context, &id);
-    let found = job.find_origin(&context).await;
+    let found = tokio::select! {
+        biased;
+        reason = shutdown::interrupted(&context, &job) => Err(reason),
+        found = job.find_origin(&context) => found,
+    };
+    let found = found.map(|origin| {
+        if let Some(origin) = origin {
+            job.set_origin(&context, origin);
+        }
+    });
     let job = Rc::new(job);
     job.register();
     let mut forwarder = Forwarder::new(&context, &job);
@@ -317,6 +326,9 @@
                 return Err(reason);
             }
             self.job.check_account(&self.context).map_err(|it| self.account_reason(it))?;
+            if !self.may_have_run && shutdown::is_too_late(&self.context, &self.job) {
+                return Err(Reason::Leaving);
+            }
             if self.context.should_use_proxies() {
                 return Err(self.no_target_reason());
             }
--- a/gateway/src/entry/job.rs
+++ b/gateway/src/entry/job.rs
@@ -248,13 +248,12 @@
         self.open.attach(self);
     }
 
-    /// Finds where the stream began that the caller takes up, if it does, so that the stream goes on
-    /// there.
+    /// Finds where the stream began that the caller takes up; `None` if it takes up none.
     ///
     /// # Errors
     /// Returns the reason for refusing the request; nothing was sent to a target.
-    pub async fn find_origin(&mut self, context: &Rc<Context>) -> Result<(), Reason> {
-        let Some(stream) = &self.resumed_stream else { return Ok(()) };
+    pub async fn find_origin(&self, context: &Rc<Context>) -> Result<Option<Origin>, Reason> {
+        let Some(stream) = &self.resumed_stream else { return Ok(None) };
         let subject = self.sole_service(context).map(|service| Subject {
             service,
             host: authority(&self.uri, &self.headers).unwrap_or_default().into(),
@@ -265,6 +264,11 @@
         if !self.route.traffic_split.iter().any(|(service, _)| *service == origin.service) {
             return Err(Reason::NoTarget);
         }
+        Ok(Some(origin))
+    }
+
+    /// Has the stream that the caller takes up go on where it began.
+    pub fn set_origin(&mut self, context: &Context, origin: Origin) {
         if self.service != origin.service {
             self.service = origin.service.clone();
             self.parts = fingerprints(&self.service, &self.prompt);
@@ -273,7 +277,6 @@
             self.on_engines = service.is_some_and(|it| it.engine.is_some());
         }
         self.origin = RefCell::new(Some(origin));
-        Ok(())
     }
 
     /// Returns the service of the route, if requests like this one have gone to no other lately.
--- a/gateway/src/entry/shutdown.rs
+++ b/gateway/src/entry/shutdown.rs
@@ -65,13 +65,24 @@
     }
 }
 
+/// Returns whether the host shuts down and a job must not be sent to a target any more unless it may
+/// have run already.
+pub fn is_too_late(context: &Context, job: &Job) -> bool {
+    let Some(schedule) = context.shutdown_schedule() else { return false };
+    latest_start(context, job, schedule) <= clock::now()
+}
+
+fn latest_start(context: &Context, job: &Job, schedule: Schedule) -> Moment {
+    let usual_duration = context.state().durations.usual(&job.route.name);
+    schedule.latest_start(job.read_at, job.expires_at, usual_duration)
+}
+
 /// Waits until a job without a response has to be given up because the host shuts down, and returns
 /// the reason.
 pub async fn interrupted(context: &Context, job: &Job) -> Reason {
     let schedule = context.shutdown_scheduled().await;
     if !job.may_have_started() {
-        let usual_duration = context.state().durations.usual(&job.route.name);
-        sleep_until(schedule.latest_start(job.read_at, job.expires_at, usual_duration)).await;
+        sleep_until(latest_start(context, job, schedule)).await;
         if !job.may_have_started() {
             return Reason::Leaving;
         }
