refactor(gateway): start the proofs of origins beside the other tasks

They were started from stream_archive, which has nothing to do with them. No change of logic: the same handlers and one task more in lib.rs.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -40,7 +40,7 @@
 
 use crate::{
     account::proof,
-    cluster::{peer_server, peer_ticket, peers},
+    cluster::{origin_proof, peer_server, peer_ticket, peers},
     context::{Bounds, Context},
     duty::Endpoint,
     entry::{
@@ -80,6 +80,7 @@
     let (phase, phase_watch) = sync::watch::channel(Phase::Open);
     proof::register(&context);
     poison_reports::register(&context);
+    origin_proof::register(&context);
     stream_archive::driver::register(&context);
     serve_ports(&context, directory, &phase_watch)?;
     drop(phase_watch);
@@ -93,6 +94,7 @@
         store.clone(),
     ));
     tasks.spawn_local(store_sync::register_host(Rc::clone(&context), store.clone()));
+    tasks.spawn_local(origin_proof::run(Rc::clone(&context), store.clone()));
     tasks.spawn_local(stream_archive::driver::read(Rc::clone(&context), store.clone()));
     tasks.spawn_local(stream_archive::driver::write(Rc::clone(&context), store.clone()));
     tasks.spawn_local(store_sync::log_statistics(Rc::clone(&context)));
--- a/gateway/src/stream_archive/driver.rs
+++ b/gateway/src/stream_archive/driver.rs
@@ -17,7 +17,6 @@
 use crate::{
     cluster::{
         messages::{self, Kind, Message},
-        origin_proof,
         stream_origin::Origin,
     },
     context::Context,
@@ -98,7 +97,6 @@
 
 /// Registers the handlers of the other hosts' reports and queries.
 pub fn register(context: &Context) {
-    origin_proof::register(context);
     context.handlers.register(|context, _, Begun(groups)| context.stream_archive.push(groups));
 }
 
@@ -168,16 +166,8 @@
     }
 }
 
-/// Reads from the store what is wanted to find where streams began, forever.
-pub async fn read<S: Store>(context: Rc<Context>, store: S) {
-    tokio::join!(
-        read_records(Rc::clone(&context), store.clone()),
-        origin_proof::run(context, store)
-    );
-}
-
 /// Reads the records whenever they are wanted, forever.
-async fn read_records<S: Store>(context: Rc<Context>, store: S) {
+pub async fn read<S: Store>(context: Rc<Context>, store: S) {
     let archive = &context.stream_archive;
     let mut backoff = Backoff::new("streams");
     loop {
