--- a/gateway/src/targets/poison.rs
+++ b/gateway/src/targets/poison.rs
@@ -51,7 +51,7 @@
 /// What makes requests the same, beside the service that runs them.
 ///
 /// The account stands for the caller: targets get its name and not the key, so that a request crashes
-/// them with any of the account's keys. Callers without an account are not told apart, since a caller's
+/// them with any of the account's keys. Callers without an account are not distinguished, since a caller's
 /// address changes from one connection to the next.
 #[derive(Debug, Clone, Copy, Hash)]
 pub struct Contents<'a> {
--- a/gateway/tests/stream_origin.rs
+++ b/gateway/tests/stream_origin.rs
@@ -285,7 +285,7 @@
     assert!(!Routes::default().leads_like(&current));
 }
 
-/// A stream whose route leads elsewhere lately is told to other hosts, also if it began before.
+/// A stream whose route leads elsewhere lately is reported to other hosts, also if it began before.
 #[test]
 fn reported_when_moved() {
     let mut tracker = Tracker::default();
