--- a/review/common-2/src/main.rs
+++ b/review/common-2/src/main.rs
@@ -2,6 +2,7 @@
 //! held, 2 if the case could not run.
 
 mod common;
+mod late_beat;
 mod poison;
 mod stray_refusal;
 
@@ -23,6 +24,7 @@
     let record = Record::create(Path::new(folder));
     let run = match case.as_str() {
         "stray-refusal" => stray_refusal::run,
+        "late-beat" => late_beat::run,
         "poison" => poison::run,
         _ => return ExitCode::from(2),
     };
