--- a/review/common-2/src/main.rs
+++ b/review/common-2/src/main.rs
@@ -25,7 +25,8 @@
     let run = match case.as_str() {
         "stray-refusal" => stray_refusal::run,
         "late-beat" => late_beat::run,
-        "poison" => poison::run,
+        "poison" => poison::run_killed,
+        "poison-moved" => poison::run_moved,
         _ => return ExitCode::from(2),
     };
     // A stand-in that fails must not count as a broken rule.
--- a/review/common-2/src/poison.rs
+++ b/review/common-2/src/poison.rs
@@ -1,4 +1,5 @@
-//! A request that crashes each replica that runs it comes again after all hosts were killed.
+//! A request that crashes each replica that runs it comes again: after all hosts were killed, or after
+//! its route was moved to another service.
 
 use std::{
     path::Path,
@@ -21,6 +22,9 @@
 use serde_json::{Value, json};
 
 const HOSTS: u8 = 3;
+/// Services; the first one runs the requests until their route is moved.
+const SERVICES: [&str; 3] = ["index-app", "index-app-b", "index-app-c"];
+/// Replicas of each service.
 const REPLICAS: usize = 4;
 const POISON: &str = "poison";
 /// Time until a crashed replica is back.
@@ -31,23 +35,26 @@
 const PAUSE: Duration = Duration::from_secs(1);
 /// Times at which the request comes in each part of the day.
 const ARRIVALS: usize = 9;
-/// Number of times that all hosts are killed.
-const KILLS: usize = 2;
+/// Number of times that all hosts are killed, or that the route is moved.
+const REPEATS: usize = 2;
 /// Most retries that may reach replicas later than [`CONTACT`] after the third crash.
 const MAX_RETRIES: usize = 3;
 
-fn manifest() -> Value {
+fn manifest(version: u64, service: &str) -> Value {
+    let services = SERVICES.map(|name| {
+        json!({
+            "Name": name, "HealthPath": "/health", "MaxConnections": 110, "Protocol": "h1",
+            "Tls": false
+        })
+    });
     json!({
-        "Version": 7,
+        "Version": version,
         "Routes": [{
             "Name": "r-publish", "Host": "site.example", "Prefix": "/publish/",
             "Kind": "non_idempotent", "TimeoutMs": 1500, "TargetLatencyMs": 100, "Priority": 2,
-            "Service": "index-app", "MaxAttempts": 1
-        }],
-        "Services": [{
-            "Name": "index-app", "HealthPath": "/health", "MaxConnections": 110,
-            "Protocol": "h1", "Tls": false
+            "Service": service, "MaxAttempts": 1
         }],
+        "Services": services,
         "Limits": {
             "MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000,
             "IdleTimeoutMs": 15000
@@ -58,7 +65,13 @@
 /// Times at which the request crashed a replica.
 type Crashes = Arc<Mutex<Vec<Duration>>>;
 
-fn start_replica(name: &str, store: &Store, crashes: &Crashes, record: &Record) {
+fn start_replica(
+    name: &str,
+    service: &'static str,
+    store: &Store,
+    crashes: &Crashes,
+    record: &Record,
+) {
     let (crashes, record, replica) = (Arc::clone(crashes), record.clone(), name.to_owned());
     let (beats, lifetimes) = mpsc::channel();
     let beat_at_start = beats.clone();
@@ -81,7 +94,7 @@
     let announce = move |lifetime: u64, sequence: u64| {
         // A replica that starts again keeps its Id, and has another `born`.
         let entry = json!({
-            "Service": "index-app", "Address": target.address, "Zone": "bud-a", "Version": "v1",
+            "Service": service, "Address": target.address, "Zone": "bud-a", "Version": "v1",
             "Slots": 6, "State": "ready", "ColdRemainingMs": 0, "Sequence": sequence,
             "born": 1_764_000_000_000 + 1000 * lifetime
         });
@@ -126,12 +139,32 @@
     }
 }
 
-pub(crate) fn run(temp: &Path, record: &Record, has_trouble: bool) -> Outcome {
+/// What happens before the request comes again.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Trouble {
+    None,
+    /// All hosts are killed and start again.
+    Killed,
+    /// A manifest moves the route to another service.
+    Moved,
+}
+
+pub(crate) fn run_killed(temp: &Path, record: &Record, has_trouble: bool) -> Outcome {
+    run(temp, record, if has_trouble { Trouble::Killed } else { Trouble::None })
+}
+
+pub(crate) fn run_moved(temp: &Path, record: &Record, has_trouble: bool) -> Outcome {
+    run(temp, record, if has_trouble { Trouble::Moved } else { Trouble::None })
+}
+
+fn run(temp: &Path, record: &Record, trouble: Trouble) -> Outcome {
     let store = Store::start();
-    store.put_json("op", "config", &manifest());
+    store.put_json("op", "config", &manifest(7, SERVICES[0]));
     let crashes: Crashes = Arc::default();
-    for number in 0..REPLICAS {
-        start_replica(&format!("i-{number}"), &store, &crashes, record);
+    for (number, service) in SERVICES.into_iter().enumerate() {
+        for replica in 0..REPLICAS {
+            start_replica(&format!("i-{number}{replica}"), service, &store, &crashes, record);
+        }
     }
     let network = free_network();
     let mut hosts: Vec<Host> =
@@ -153,16 +186,24 @@
         return Outcome::NotRun;
     };
     thread::sleep(CONTACT);
-    for _ in 0..KILLS {
-        if has_trouble {
-            record.line("all hosts are killed");
-            hosts.iter_mut().for_each(Host::kill);
-            thread::sleep(Duration::from_secs(1));
-            if !start(&mut hosts) {
-                return Outcome::NotRun;
+    for repeat in 1..=REPEATS {
+        match trouble {
+            Trouble::None => {}
+            Trouble::Killed => {
+                record.line("all hosts are killed");
+                hosts.iter_mut().for_each(Host::kill);
+                thread::sleep(Duration::from_secs(1));
+                if !start(&mut hosts) {
+                    return Outcome::NotRun;
+                }
+            }
+            Trouble::Moved => {
+                let service = SERVICES[repeat];
+                record.line(format!("the manifest {} moves the route to {service}", 7 + repeat));
+                store.put_json("op", "config", &manifest(7 + repeat as u64, service));
             }
         }
-        // From then on, the hosts are in touch.
+        // From then on, the hosts are in touch, and the manifest is in force.
         thread::sleep(CONTACT + Duration::from_secs(1));
         send_poison(&hosts, record, &mut count);
     }
