fix(registry): withhold a departed target that a late heartbeat lists again

Cause: the number of a target's last announcement was kept with its entry. Once the entry was removed, the registry remembered the run, but not the number, and looked at it only while the store came back from a copy. A heartbeat that the store performs seconds later, with a lower number, then counted as that of a new target.

Change: a removed or draining target leaves a tombstone with its run, its last number, the highest number that it may have sent, and whether it drained. An announcement of that run or an earlier one is used again only if it can't be a late write: by its number, or by two numbers after the time in which late writes are performed (7 s). A run that announced that it drains stays out. The interval of the heartbeats comes from the settings. The list read whole and the feed share this path.

--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -79,6 +79,8 @@
     /// Time after an outage of the store within which targets whose entries expired may announce
     /// themselves again.
     pub reannounce_grace: Duration,
+    /// Interval at which targets announce themselves.
+    pub announcement_interval: Duration,
     /// Number of data centres whose loss at the same time callers must not notice.
     pub lost_data_centres: usize,
     /// Time that the store may hold one call while there is no change.
@@ -354,7 +356,7 @@
             configuration: None,
             handled_version: 0,
             configuration_watch: Watch::new(ConfigurationTable::MAX_POLL_AGE),
-            registry: Registry::new(),
+            registry: Registry::with_announcement_interval(settings.announcement_interval),
             targets_watch: Watch::new(TargetTable::MAX_POLL_AGE),
             load: load::Tracker::new(PEER_WORK_TTL),
             reachability: reachability::Tracker::default(),
@@ -640,8 +642,9 @@
                     notice::restore(self, key);
                     tracing::info!(code = 8002, target = %id, "target draining; nothing new is sent to it");
                 }
-                Event::Withheld(_, id) => {
-                    tracing::info!(code = 8048, target = %id, "target that left is listed again; not used until its removal can have been written again");
+                Event::Withheld(key, id) => {
+                    self.pool.close_idle(&key);
+                    tracing::info!(code = 8048, target = %id, "target that left is listed again; not used until it proves to be back");
                 }
                 Event::Removed(key, id) => {
                     self.pool.close_idle(&key);
--- a/gateway/src/targets/mod.rs
+++ b/gateway/src/targets/mod.rs
@@ -12,3 +12,4 @@
 pub mod refusal;
 pub mod registry;
 pub mod target;
+pub mod tombstone;
--- a/gateway/src/targets/registry.rs
+++ b/gateway/src/targets/registry.rs
@@ -5,12 +5,14 @@
 use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
 
-use crate::targets::target::Target;
+use crate::targets::{
+    target::Target,
+    tombstone::{self, Tombstones},
+};
 use fuchsiaknot_core::{clock::Moment, id};
 
-/// Time for which the run of a removed target is remembered; a copy from which the store comes back
-/// is some seconds old.
-const DEPARTURE_TTL: Duration = Duration::from_secs(60);
+/// Interval at which targets announce themselves, unless the deployment names another one.
+const DEFAULT_ANNOUNCEMENT_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Time for which the run of a target with the latest start may announce itself again after another
 /// run did; a target writes its entry every second or so.
@@ -39,36 +41,40 @@
     Draining(Key, id::Target),
     /// A target was removed.
     Removed(Key, id::Target),
-    /// A target that was removed is listed again in the same run, and not used yet.
+    /// A target that left is listed again in the same run, and not used yet.
     Withheld(Key, id::Target),
 }
 
 /// Known targets, by key, ID and service.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Registry {
     entries: SlotMap<Key, Entry>,
     by_id: HashMap<id::Target, Key>,
     by_service: HashMap<id::Service, Vec<Key>>,
-    departures: HashMap<id::Target, Departure>,
+    tombstones: Tombstones,
     /// Time until which what the store lost, when it came back from a copy, may be written again;
     /// `None` once the entries were current at that time.
     unsettled_until: Option<Moment>,
 }
 
-/// Run of a target that was removed. Its last announcement may be newer than the last known one.
-#[derive(Debug)]
-struct Departure {
-    incarnation: Option<id::Incarnation>,
-    removed_at: Moment,
+/// Why a target that is listed is not used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Withholding {
+    /// The store came back from a copy, and may have lost the target's removal.
+    UntilSettled,
+    /// The announcement may have been sent before the target left.
+    UntilAnnounced,
 }
 
 #[derive(Debug)]
 struct Entry {
     target: Target,
+    /// Time at which the announcement was read.
+    announced_at: Moment,
     /// Time at which a target that is missing from the store is removed; `None` while it is listed.
     missing_until: Option<Moment>,
-    /// Whether the target is not used because its announcement may be from before it was removed.
-    withheld: bool,
+    /// Why the target is not used although it is listed, if so.
+    withheld: Option<Withholding>,
     /// Announcement of a run with an earlier start, since the last one of this run: a late one, or the
     /// clock of the target's machine was set back.
     rival: Option<Rival>,
@@ -83,7 +89,18 @@
 impl Registry {
     /// Creates an empty registry.
     pub fn new() -> Registry {
-        Registry::default()
+        Registry::with_announcement_interval(DEFAULT_ANNOUNCEMENT_INTERVAL)
+    }
+
+    /// Creates an empty registry of targets that announce themselves at this interval.
+    pub fn with_announcement_interval(interval: Duration) -> Registry {
+        Registry {
+            entries: SlotMap::with_key(),
+            by_id: HashMap::new(),
+            by_service: HashMap::new(),
+            tombstones: Tombstones::new(interval),
+            unsettled_until: None,
+        }
     }
 
     /// Replaces all targets by those in the store.
@@ -144,7 +161,7 @@
     /// Removes targets whose entries expired in an outage and that did not announce themselves in
     /// time. Draining ones stay until [`Registry::settle`].
     pub fn expire(&mut self, now: Moment) -> Vec<Event> {
-        self.departures.retain(|_, it| now < it.removed_at + DEPARTURE_TTL);
+        self.tombstones.expire(now);
         self.remove_missing(now, now, |it| !it.draining)
     }
 
@@ -165,9 +182,9 @@
         }
         self.unsettled_until = None;
         for (key, entry) in &mut self.entries {
-            if entry.withheld && entry.missing_until.is_none() {
-                entry.withheld = false;
-                self.departures.remove(&entry.target.id);
+            if entry.withheld == Some(Withholding::UntilSettled) && entry.missing_until.is_none() {
+                entry.withheld = None;
+                self.tombstones.forget(&entry.target.id);
                 events.push(Event::Added(key, entry.target.id.clone()));
             }
         }
@@ -218,11 +235,40 @@
         self.entries.is_empty()
     }
 
+    /// Returns the tombstones up to this age.
+    pub fn tombstones(&self, max_age: Duration, now: Moment) -> Vec<tombstone::Report> {
+        self.tombstones.reports(max_age, now)
+    }
+
+    /// Adds the tombstones of other hosts, and withholds the targets that they concern.
+    pub fn restore_tombstones(&mut self, reports: &[tombstone::Report], now: Moment) -> Vec<Event> {
+        let mut events = Vec::new();
+        for report in reports {
+            let key = self.by_id.get(&report.run.target).copied();
+            let known = key.and_then(|it| self.entries.get(it)).map(|it| &it.target);
+            let is_outdated = known.is_some_and(|it| {
+                it.draining && report.run.incarnation <= it.incarnation
+                    || report.run.incarnation < it.incarnation
+            });
+            if is_outdated || !self.tombstones.restore(report, now) {
+                continue;
+            }
+            let Some(target) = known.cloned() else { continue };
+            let withheld = self.withholding(&target, now);
+            let Some(entry) = key.and_then(|it| self.entries.get_mut(it)) else { continue };
+            match withheld {
+                None => self.tombstones.forget(&target.id),
+                Some(_) if entry.withheld.is_none() => {
+                    entry.withheld = withheld;
+                    events.extend(key.map(|it| Event::Withheld(it, target.id)));
+                }
+                Some(_) => {}
+            }
+        }
+        events
+    }
+
     fn upsert(&mut self, target: Target, now: Moment) -> Option<Event> {
-        let departure = self.departures.get(&target.id);
-        let withheld = self.unsettled_until.is_some()
-            && !target.draining
-            && departure.is_some_and(|it| target.incarnation <= it.incarnation);
         if let Some(key) = self.by_id.get(&target.id).copied() {
             let entry = self.entries.get_mut(key)?;
             if target.incarnation < entry.target.incarnation {
@@ -243,34 +289,63 @@
                 && entry.target.address == target.address
                 && entry.target.service == target.service;
             if same_run {
-                entry.missing_until = None;
-                let newly_draining = target.draining && !entry.target.draining;
-                let newly_used = entry.withheld && !withheld;
-                let id = target.id.clone();
-                entry.target = target;
-                if newly_used {
-                    entry.withheld = false;
-                    self.departures.remove(&id);
-                }
-                return match (newly_draining, newly_used) {
-                    (true, _) => Some(Event::Draining(key, id)),
-                    (false, true) => Some(Event::Added(key, id)),
-                    (false, false) => None,
-                };
+                return self.update(key, target, now);
             }
             self.remove(key);
         }
+        let withheld = self.withholding(&target, now);
         let (id, service) = (target.id.clone(), target.service.clone());
+        if target.draining {
+            self.tombstones.record(&target, now, now);
+        } else if withheld.is_none() {
+            self.tombstones.forget(&id);
+        }
         let draining = target.draining;
-        let entry = Entry { target, missing_until: None, withheld, rival: None };
+        let entry = Entry { target, announced_at: now, missing_until: None, withheld, rival: None };
         let key = self.entries.insert(entry);
         self.by_id.insert(id.clone(), key);
         self.by_service.entry(service).or_default().push(key);
-        if withheld {
-            return Some(Event::Withheld(key, id));
+        Some(match (withheld, draining) {
+            (Some(_), _) => Event::Withheld(key, id),
+            (None, true) => Event::Draining(key, id),
+            (None, false) => Event::Added(key, id),
+        })
+    }
+
+    /// Replaces the announcement of a run by a newer one.
+    fn update(&mut self, key: Key, target: Target, now: Moment) -> Option<Event> {
+        let withheld = self.withholding(&target, now);
+        let entry = self.entries.get_mut(key)?;
+        let newly_draining = target.draining && !entry.target.draining;
+        let newly_used = entry.withheld.is_some() && withheld.is_none();
+        let id = target.id.clone();
+        entry.missing_until = None;
+        entry.announced_at = now;
+        entry.target = target;
+        if newly_used {
+            entry.withheld = None;
+        }
+        if newly_draining {
+            self.tombstones.record(&entry.target, now, now);
+        } else if entry.withheld.is_none() && !entry.target.draining {
+            self.tombstones.forget(&id);
         }
-        self.departures.remove(&id);
-        Some(if draining { Event::Draining(key, id) } else { Event::Added(key, id) })
+        match (newly_draining, newly_used) {
+            (true, _) => Some(Event::Draining(key, id)),
+            (false, true) => Some(Event::Added(key, id)),
+            (false, false) => None,
+        }
+    }
+
+    /// Returns why a target with this announcement is not used; `None` if it is, or is draining.
+    fn withholding(&mut self, target: &Target, now: Moment) -> Option<Withholding> {
+        if target.draining {
+            return None;
+        }
+        if self.unsettled_until.is_some() && self.tombstones.is_superseded(target) {
+            return Some(Withholding::UntilSettled);
+        }
+        self.tombstones.is_gone(target, now).then_some(Withholding::UntilAnnounced)
     }
 
     /// Replaces runs that have not announced themselves for [`RIVAL_TIME`] since another one did.
@@ -319,11 +394,10 @@
 
     /// Removes a target that is gone, and remembers its run.
     fn depart(&mut self, key: Key, now: Moment) -> Option<Event> {
-        let Entry { target, withheld, .. } = self.entries.get(key)?;
+        let Entry { target, announced_at, withheld, .. } = self.entries.get(key)?;
         // The run of a withheld target is already remembered.
-        if !withheld {
-            let departure = Departure { incarnation: target.incarnation, removed_at: now };
-            self.departures.insert(target.id.clone(), departure);
+        if withheld.is_none() {
+            self.tombstones.record(target, *announced_at, now);
         }
         self.remove(key)
     }
@@ -341,10 +415,16 @@
     }
 }
 
+impl Default for Registry {
+    fn default() -> Registry {
+        Registry::new()
+    }
+}
+
 impl Entry {
     /// Returns whether the target accepts new requests.
     fn is_usable(&self) -> bool {
-        !self.target.draining && !self.withheld
+        !self.target.draining && self.withheld.is_none()
     }
 }
 
