fix(checkpoint): keep in the store what must outlast all hosts

Cause: recognised requests, interrupted runs, blocked prompt parts and tombstones were in the memory of the hosts, which pass them to each other. With the last host they were lost; a host that starts had no tombstones at all.

Change: gateway/src/checkpoint keeps them in one record of the store. The archivist writes it, by a conditional write, 200 ms after a change at the latest, again in a new era of the store, and every ten minutes while there are recognised requests; 48,000 bytes at most, beyond which the least important entries go. Nothing is written while there is nothing to keep. A host reads the record when it starts, before it takes a configuration and with it requests, unless the store answers its other calls and not this one for 2 s; and once more 2 to 4 s later. Ages count on while no host runs, by the store's clock. Requests that were answered or cleared since stay cleared.

--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     account::{self, recognition::Knowledge},
+    checkpoint::driver::Checkpoint,
     cluster::{
         membership::{Host, Membership},
         messages, origin_lookup,
@@ -139,6 +140,8 @@
     pub origin_prover: Prover,
     /// Records in the store of where streams began.
     pub stream_archive: Archive,
+    /// Whether this host has read the checkpoint.
+    pub checkpoint: Checkpoint,
     /// Handlers of the messages from other hosts.
     pub handlers: messages::Handlers,
     /// Notified when a connection to a target failed.
@@ -400,6 +403,7 @@
             origin_queries: origin_lookup::Pending::default(),
             origin_prover: Prover::default(),
             stream_archive: Archive::default(),
+            checkpoint: Checkpoint::default(),
             handlers: messages::Handlers::default(),
             connect_failed: Notify::new(),
             work_changed: Notify::new(),
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -3,12 +3,13 @@
 //! Everything runs on one thread. The folders follow a request's way: [`entry`] reads it and writes
 //! the response, [`placement`] chooses its targets, [`upstream`] sends it there. [`targets`] is what
 //! this host knows of the targets, [`cluster`] what the hosts exchange, [`store`] the synchronisation
-//! with the platform's store, [`stream_archive`] what outlives all hosts there. [`account`], [`duty`], [`usage`] and [`scaling`] are parts
+//! with the platform's store, [`checkpoint`] and [`stream_archive`] what outlives all hosts there. [`account`], [`duty`], [`usage`] and [`scaling`] are parts
 //! that a configuration switches on. Modules that decide do no I/O and read no clock; the others call them.
 //! A deployment's platform supplies its names and formats through [`store::Store`],
 //! [`entry::headers::HeaderNames`] and [`entry::directory::Directory`].
 
 pub mod account;
+pub mod checkpoint;
 pub mod cluster;
 pub mod configuration;
 pub mod context;
@@ -85,10 +86,8 @@
     serve_ports(&context, directory, &phase_watch)?;
     drop(phase_watch);
     let mut tasks = JoinSet::new();
-    tasks.spawn_local(store_sync::sync_table::<_, store_sync::ConfigurationTable>(
-        Rc::clone(&context),
-        store.clone(),
-    ));
+    tasks.spawn_local(checkpoint::driver::run(Rc::clone(&context), store.clone()));
+    tasks.spawn_local(sync_configuration(Rc::clone(&context), store.clone()));
     tasks.spawn_local(store_sync::sync_table::<_, store_sync::TargetTable>(
         Rc::clone(&context),
         store.clone(),
@@ -138,6 +137,13 @@
     Ok(())
 }
 
+/// Keeps the configuration in sync, without which no request is accepted, once this host knows what must
+/// not be sent to targets.
+async fn sync_configuration<S: Store>(context: Rc<Context>, store: S) {
+    checkpoint::driver::wait_until_read(&context).await;
+    store_sync::sync_table::<_, store_sync::ConfigurationTable>(context, store).await;
+}
+
 /// Binds all ports and serves them.
 fn serve_ports<D: Directory + 'static>(
     context: &Rc<Context>,
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -45,6 +45,8 @@
     pub store_calls: IntCounterVec,
     /// Streams whose origin this host has written to the store.
     pub archived_streams: IntCounter,
+    /// Checkpoints that this host has written to the store.
+    pub checkpoint_writes: IntCounter,
     /// Streams without a record that callers took up, by whether their origin could be shown.
     pub origins_shown: IntCounterVec,
     /// Duration of the stages of a request, in seconds: waiting for placement, until the first
@@ -173,6 +175,10 @@
                 "archived_streams_total",
                 "Streams whose origin was written to the store.",
             )?,
+            checkpoint_writes: counter(
+                "checkpoint_writes_total",
+                "Checkpoints written to the store.",
+            )?,
             origins_shown: counters(
                 "origins_shown_total",
                 "Streams without a record that callers took up, by outcome.",
--- a/gateway/src/targets/poison.rs
+++ b/gateway/src/targets/poison.rs
@@ -9,6 +9,7 @@
 //! clears it everywhere.
 
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, HashMap},
     hash::{DefaultHasher, Hash, Hasher},
     ops::Bound,
@@ -132,6 +133,15 @@
     pub trials: u8,
 }
 
+/// A request with interrupted runs that is not recognised.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspect {
+    /// The request.
+    pub request: id::Fingerprint,
+    /// The runs, and the time since each was interrupted, in milliseconds.
+    pub runs: Vec<(Run, u64)>,
+}
+
 /// What follows from other hosts' reports.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub struct Findings {
@@ -166,6 +176,39 @@
             (record.seen_at, record.is_quiet) = (now, false);
             return !was_refused;
         }
+        self.add_run(request, target, now, now)
+    }
+
+    /// Adds the interrupted runs of a request that another host has recorded; returns whether the
+    /// request is refused from now on.
+    pub fn restore_suspect(&mut self, suspect: &Suspect, now: Moment) -> bool {
+        let mut is_recognised = false;
+        for (run, age_ms) in &suspect.runs {
+            let at = now.saturating_sub(Duration::from_millis(*age_ms));
+            let is_cleared = self.cleared.get(&suspect.request).is_some_and(|it| at <= *it);
+            let is_known = self.recognised.contains_key(&suspect.request);
+            if !is_cleared && !is_known && now < at + RUN_TTL {
+                is_recognised |= self.add_run(suspect.request, run.clone(), at, now);
+            }
+        }
+        is_recognised
+    }
+
+    /// Returns the requests with interrupted runs that are not recognised, those with the most runs
+    /// first.
+    pub fn suspects(&self, now: Moment) -> Vec<Suspect> {
+        let age_ms = |at: &Moment| now.saturating_sub(*at).as_millis() as u64;
+        let suspects = self.interrupted_runs.iter().map(|(request, runs)| Suspect {
+            request: *request,
+            runs: runs.iter().map(|(run, at)| (run.clone(), age_ms(at))).collect(),
+        });
+        let mut suspects: Vec<Suspect> = suspects.collect();
+        suspects.sort_unstable_by_key(|it| (Reverse(it.runs.len()), it.request));
+        suspects
+    }
+
+    /// Adds an interrupted run to a request that is not recognised; returns whether it is from now on.
+    fn add_run(&mut self, request: id::Fingerprint, target: Run, at: Moment, now: Moment) -> bool {
         if MAX_REQUESTS <= self.interrupted_runs.len()
             && !self.interrupted_runs.contains_key(&request)
         {
@@ -175,8 +218,9 @@
             }
         }
         let runs = self.interrupted_runs.entry(request).or_default();
+        let known_at = runs.iter().find(|(it, _)| *it == target).map(|(_, at)| *at);
         runs.retain(|(it, at)| *it != target && now < *at + RUN_TTL);
-        runs.push((target, now));
+        runs.push((target, known_at.unwrap_or(at).max(at)));
         let count = runs.len();
         if count < REFUSAL_THRESHOLD || count < SHARED_THRESHOLD && self.is_shared(request) {
             return false;
@@ -251,6 +295,11 @@
         requests.filter_map(|(request, _)| self.report(*request, now)).collect()
     }
 
+    /// Returns reports of all recognised requests, in ascending order.
+    pub fn all_reports(&self, now: Moment) -> Vec<Report> {
+        self.recognised.keys().filter_map(|request| self.report(*request, now)).collect()
+    }
+
     /// Returns the next report in a round over all recognised requests.
     pub fn next_reports(&mut self, now: Moment) -> Vec<Report> {
         let mut reports = self.reports_after(Some(self.last_reported), now);
--- a/gateway/src/targets/poison_reports.rs
+++ b/gateway/src/targets/poison_reports.rs
@@ -16,7 +16,7 @@
     context::Context,
     entry::{forward::Forwarder, job::Job},
     targets::{
-        poison::{Admission, Report},
+        poison::{Admission, MAX_REPORTED, Report, Suspect},
         poison_inquiry::{Answer, Query},
         poison_part::Block,
         registry::Key,
@@ -249,6 +249,30 @@
     was_suspected
 }
 
+/// Applies what an earlier host has saved of requests and prompt parts that crash targets.
+pub(crate) fn restore(
+    context: &Context,
+    reports: &[Report],
+    suspects: &[Suspect],
+    blocks: &[Block],
+) {
+    let now = clock::now();
+    let mut learned = Vec::new();
+    {
+        let mut state = context.state_mut();
+        for reports in reports.chunks(MAX_REPORTED) {
+            learned.extend(state.poison.apply_reports(reports, now).learned);
+        }
+        let recognised = suspects.iter().filter(|it| state.poison.restore_suspect(it, now));
+        learned.extend(recognised.map(|it| it.request));
+        state.poison_parts.apply_report(blocks, now);
+    }
+    for request in &learned {
+        log_recognition(*request, "", "");
+    }
+    pass_on(context, &learned);
+}
+
 /// Applies another host's reports of recognised requests.
 fn apply(context: &Context, sender: &id::Host, reports: &[Report]) {
     let findings = context.state_mut().poison.apply_reports(reports, clock::now());
