fix(upstream): take no answer whose status can't end a request

Seen: a target's answer with the status 600, 601, 999 or 101 was passed on to the caller, also from a kept connection, through another host, for a call of another target, and from a decoding engine. 000, 099, 1000, abc and the like were answered 502, as the parser rejects them.

Cause: the parser takes any three digits from 100 on for a status, and nothing after it asked whether the status can be a final one.

Change: a response with a status outside 200 to 599 counts as a broken one: the request may have run, so that it is tried elsewhere only if it may be repeated, and the caller gets 502 otherwise. It is checked where every response of a target arrives, before it is read as a refusal.

--- a/gateway/src/upstream/target_response.rs
+++ b/gateway/src/upstream/target_response.rs
@@ -1,6 +1,6 @@
 //! Response of a target, from the arrival of its head on.
 
-use std::time::Duration;
+use std::{ops::RangeInclusive, time::Duration};
 
 use bytes::Bytes;
 use fuchsiaknot_core::clock::{self, Moment};
@@ -33,6 +33,9 @@
 /// Largest response to a call of this host itself.
 const MAX_SHORT_BYTES: usize = 64 * 1024;
 
+/// Statuses with which a response can end a request that asked for no change of protocol.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// What was read of a response.
 #[derive(Debug)]
 pub enum Read {
@@ -104,6 +107,9 @@
             return Err(Failure::Broken("the response belongs to another request".to_owned()));
         }
         let status = self.head.status;
+        if !FINAL_STATUSES.contains(&status.as_u16()) {
+            return Err(Failure::Broken(format!("{} is no final status", status.as_u16())));
+        }
         let misdirected = status == StatusCode::MISDIRECTED_REQUEST;
         if self.head.headers.contains_key(&names.not_run) || misdirected {
             return Err(Failure::NotRun(status));
