fix(registry): an entry of another writer is no departure

Cause: the adapter reported such an entry as a removal, and the registry kept a tombstone for it. The target hasn't left; its own entry follows within a heartbeat.

Change: the adapter tells the two apart (Change::Unreadable). The target isn't used while the odd entry stands, and is used again by its next announcement. If the odd entry is removed too, the target has left, and its tombstone counts.

--- a/gateway/src/cluster/origin_proof.rs
+++ b/gateway/src/cluster/origin_proof.rs
@@ -286,7 +286,7 @@
                 state.stream_origins.record_version(&Origin::from(&target), now);
                 announced.push(target.id);
             }
-            Change::Removed(id) => {
+            Change::Removed(id) | Change::Unreadable(id) => {
                 if state.registry.key(&id).is_none() && !announced.contains(&id) {
                     return false;
                 }
--- a/gateway/src/store/sync.rs
+++ b/gateway/src/store/sync.rs
@@ -627,10 +627,12 @@
                 Change::Announced(target) => {
                     state.stream_origins.record_version(&Origin::from(target), now);
                 }
-                Change::Removed(id) if state.registry.key(id).is_none() => {
+                Change::Removed(id) | Change::Unreadable(id)
+                    if state.registry.key(id).is_none() =>
+                {
                     state.stream_origins.interrupt();
                 }
-                Change::Removed(_) => {}
+                Change::Removed(_) | Change::Unreadable(_) => {}
             }
             events.extend(state.registry.apply(change, reannounce_deadline, now));
         }
--- a/gateway/src/targets/registry.rs
+++ b/gateway/src/targets/registry.rs
@@ -28,8 +28,10 @@
 pub enum Change {
     /// A target announced itself or updated its announcement.
     Announced(Target),
-    /// The entry is gone or no longer describes a usable target.
+    /// The entry is gone.
     Removed(id::Target),
+    /// The entry does not describe a target; another writer may have replaced it.
+    Unreadable(id::Target),
 }
 
 /// A change in the registry.
@@ -139,9 +141,20 @@
     ) -> Option<Event> {
         match change {
             Change::Announced(target) => self.upsert(target, now),
-            Change::Removed(id) => {
+            Change::Removed(id) => match self.by_id.get(&id) {
+                Some(key) => self.mark_missing(*key, reannounce_deadline, now),
+                None => {
+                    self.tombstones.record_removal(&id, now);
+                    None
+                }
+            },
+            Change::Unreadable(id) => {
                 let key = *self.by_id.get(&id)?;
-                self.mark_missing(key, reannounce_deadline, now)
+                let event = self.mark_missing(key, reannounce_deadline, now);
+                if event.is_some() {
+                    self.tombstones.record_replacement(&id);
+                }
+                event
             }
         }
     }
--- a/gateway/src/targets/tombstone.rs
+++ b/gateway/src/targets/tombstone.rs
@@ -30,6 +30,8 @@
     /// Highest number of an announcement that it may have sent before it left.
     last_possible: u64,
     left_at: Moment,
+    /// Whether its entry was only replaced by one of another writer, so that it may not have left.
+    is_replaced: bool,
     /// Whether it announced that it is leaving; such a run never accepts requests again.
     is_draining: bool,
     /// Number of an announcement that the store listed when no late write could follow any more; a
@@ -79,15 +81,31 @@
                 .saturating_add(unseen)
                 .saturating_add(EXTRA_ANNOUNCEMENTS),
             left_at: now,
+            is_replaced: false,
             is_draining: target.draining,
             witness: None,
         };
         self.insert(target.id.clone(), tombstone);
     }
 
+    /// Records that the entry of a target was replaced by one of another writer, and not removed.
+    pub fn record_replacement(&mut self, target: &id::Target) {
+        if let Some(tombstone) = self.runs.get_mut(target).filter(|it| !it.is_draining) {
+            tombstone.is_replaced = true;
+        }
+    }
+
+    /// Records that the entry of another writer, which had replaced that of a target, was removed.
+    pub fn record_removal(&mut self, target: &id::Target, now: Moment) {
+        if let Some(tombstone) = self.runs.get_mut(target).filter(|it| it.is_replaced) {
+            (tombstone.is_replaced, tombstone.left_at) = (false, now);
+        }
+    }
+
     /// Returns whether an announcement is of a run that has left, and was or may have been sent before.
     pub fn is_gone(&mut self, target: &Target, now: Moment) -> bool {
-        let Some(tombstone) = self.runs.get_mut(&target.id) else { return false };
+        let tombstone = self.runs.get_mut(&target.id).filter(|it| !it.is_replaced);
+        let Some(tombstone) = tombstone else { return false };
         match target.incarnation.cmp(&tombstone.incarnation) {
             Ordering::Greater => return false,
             Ordering::Equal if tombstone.incarnation.is_some() => {
@@ -126,7 +144,8 @@
 
     /// Returns the tombstones up to this age, in ascending order.
     pub fn reports(&self, max_age: Duration, now: Moment) -> Vec<Report> {
-        let recent = self.runs.iter().filter(|(_, it)| now < it.left_at + max_age);
+        let is_recent = |it: &Tombstone| !it.is_replaced && now < it.left_at + max_age;
+        let recent = self.runs.iter().filter(|(_, it)| is_recent(it));
         let mut reports: Vec<Report> = recent
             .map(|(target, it)| Report {
                 run: Run { target: target.clone(), incarnation: it.incarnation },
@@ -156,6 +175,7 @@
             sequence: *sequence,
             last_possible: *last_possible,
             left_at,
+            is_replaced: false,
             is_draining: *is_draining,
             witness: None,
         };
--- a/gateway/tests/era.rs
+++ b/gateway/tests/era.rs
@@ -537,7 +537,7 @@
                     Step::Read => {
                         let announced = answer.targets.into_iter().filter_map(|it| match it.1 {
                             Change::Announced(target) => Some(target),
-                            Change::Removed(_) => None,
+                            Change::Removed(_) | Change::Unreadable(_) => None,
                         });
                         let events = host.registry.replace(announced.collect(), deadline, now);
                         host.record(&events);
@@ -639,7 +639,7 @@
     let deadline = host.targets_watch.reannounce_deadline();
     for (_, change) in &changes {
         match change {
-            Change::Removed(id) => host.removals.insert(id.clone()),
+            Change::Removed(id) | Change::Unreadable(id) => host.removals.insert(id.clone()),
             Change::Announced(target) => host.removals.remove(&target.id),
         };
     }
--- a/gateway/tests/tombstone.rs
+++ b/gateway/tests/tombstone.rs
@@ -108,3 +108,25 @@
     assert!(matches!(event, Some(Event::Added(..))));
     assert!(is_used(&registry));
 }
+
+/// A target whose entry another writer had replaced was kept out for seconds, though it had not left.
+#[test]
+fn replaced() {
+    let mut registry = Registry::new();
+    announce(&mut registry, leaving(6), ms(0));
+    registry.apply(Change::Unreadable("one".into()), ms(0), ms(1000));
+    assert!(!is_used(&registry));
+    announce(&mut registry, leaving(7), ms(1200));
+    assert!(is_used(&registry));
+}
+
+/// A target that leaves while its entry is replaced has left all the same.
+#[test]
+fn removed_while_replaced() {
+    let mut registry = Registry::new();
+    announce(&mut registry, leaving(6), ms(0));
+    registry.apply(Change::Unreadable("one".into()), ms(0), ms(1000));
+    registry.apply(Change::Removed("one".into()), ms(0), ms(1500));
+    announce(&mut registry, leaving(5), ms(2000));
+    assert!(!is_used(&registry));
+}
