fix(upstream): believe no unnamed refusal where answers name their requests

A target sent what was left over from the request before, a 503 with X-Not-Executed and without X-Request-Id, ahead of its answer.

Cause: the header and the status 421 were looked at before the missing identifier. All answers on a kept connection have named their requests, or it wouldn't have been kept, so that one without a name there is none to this request.

Change: the name is checked first. Such an answer counts as broken: the request may have run, so that one that may run once gets 502 and isn't sent again.

--- a/gateway/src/upstream/target_response.rs
+++ b/gateway/src/upstream/target_response.rs
@@ -110,14 +110,15 @@
         if !FINAL_STATUSES.contains(&status.as_u16()) {
             return Err(Failure::Broken(format!("{} is no final status", status.as_u16())));
         }
-        let misdirected = status == StatusCode::MISDIRECTED_REQUEST;
-        if self.head.headers.contains_key(&names.not_run) || misdirected {
-            return Err(Failure::NotRun(status));
-        }
-        // The earlier responses on the connection named their requests.
+        // The earlier responses on the connection named their requests. This one may be left over from
+        // one of them, and say nothing of this request.
         if echoed_id.is_none() && self.connection.is_reused() && !job.id.is_empty() {
             return Err(Failure::Broken("the response does not name its request".to_owned()));
         }
+        let is_misdirected = status == StatusCode::MISDIRECTED_REQUEST;
+        if self.head.headers.contains_key(&names.not_run) || is_misdirected {
+            return Err(Failure::NotRun(status));
+        }
         Ok(())
     }
 
