fix(poison): recognise a request also where its route was moved

Cause: the fingerprint of a request includes the service that runs it.

Change: a request has two fingerprints, at its service and at any service, which are recorded and reported alike. It is refused if either is recognised. An answer clears both if the request was suspected at that service; otherwise it shows that this service takes the request well, which then serves it on, and says nothing of the others. The fingerprint at one service is unchanged, so that hosts of earlier builds understand it; that at any service is marked in its last bits.

--- a/gateway/src/entry/job.rs
+++ b/gateway/src/entry/job.rs
@@ -306,7 +306,12 @@
 
     /// Returns a hash that is equal for all attempts at the same request.
     pub fn fingerprint(&self) -> id::Fingerprint {
-        poison::fingerprint(&self.service, self.contents)
+        self.fingerprints().at_service
+    }
+
+    /// Returns the fingerprints of the request at its service and at any one.
+    pub fn fingerprints(&self) -> poison::Fingerprints {
+        poison::Fingerprints::new(&self.service, self.contents)
     }
 
     /// Returns whether a target may run the job: any, or one of the software version that began the
--- a/gateway/src/targets/poison.rs
+++ b/gateway/src/targets/poison.rs
@@ -49,6 +49,11 @@
 /// Difference in time up to which a report is no news, since reports take time on their way.
 const REPORT_TOLERANCE: Duration = Duration::from_secs(2);
 
+/// Bits of a fingerprint that mark it as that of a request at any service, and their value. The
+/// fingerprints at one service are hashes, of which few have it by chance.
+const ANYWHERE_MASK: id::Fingerprint = 0xffff;
+const ANYWHERE_MARK: id::Fingerprint = 0xa11;
+
 /// What makes requests the same, beside the service that runs them.
 ///
 /// The account stands for the caller: targets get its name and not the key, so that a request crashes
@@ -86,6 +91,43 @@
     hasher.finish()
 }
 
+/// Returns the fingerprint of a request at any service; `digest` is that of its contents.
+fn fingerprint_anywhere(digest: u64) -> id::Fingerprint {
+    fingerprint(&id::Service::default(), digest) & !ANYWHERE_MASK | ANYWHERE_MARK
+}
+
+/// Returns whether a fingerprint is that of a request at any service.
+pub fn is_anywhere(request: id::Fingerprint) -> bool {
+    request & ANYWHERE_MASK == ANYWHERE_MARK
+}
+
+/// Fingerprints of one request.
+///
+/// A request that crashes the targets of one service is taken to crash those of another, to which its
+/// route may be moved, until a target of that service has answered it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Fingerprints {
+    /// Fingerprint at the service that is to run it.
+    pub at_service: id::Fingerprint,
+    /// Fingerprint at any service.
+    pub anywhere: id::Fingerprint,
+}
+
+impl Fingerprints {
+    /// Returns the fingerprints of a request to a service; `digest` is that of its contents.
+    pub fn new(service: &id::Service, digest: u64) -> Fingerprints {
+        Fingerprints {
+            at_service: fingerprint(service, digest),
+            anywhere: fingerprint_anywhere(digest),
+        }
+    }
+
+    /// Returns all fingerprints.
+    pub fn all(self) -> [id::Fingerprint; 2] {
+        [self.at_service, self.anywhere]
+    }
+}
+
 /// Interrupted runs, and recognised requests.
 #[derive(Debug, Default)]
 pub struct Detector {
@@ -244,16 +286,89 @@
         was_suspected
     }
 
-    /// Records the arrival of a request; `may_try` tells whether this host may try a recognised one.
+    /// Records that a target answered a request; returns the fingerprints that the other hosts must clear
+    /// too.
+    ///
+    /// An answer of a service at which the request was not suspected says nothing of the others.
+    pub fn record_request_answer(
+        &mut self,
+        request: Fingerprints,
+        now: Moment,
+    ) -> Vec<id::Fingerprint> {
+        let Fingerprints { at_service, anywhere } = request;
+        if self.record_answer(at_service, now) {
+            self.record_answer(anywhere, now);
+            return request.all().into();
+        }
+        let is_suspected = self.recognised.contains_key(&anywhere)
+            || self.interrupted_runs.contains_key(&anywhere);
+        if !is_suspected || self.cleared.contains_key(&at_service) {
+            return Vec::new();
+        }
+        self.record_clearing(at_service, now);
+        vec![at_service]
+    }
+
+    /// Records that another host has cleared a request; returns whether interrupted runs counted against
+    /// it.
+    pub fn record_clearing(&mut self, request: id::Fingerprint, now: Moment) -> bool {
+        let was_suspected = self.record_answer(request, now);
+        if self.cleared.len() < MAX_CLEARED {
+            self.cleared.insert(request, now);
+        }
+        was_suspected
+    }
+
+    /// Records the arrival of a request to a service; `may_try` tells whether this host may try a
+    /// recognised one.
+    pub fn admit_request(
+        &mut self,
+        request: Fingerprints,
+        may_try: bool,
+        now: Moment,
+    ) -> Admission {
+        self.admit_all(&self.relevant(request), may_try, now)
+    }
+
+    /// Returns whether a request is refused at a service.
+    pub fn is_request_refused(&self, request: Fingerprints, now: Moment) -> bool {
+        self.relevant(request).into_iter().any(|it| self.is_refused(it, now))
+    }
+
+    /// Returns the fingerprints that count at the service of a request.
+    fn relevant(&self, request: Fingerprints) -> Vec<id::Fingerprint> {
+        match self.cleared.contains_key(&request.at_service) {
+            true => vec![request.at_service],
+            false => request.all().into(),
+        }
+    }
+
+    /// Records the arrival of a request with one fingerprint, as [`Detector::admit_request`].
     pub fn admit(&mut self, request: id::Fingerprint, may_try: bool, now: Moment) -> Admission {
-        let record = self.recognised.get_mut(&request).filter(|it| it.is_refused(now));
-        let Some(record) = record else { return Admission::Admitted };
-        record.seen_at = now;
-        if !(may_try && record.is_trial_due(now)) {
+        self.admit_all(&[request], may_try, now)
+    }
+
+    fn admit_all(&mut self, requests: &[id::Fingerprint], may_try: bool, now: Moment) -> Admission {
+        let (mut is_refused, mut is_trial_due) = (false, may_try);
+        for request in requests {
+            let record = self.recognised.get_mut(request).filter(|it| it.is_refused(now));
+            let Some(record) = record else { continue };
+            record.seen_at = now;
+            is_refused = true;
+            is_trial_due &= record.is_trial_due(now);
+        }
+        if !is_refused {
+            return Admission::Admitted;
+        }
+        if !is_trial_due {
             return Admission::Refused;
         }
-        record.since = now;
-        record.trials += 1;
+        for request in requests {
+            if let Some(record) = self.recognised.get_mut(request).filter(|it| it.is_refused(now)) {
+                record.since = now;
+                record.trials += 1;
+            }
+        }
         Admission::Tried
     }
 
@@ -262,9 +377,12 @@
         self.recognised.get(&request).is_some_and(|it| it.is_refused(now))
     }
 
-    /// Returns the number of requests that are refused.
+    /// Returns the number of requests that are refused, at any service or at one.
     pub fn refused_count(&self, now: Moment) -> usize {
-        self.recognised.values().filter(|it| it.is_refused(now)).count()
+        let refused = self.recognised.iter().filter(|(_, it)| it.is_refused(now));
+        let (anywhere, at_service): (Vec<_>, Vec<_>) =
+            refused.partition(|(request, _)| is_anywhere(**request));
+        anywhere.len().max(at_service.len())
     }
 
     /// Returns the requests that are refused.
@@ -366,12 +484,15 @@
         quiet
     }
 
-    /// Returns whether another request was interrupted together with this one.
+    /// Returns whether another request was interrupted together with this one; the fingerprints of one
+    /// request always are.
     fn is_shared(&self, request: id::Fingerprint) -> bool {
         let Some(runs) = self.interrupted_runs.get(&request) else { return false };
         let is_own = |(run, _): &&(Run, Moment)| runs.iter().any(|(it, _)| it == run);
         self.interrupted_runs.iter().any(|(other, others)| {
-            *other != request && SHARED_RUNS <= others.iter().filter(is_own).count()
+            *other != request
+                && is_anywhere(*other) == is_anywhere(request)
+                && SHARED_RUNS <= others.iter().filter(is_own).count()
         })
     }
 
--- a/gateway/src/targets/poison_reports.rs
+++ b/gateway/src/targets/poison_reports.rs
@@ -16,7 +16,7 @@
     context::Context,
     entry::{forward::Forwarder, job::Job},
     targets::{
-        poison::{Admission, MAX_REPORTED, Report, Suspect},
+        poison::{self, Admission, MAX_REPORTED, Report, Suspect},
         poison_inquiry::{Answer, Query},
         poison_part::Block,
         registry::Key,
@@ -80,20 +80,20 @@
     /// Records the arrival of the job; returns whether it may be sent, as its request is not
     /// recognised or is tried.
     pub(crate) fn is_admitted(&mut self) -> bool {
-        let (context, request, now) = (&self.context, self.job.fingerprint(), clock::now());
+        let (context, request, now) = (&self.context, self.job.fingerprints(), clock::now());
         let admission = {
             let state = &mut *context.state_mut();
             // One host only, so that few trials reach targets.
             let may_try = *state.membership.dispatcher() == context.settings.host.name
                 && state.poison_inquiry.is_complete(now);
-            state.poison.admit(request, may_try, now)
+            state.poison.admit_request(request, may_try, now)
         };
         self.is_trial = admission == Admission::Tried;
         if self.is_trial {
-            announce(context, request);
+            request.all().into_iter().for_each(|it| announce(context, it));
             tracing::info!(code = 8212,
                 id = %self.job.id,
-                fingerprint = format!("{request:016x}"),
+                fingerprint = format!("{:016x}", request.at_service),
                 "trying a request that crashed targets"
             );
         }
@@ -107,7 +107,7 @@
         }
         let (state, now) = (self.context.state(), clock::now());
         let is_first_trial = self.is_trial && !self.may_have_run;
-        if !is_first_trial && state.poison.is_refused(self.job.fingerprint(), now) {
+        if !is_first_trial && state.poison.is_request_refused(self.job.fingerprints(), now) {
             let reason =
                 if self.may_have_run { Reason::TargetFailed } else { Reason::CrashesTargets };
             return Some(reason);
@@ -143,9 +143,16 @@
     /// later on.
     pub(crate) fn record_answer(&mut self) {
         self.record_sound_parts();
-        let request = self.job.fingerprint();
-        if clear_request(&self.context, request) {
-            peers::send_to_all(&self.context, &Packet::RequestCleared(request));
+        let (context, requests, now) = (&self.context, self.job.fingerprints(), clock::now());
+        let mut state = context.state_mut();
+        let refused = requests.all().map(|it| state.poison.is_refused(it, now).then_some(it));
+        let cleared = state.poison.record_request_answer(requests, now);
+        drop(state);
+        for request in cleared {
+            if refused.contains(&Some(request)) {
+                log_request_clearing(context, request);
+            }
+            peers::send_to_all(context, &Packet::RequestCleared(request));
         }
     }
 
@@ -201,24 +208,28 @@
     key: Key,
 ) -> Option<(id::Fingerprint, Run)> {
     let target = context.state().registry.get(key).map(Run::from)?;
-    let (request, now) = (job.fingerprint(), clock::now());
-    let mut state = context.state_mut();
-    state.poison_parts.record_break(request, &target, now);
-    let is_recognised = state.poison.record_interrupted_run(request, target.clone(), now);
-    drop(state);
-    peers::send_to_all(context, &Packet::AttemptBroken(request, target.clone()));
-    if is_recognised {
-        announce(context, request);
-        log_recognition(request, &job.id, &job.route.name);
+    let (requests, now) = (job.fingerprints(), clock::now());
+    context.state_mut().poison_parts.record_break(requests.at_service, &target, now);
+    for request in requests.all() {
+        let run = target.clone();
+        let is_recognised =
+            context.state_mut().poison.record_interrupted_run(request, run.clone(), now);
+        peers::send_to_all(context, &Packet::AttemptBroken(request, run));
+        if is_recognised {
+            announce(context, request);
+            log_recognition(request, &job.id, &job.route.name);
+        }
     }
-    Some((request, target))
+    Some((requests.at_service, target))
 }
 
 /// Applies another host's report that a target broke off a request.
 pub(crate) fn handle_break(context: &Context, request: id::Fingerprint, target: Run) {
     let now = clock::now();
     let mut state = context.state_mut();
-    state.poison_parts.record_break(request, &target, now);
+    if !poison::is_anywhere(request) {
+        state.poison_parts.record_break(request, &target, now);
+    }
     let is_recognised = state.poison.record_interrupted_run(request, target, now);
     drop(state);
     if is_recognised {
@@ -232,21 +243,30 @@
     clear_request(context, request);
 }
 
-/// Clears a request that was answered; returns whether it was suspected.
-fn clear_request(context: &Context, request: id::Fingerprint) -> bool {
+/// Clears a request that another host or the operator lets through.
+fn clear_request(context: &Context, request: id::Fingerprint) {
     let (mut state, now) = (context.state_mut(), clock::now());
     let was_refused = state.poison.is_refused(request, now);
-    let was_suspected = state.poison.record_answer(request, now);
+    state.poison.record_clearing(request, now);
     drop(state);
     if was_refused {
-        tracing::info!(
-            code = 8211,
-            fingerprint = format!("{request:016x}"),
-            "request answered or cleared; no longer refusing it"
-        );
-        update_metric(context);
+        log_request_clearing(context, request);
     }
-    was_suspected
+}
+
+fn log_request_clearing(context: &Context, request: id::Fingerprint) {
+    tracing::info!(
+        code = 8211,
+        fingerprint = format!("{request:016x}"),
+        scope = scope(request),
+        "request answered or cleared; no longer refusing it"
+    );
+    update_metric(context);
+}
+
+/// Returns where a fingerprint names its request, as in logs.
+fn scope(request: id::Fingerprint) -> &'static str {
+    if poison::is_anywhere(request) { "any service" } else { "one service" }
 }
 
 /// Applies what an earlier host has saved of requests and prompt parts that crash targets.
@@ -329,6 +349,7 @@
         id,
         route,
         fingerprint = format!("{request:016x}"),
+        scope = scope(request),
         "request crashes targets; refusing it while it keeps coming"
     );
 }
--- a/gateway/tests/poison.rs
+++ b/gateway/tests/poison.rs
@@ -7,8 +7,8 @@
 use fuchsiaknot_core::clock::Moment;
 use fuchsiaknot_gateway::targets::{
     poison::{
-        Admission, Contents, Detector, MAX_RECOGNISED, MEMORY_TIME, QUIET_TIME, TRIAL_DELAYS,
-        fingerprint,
+        Admission, Contents, Detector, Fingerprints, MAX_RECOGNISED, MEMORY_TIME, QUIET_TIME,
+        TRIAL_DELAYS, fingerprint,
     },
     poison_inquiry::{Answer, Inquiry, Query, SETTLE_TIME},
     target::Run,
@@ -240,3 +240,70 @@
     }
     assert!(!detector.record_answer(7, ms(9)), "reported twice");
 }
+
+/// Returns the fingerprints of equal requests to two services.
+fn at_two_services() -> [Fingerprints; 2] {
+    ["rents", "flats"].map(|it| Fingerprints::new(&it.into(), CONTENTS.digest()))
+}
+
+/// Records runs of a request that these targets broke off.
+fn interrupt(detector: &mut Detector, request: Fingerprints, targets: &[&str]) {
+    for target in targets {
+        for fingerprint in request.all() {
+            detector.record_interrupted_run(fingerprint, (*target).into(), ms(0));
+        }
+    }
+}
+
+/// A request that was recognised at one service crashed three targets of each to which its route was
+/// moved.
+#[test]
+fn other_service() {
+    let ([rents, flats], mut detector) = (at_two_services(), Detector::default());
+    interrupt(&mut detector, rents, &["a", "b", "c"]);
+    assert_eq!(detector.admit_request(flats, false, ms(10)), Admission::Refused);
+    assert_eq!(detector.refused_count(ms(10)), 1);
+}
+
+/// Runs at several services count together.
+#[test]
+fn crashes_at_both() {
+    let ([rents, flats], mut detector) = (at_two_services(), Detector::default());
+    interrupt(&mut detector, rents, &["a", "b"]);
+    interrupt(&mut detector, flats, &["c"]);
+    for request in [rents, flats] {
+        assert!(detector.is_request_refused(request, ms(10)));
+    }
+}
+
+/// Where one service answers the request, it goes on doing so, and the other's targets are spared.
+#[test]
+fn answered_at_other() {
+    let ([rents, flats], mut detector) = (at_two_services(), Detector::default());
+    interrupt(&mut detector, rents, &["a"]);
+    assert_eq!(detector.record_request_answer(flats, ms(1)), [flats.at_service]);
+    assert!(detector.record_request_answer(flats, ms(2)).is_empty(), "reported twice");
+    interrupt(&mut detector, rents, &["b", "c"]);
+    assert_eq!(detector.admit_request(flats, false, ms(10)), Admission::Admitted);
+    assert_eq!(detector.admit_request(rents, false, ms(10)), Admission::Refused);
+}
+
+/// A trial that is answered lets a sound request through everywhere; one host's word suffices.
+#[test]
+fn cleared_everywhere() {
+    let ([rents, flats], mut detector) = (at_two_services(), Detector::default());
+    interrupt(&mut detector, rents, &["a", "b", "c"]);
+    let mut other_host = Detector::default();
+    interrupt(&mut other_host, rents, &["a", "b", "c"]);
+    let now = TRIAL_DELAYS[0];
+    assert_eq!(detector.admit_request(rents, true, now), Admission::Tried);
+    assert_eq!(detector.admit_request(rents, true, now), Admission::Refused);
+    for request in detector.record_request_answer(rents, now) {
+        other_host.record_clearing(request, now);
+    }
+    for detector in [&mut detector, &mut other_host] {
+        for request in [rents, flats] {
+            assert_eq!(detector.admit_request(request, false, now), Admission::Admitted);
+        }
+    }
+}
