fix(registry): use a withheld target again that stays listed

Cause: the change before waited for two further numbers of announcements. The store's feed shows a row when more than its number changes, so that they don't come.

Change: what can't be told by its number is told by time. The store removes the entry of a target that has left, late write or not, a few intervals after the last write; one that is still listed 12 s after its removal (7 s for late writes, four intervals of 1.2 s) is alive and used again.

Tests: tombstone.rs returned_by_time (3 cases; took the place of returned::by_time, which asserted the rule that this replaces), returned_by_number, late_write_expires.

--- a/gateway/src/targets/registry.rs
+++ b/gateway/src/targets/registry.rs
@@ -65,7 +65,7 @@
     /// The store came back from a copy, and may have lost the target's removal.
     UntilSettled,
     /// The announcement may have been sent before the target left.
-    UntilAnnounced,
+    UntilProven,
 }
 
 #[derive(Debug)]
@@ -179,7 +179,8 @@
     }
 
     /// Adds targets that were removed before but are still listed when the removal would have been
-    /// written again, and removes draining targets that are still missing.
+    /// written again, or when a late write would have expired, and removes draining targets that are
+    /// still missing.
     ///
     /// `current_at` is a time at which the entries were current. Time alone does not suffice: a
     /// removal may be on its way, or an announcement from before a target drained.
@@ -188,6 +189,7 @@
         match self.unsettled_until {
             None => {
                 events.extend(self.adopt_rivals(current_at, now));
+                events.extend(self.release_living(current_at));
                 return events;
             }
             Some(until) if current_at < until => return events,
@@ -267,7 +269,7 @@
                 continue;
             }
             let Some(target) = known.cloned() else { continue };
-            let withheld = self.withholding(&target, now);
+            let withheld = self.withholding(&target);
             let Some(entry) = key.and_then(|it| self.entries.get_mut(it)) else { continue };
             match withheld {
                 None => self.tombstones.forget(&target.id),
@@ -306,7 +308,7 @@
             }
             self.remove(key);
         }
-        let withheld = self.withholding(&target, now);
+        let withheld = self.withholding(&target);
         let (id, service) = (target.id.clone(), target.service.clone());
         if target.draining {
             self.tombstones.record(&target, now, now);
@@ -327,7 +329,7 @@
 
     /// Replaces the announcement of a run by a newer one.
     fn update(&mut self, key: Key, target: Target, now: Moment) -> Option<Event> {
-        let withheld = self.withholding(&target, now);
+        let withheld = self.withholding(&target);
         let entry = self.entries.get_mut(key)?;
         let newly_draining = target.draining && !entry.target.draining;
         let newly_used = entry.withheld.is_some() && withheld.is_none();
@@ -351,14 +353,31 @@
     }
 
     /// Returns why a target with this announcement is not used; `None` if it is, or is draining.
-    fn withholding(&mut self, target: &Target, now: Moment) -> Option<Withholding> {
+    fn withholding(&self, target: &Target) -> Option<Withholding> {
         if target.draining {
             return None;
         }
         if self.unsettled_until.is_some() && self.tombstones.is_superseded(target) {
             return Some(Withholding::UntilSettled);
         }
-        self.tombstones.is_gone(target, now).then_some(Withholding::UntilAnnounced)
+        self.tombstones.is_gone(target).then_some(Withholding::UntilProven)
+    }
+
+    /// Uses targets that were withheld and have stayed listed for so long that they are alive.
+    fn release_living(&mut self, current_at: Moment) -> Vec<Event> {
+        let mut events = Vec::new();
+        for (key, entry) in &mut self.entries {
+            let id = &entry.target.id;
+            if entry.withheld == Some(Withholding::UntilProven)
+                && entry.missing_until.is_none()
+                && self.tombstones.is_proven_alive(id, current_at)
+            {
+                entry.withheld = None;
+                self.tombstones.forget(id);
+                events.push(Event::Added(key, id.clone()));
+            }
+        }
+        events
     }
 
     /// Replaces runs that have not announced themselves for [`RIVAL_TIME`] since another one did.
--- a/gateway/src/targets/tombstone.rs
+++ b/gateway/src/targets/tombstone.rs
@@ -2,8 +2,9 @@
 //!
 //! The store may perform a write seconds after its sender gave up on an answer. An announcement that
 //! follows a removal was either sent before it, or shows that the target is alive: its entry may have
-//! expired while the target could not reach the store. Numbers of announcements and time tell the two
-//! apart.
+//! expired while the target could not reach the store. The number of the announcement tells the two apart
+//! if it is low or high enough. Otherwise time does: the store removes the entry of a target that has
+//! left within a few intervals, while that of a living one stays listed.
 
 use std::{cmp::Ordering, collections::HashMap, time::Duration};
 
@@ -18,6 +19,8 @@
 const LATE_WRITE_TIME: Duration = Duration::from_secs(7);
 /// Announcements that a target may send beyond one an interval, when its state changes.
 const EXTRA_ANNOUNCEMENTS: u64 = 2;
+/// Intervals without an announcement after which the store removes an entry, and one for the removal.
+const EXPIRY_INTERVALS: u32 = 4;
 /// Largest number of tombstones; beyond it, the oldest one is dropped.
 pub const MAX_TOMBSTONES: usize = 1024;
 
@@ -34,9 +37,6 @@
     is_replaced: bool,
     /// Whether it announced that it is leaving; such a run never accepts requests again.
     is_draining: bool,
-    /// Number of an announcement that the store listed when no late write could follow any more; a
-    /// higher one shows that the target is alive.
-    witness: Option<u64>,
 }
 
 /// A tombstone, as it is kept in the store.
@@ -83,7 +83,6 @@
             left_at: now,
             is_replaced: false,
             is_draining: target.draining,
-            witness: None,
         };
         self.insert(target.id.clone(), tombstone);
     }
@@ -103,28 +102,25 @@
     }
 
     /// Returns whether an announcement is of a run that has left, and was or may have been sent before.
-    pub fn is_gone(&mut self, target: &Target, now: Moment) -> bool {
-        let tombstone = self.runs.get_mut(&target.id).filter(|it| !it.is_replaced);
+    pub fn is_gone(&self, target: &Target) -> bool {
+        let tombstone = self.runs.get(&target.id).filter(|it| !it.is_replaced);
         let Some(tombstone) = tombstone else { return false };
         match target.incarnation.cmp(&tombstone.incarnation) {
-            Ordering::Greater => return false,
-            Ordering::Equal if tombstone.incarnation.is_some() => {
-                if tombstone.is_draining || target.sequence <= tombstone.sequence {
-                    return true;
-                }
-                if tombstone.last_possible < target.sequence {
-                    return false;
-                }
-            }
+            Ordering::Greater => false,
             // A restart whose clock was set back, or one of a target that sends no incarnation, looks
             // like a late write.
-            Ordering::Less | Ordering::Equal => {}
-        }
-        if now < tombstone.left_at + LATE_WRITE_TIME {
-            return true;
+            Ordering::Less => true,
+            Ordering::Equal if tombstone.incarnation.is_none() => true,
+            Ordering::Equal => tombstone.is_draining || target.sequence <= tombstone.last_possible,
         }
-        let witness = *tombstone.witness.get_or_insert(target.sequence);
-        target.sequence <= witness
+    }
+
+    /// Returns whether a target that is listed at this time is alive, whatever its announcement.
+    pub fn is_proven_alive(&self, target: &id::Target, listed_at: Moment) -> bool {
+        self.runs.get(target).is_none_or(|it| {
+            let expiry = self.announcement_interval * EXPIRY_INTERVALS;
+            !it.is_draining && it.left_at + LATE_WRITE_TIME + expiry <= listed_at
+        })
     }
 
     /// Returns whether a run has left that is this one or a later one of the same target.
@@ -177,7 +173,6 @@
             left_at,
             is_replaced: false,
             is_draining: *is_draining,
-            witness: None,
         };
         self.insert(run.target.clone(), tombstone);
         true
--- a/gateway/tests/tombstone.rs
+++ b/gateway/tests/tombstone.rs
@@ -87,17 +87,40 @@
     assert!(!is_used(&registry));
 }
 
-/// A target that lost its way to the store is used again once its announcements show that it is alive:
-/// at once by their number, or by two after the time in which late writes are performed.
+/// A target that lost its way to the store is used again once it is shown to be alive: by the number of
+/// its announcement, or since it stays listed for longer than a late write would.
+#[test]
+fn returned_by_number() {
+    let mut registry = after_removal(ms(3600));
+    announce(&mut registry, leaving(11), ms(5000));
+    assert!(!is_used(&registry));
+    announce(&mut registry, leaving(12), ms(6200));
+    assert!(is_used(&registry));
+}
+
+/// The store doesn't list each number, so that no further one may follow.
 #[rstest]
-#[case::by_number(&[(12, 5000)], 5000)]
-#[case::by_time(&[(7, 5000), (8, 11_000), (9, 12_200)], 12_200)]
-fn returned(#[case] announcements: &[(u64, u64)], #[case] used_at: u64) {
+#[case::possible(leaving(7))]
+#[case::old(leaving(5))]
+#[case::earlier_run(Target { incarnation: Some(0), ..leaving(9) })]
+fn returned_by_time(#[case] announced: Target) {
     let mut registry = after_removal(ms(3600));
-    for (sequence, now) in announcements {
-        announce(&mut registry, leaving(*sequence), ms(*now));
-        assert_eq!(is_used(&registry), *now == used_at, "announcement {sequence}");
-    }
+    announce(&mut registry, announced, ms(5000));
+    // 7 s for late writes, and four intervals until one of them expires.
+    assert!(registry.settle(ms(14_599), ms(14_600)).is_empty());
+    let events = registry.settle(ms(14_600), ms(14_700));
+    assert!(matches!(events[..], [Event::Added(..)]), "{events:?}");
+    assert!(is_used(&registry));
+}
+
+/// A late write expires before.
+#[test]
+fn late_write_expires() {
+    let mut registry = after_removal(ms(3600));
+    announce(&mut registry, leaving(7), ms(9600));
+    registry.apply(Change::Removed("one".into()), ms(0), ms(13_500));
+    assert!(registry.settle(ms(20_000), ms(20_100)).is_empty());
+    assert!(!is_used(&registry));
 }
 
 /// A later run under the same identifier is used at once.
