--- a/gateway/src/entry/stream_relay.rs
+++ b/gateway/src/entry/stream_relay.rs
@@ -283,7 +283,7 @@
     /// passed.
     async fn abort(&self, reason: &str) {
         let (context, job) = (&self.forwarder.context, &self.forwarder.job);
-        log_cut(context, job, reason, self.last_event_id);
+        log_cut(context, job, reason, self.last_event_id, None);
         self.sender.cut(job.time_left()).await;
     }
 
@@ -355,7 +355,7 @@
             Err(failure) => {
                 attempt::record_health(&context, attempt.response.key, &failure);
                 drop(attempt);
-                log_cut(&context, &job, "not-whole", None);
+                log_cut(&context, &job, "not-whole", None, Some(&failure));
                 return sender.cut(job.time_left()).await;
             }
         };
@@ -372,11 +372,19 @@
     tracing::info!(code = 8033, id = %job.id, last = last_event_id, "caller disconnected during the stream");
 }
 
-fn log_cut(context: &Context, job: &Job, reason: &str, last_event_id: Option<u64>) {
+/// Logs that a response is cut; `failure` is what ended one that is not a stream.
+fn log_cut(
+    context: &Context,
+    job: &Job,
+    reason: &str,
+    last_event_id: Option<u64>,
+    failure: Option<&Failure>,
+) {
     context.metrics.refused.with_label_values(&["stream-cut"]).inc();
     tracing::warn!(code = 8032,
         id = %job.id,
         reason,
+        failure = failure.map(|it| format!("{it:?}")),
         last = last_event_id,
         sent = job.attempts_sent.get(),
         shutdown_ms = context.shutdown_age_ms(),
