refactor(poison): a cleared request returns nothing that nobody reads

Cause: record_clearing returned whether the request had been suspected, which no caller used, and two fields of the checkpoint's driver had no comment. Change: it returns nothing; the fields are explained. Result: the tests of poison and checkpoint pass; no decision is changed.

--- a/gateway/src/checkpoint/driver.rs
+++ b/gateway/src/checkpoint/driver.rs
@@ -107,7 +107,9 @@
     is_current: bool,
     /// Era of the store in which the record was last read or written.
     era: id::Era,
+    /// What the record names.
     saved: Summary,
+    /// Time at which the record was last read or written.
     saved_at: Moment,
     /// Time of the store's clock, and of this host's at the same moment.
     store_clock: Option<(Duration, Moment)>,
--- a/gateway/src/targets/poison.rs
+++ b/gateway/src/targets/poison.rs
@@ -309,14 +309,13 @@
         vec![at_service]
     }
 
-    /// Records that another host has cleared a request; returns whether interrupted runs counted against
-    /// it.
-    pub fn record_clearing(&mut self, request: id::Fingerprint, now: Moment) -> bool {
-        let was_suspected = self.record_answer(request, now);
+    /// Records that a request is let through, on the word of another host or the operator, or since a
+    /// target answered it before it was suspected there.
+    pub fn record_clearing(&mut self, request: id::Fingerprint, now: Moment) {
+        self.record_answer(request, now);
         if self.cleared.len() < MAX_CLEARED {
             self.cleared.insert(request, now);
         }
-        was_suspected
     }
 
     /// Records the arrival of a request to a service; `may_try` tells whether this host may try a
