refactor(registry): restore each tombstone by itself, with early returns

Cause: read as a newcomer, restore_tombstones mixed the loop, what is outdated and what is withheld.

--- a/gateway/src/targets/registry.rs
+++ b/gateway/src/targets/registry.rs
@@ -257,30 +257,27 @@
 
     /// Adds the tombstones of other hosts, and withholds the targets that they concern.
     pub fn restore_tombstones(&mut self, reports: &[tombstone::Report], now: Moment) -> Vec<Event> {
-        let mut events = Vec::new();
-        for report in reports {
-            let key = self.by_id.get(&report.run.target).copied();
-            let known = key.and_then(|it| self.entries.get(it)).map(|it| &it.target);
-            let is_outdated = known.is_some_and(|it| {
-                it.draining && report.run.incarnation <= it.incarnation
-                    || report.run.incarnation < it.incarnation
-            });
-            if is_outdated || !self.tombstones.restore(report, now) {
-                continue;
-            }
-            let Some(target) = known.cloned() else { continue };
-            let withheld = self.withholding(&target);
-            let Some(entry) = key.and_then(|it| self.entries.get_mut(it)) else { continue };
-            match withheld {
-                None => self.tombstones.forget(&target.id),
-                Some(_) if entry.withheld.is_none() => {
-                    entry.withheld = withheld;
-                    events.extend(key.map(|it| Event::Withheld(it, target.id)));
-                }
-                Some(_) => {}
-            }
+        reports.iter().filter_map(|it| self.restore_tombstone(it, now)).collect()
+    }
+
+    fn restore_tombstone(&mut self, report: &tombstone::Report, now: Moment) -> Option<Event> {
+        let Some(key) = self.by_id.get(&report.run.target).copied() else {
+            self.tombstones.restore(report, now);
+            return None;
+        };
+        let target = self.entries.get(key)?.target.clone();
+        let is_known_to_drain = target.draining && report.run.incarnation == target.incarnation;
+        let is_earlier_run = report.run.incarnation < target.incarnation;
+        if is_known_to_drain || is_earlier_run || !self.tombstones.restore(report, now) {
+            return None;
         }
-        events
+        let withheld = self.withholding(&target);
+        if withheld.is_none() {
+            self.tombstones.forget(&target.id);
+            return None;
+        }
+        let before = std::mem::replace(&mut self.entries.get_mut(key)?.withheld, withheld);
+        before.is_none().then_some(Event::Withheld(key, target.id))
     }
 
     fn upsert(&mut self, target: Target, now: Moment) -> Option<Event> {
