--- a/review/common-3/src/lib.rs
+++ b/review/common-3/src/lib.rs
@@ -3,6 +3,7 @@
 //! Only the standard library is used. Everything runs on loopback addresses and the real clock.
 
 pub mod client;
+pub mod cut;
 pub mod entry;
 pub mod http;
 pub mod json;
--- a/review/common-3/src/replica.rs
+++ b/review/common-3/src/replica.rs
@@ -2,9 +2,9 @@
 
 use std::{
     io::BufReader,
-    net::{SocketAddr, TcpStream},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
@@ -43,9 +43,11 @@
     zone: String,
     slots: u32,
     stage: Option<String>,
-    born: u64,
+    born: Arc<AtomicU64>,
     sequence: Arc<AtomicU64>,
     is_beating: Arc<AtomicBool>,
+    is_down: Arc<AtomicBool>,
+    open: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 impl Replica {
@@ -67,21 +69,45 @@
             zone: zone.to_owned(),
             slots,
             stage: stage.map(str::to_owned),
-            born: unix_ms(),
+            born: Arc::new(AtomicU64::new(unix_ms())),
             sequence: Arc::default(),
             is_beating: Arc::new(AtomicBool::new(true)),
+            is_down: Arc::default(),
+            open: Arc::default(),
         };
         let (served, handle) = (replica.clone(), Arc::new(handle));
         thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let (served, handle) = (served.clone(), Arc::clone(&handle));
-                thread::spawn(move || served.serve(stream, handle.as_ref()));
+            let mut listener = Some(listener);
+            loop {
+                if served.is_down.load(Ordering::SeqCst) {
+                    listener = None;
+                    thread::sleep(Duration::from_millis(2));
+                    continue;
+                }
+                let bound = match listener.take() {
+                    Some(it) => it,
+                    None => TcpListener::bind(address).expect("the replica's address is free"),
+                };
+                bound.set_nonblocking(true).expect("a listener");
+                if let Ok((stream, _)) = bound.accept() {
+                    let _ = stream.set_nonblocking(false);
+                    if let Ok(stream) = stream.try_clone() {
+                        served.open.lock().expect("connections").push(stream);
+                    }
+                    let (served, handle) = (served.clone(), Arc::clone(&handle));
+                    thread::spawn(move || served.serve(stream, handle.as_ref()));
+                } else {
+                    thread::sleep(Duration::from_millis(1));
+                }
+                listener = Some(bound);
             }
         });
         let (beating, store) = (replica.clone(), store.clone());
         thread::spawn(move || {
             while beating.is_beating.load(Ordering::Relaxed) {
-                beating.announce(&store, "ready");
+                if !beating.is_down() {
+                    beating.announce(&store, "ready");
+                }
                 thread::sleep(Duration::from_millis(1200));
             }
         });
@@ -99,12 +125,38 @@
             self.address,
             json::quote(&self.zone),
             self.slots,
-            self.born,
+            self.born.load(Ordering::Relaxed),
             stage.unwrap_or_default()
         );
         store.put("servers", &self.id, &entry);
     }
 
+    /// Closes all connections and refuses new ones for a time; then another lifetime begins under the
+    /// same identifier.
+    pub fn crash(&self, store: &Store, down: Duration) {
+        self.is_down.store(true, Ordering::SeqCst);
+        for stream in self.open.lock().expect("connections").drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        let (replica, store) = (self.clone(), store.clone());
+        thread::spawn(move || {
+            thread::sleep(down);
+            replica.restart();
+            replica.is_down.store(false, Ordering::SeqCst);
+            replica.announce(&store, "ready");
+        });
+    }
+
+    /// Returns whether the replica is down.
+    pub fn is_down(&self) -> bool {
+        self.is_down.load(Ordering::SeqCst)
+    }
+
+    fn restart(&self) {
+        self.born.store(unix_ms(), Ordering::Relaxed);
+        self.sequence.store(0, Ordering::Relaxed);
+    }
+
     /// Stops writing the entry.
     pub fn stop_beating(&self) {
         self.is_beating.store(false, Ordering::Relaxed);
