review: make case 14 a firm one

Now one client looks at it, and batches on the first route to the same service leave the idle channels.

--- a/review/common-3/src/bin/idle_channels.rs
+++ b/review/common-3/src/bin/idle_channels.rs
@@ -21,8 +21,8 @@
     entry::{self, Entry},
     has_trouble,
     http::{self, Message},
-    record::Record,
     plain_replica::{Arrival, Next, Replica},
+    record::Record,
     request_id,
     store::Store,
     wait_until,
@@ -36,19 +36,23 @@
 const KEEP_ALIVE: &str = "timeout=5";
 /// Idle time after which they drop a channel during the trouble.
 const DROPPED_AFTER: Duration = Duration::from_millis(500);
-/// Replicas of each service in each zone.
 const REPLICAS_PER_ZONE: usize = 3;
-/// Clients that look at the board on each host, and the mean time between two of their requests.
-const WATCHERS_PER_HOST: usize = 6;
+const SERVICE: &str = "index-app";
+/// Clients on the first route, which look up a batch together, and the seconds between two batches.
+const CLIENTS: usize = 54;
+const BATCH_PERIOD: f64 = 4.0;
+/// Largest time within a batch between its start and that of a lookup.
+const BATCH_SPREAD: Duration = Duration::from_millis(20);
+/// Mean time between two looks of the client on the new route.
 const WATCH_PERIOD: Duration = Duration::from_millis(1000);
 /// Start and end of the trouble, in seconds.
-const TROUBLE: (f64, f64) = (9.0, 44.0);
+const TROUBLE: (f64, f64) = (9.0, 29.0);
 /// Time at which the manifest with the new route is sent.
 const CHANGE: f64 = 4.0;
 /// `ConfigApplyMs` and `ContactMs`, in seconds.
 const CONFIG_APPLY: f64 = 2.0;
 const CONTACT: f64 = 3.0;
-const END: f64 = 69.0;
+const END: f64 = 62.0;
 /// Number of requests on the new route from which the rule holds.
 const FEWEST: usize = 20;
 
@@ -73,28 +77,24 @@
 }
 
 fn configuration(version: u32) -> String {
-    let route = |name: &str, prefix: &str, service: &str| {
+    let route = |name: &str, prefix: &str| {
         format!(
             "{{\"Name\":\"{name}\",\"Host\":\"{HOST}\",\"Prefix\":\"{prefix}\",\"Kind\":\"idempotent\",\
-             \"TimeoutMs\":800,\"TargetLatencyMs\":100,\"Priority\":2,\"Service\":\"{service}\",\
+             \"TimeoutMs\":800,\"TargetLatencyMs\":100,\"Priority\":2,\"Service\":\"{SERVICE}\",\
              \"MaxAttempts\":2}}"
         )
     };
-    let mut routes = vec![route("lookup", "/lookup/", "index-app")];
+    let mut routes = vec![route("lookup", "/lookup/")];
     if 1 < version {
-        routes.push(route("status", "/status/", "status-app"));
+        routes.push(route("status", "/status/"));
     }
-    let service = |name: &str| {
-        format!(
-            "{{\"Name\":\"{name}\",\"HealthPath\":\"/health\",\"MaxConnections\":110,\"Protocol\":\"h1\",\"Tls\":false}}"
-        )
-    };
+    let service = format!(
+        "{{\"Name\":\"{SERVICE}\",\"HealthPath\":\"/health\",\"MaxConnections\":110,\"Protocol\":\"h1\",\"Tls\":false}}"
+    );
     format!(
-        "{{\"Version\":{version},\"Routes\":[{}],\"Services\":[{},{}],\"Limits\":{{\"MaxHeaderBytes\":16384,\
+        "{{\"Version\":{version},\"Routes\":[{}],\"Services\":[{service}],\"Limits\":{{\"MaxHeaderBytes\":16384,\
          \"MaxBodyBytes\":4194304,\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000}}}}",
-        routes.join(","),
-        service("index-app"),
-        service("status-app")
+        routes.join(",")
     )
 }
 
@@ -165,24 +165,43 @@
     result
 }
 
-/// Sends requests, each with one retry, until the end.
-fn send_requests(world: &World, hosts: &[SocketAddr], period: Duration, path: impl Fn() -> String) {
+/// Sends a request, and once more if it failed.
+fn send_request(world: &World, hosts: &[SocketAddr], kept: &mut Option<Connection>, path: &str) {
+    let result = attempt(world, hosts, kept, path);
+    // A client repeats an idempotent request after any failure, on a new channel.
+    let is_final = result
+        .as_ref()
+        .is_ok_and(|it| it.status() < 300 || [400, 401, 404, 413, 431].contains(&it.status()));
+    if !is_final {
+        let wait = result.ok().and_then(|it| it.header("retry-after")?.parse::<f64>().ok());
+        thread::sleep(Duration::from_secs_f64(wait.unwrap_or(0.0).min(0.5)));
+        *kept = None;
+        let _ = attempt(world, hosts, kept, path);
+    }
+}
+
+/// Looks up one entry in each batch until the end.
+fn look_up(world: &World, hosts: &[SocketAddr], start: f64) {
     let mut kept = None;
-    thread::sleep(period.mul_f64(RANDOM.unit()));
-    while !world.is_ended.load(Ordering::Relaxed) {
-        let (started, path) = (Instant::now(), path());
-        let result = attempt(world, hosts, &mut kept, &path);
-        // A client repeats an idempotent request after any failure, on a new channel.
-        let is_final = result
-            .as_ref()
-            .is_ok_and(|it| it.status() < 300 || [400, 401, 404, 413, 431].contains(&it.status()));
-        if !is_final {
-            let wait = result.ok().and_then(|it| it.header("retry-after")?.parse::<f64>().ok());
-            thread::sleep(Duration::from_secs_f64(wait.unwrap_or(0.0).min(0.5)));
-            kept = None;
-            let _ = attempt(world, hosts, &mut kept, &path);
+    for batch in 0.. {
+        sleep_until(world, start + f64::from(batch) * BATCH_PERIOD);
+        if world.is_ended.load(Ordering::Relaxed) {
+            return;
         }
-        thread::sleep(period.mul_f64(0.5 + RANDOM.unit()).saturating_sub(started.elapsed()));
+        thread::sleep(BATCH_SPREAD.mul_f64(RANDOM.unit()));
+        let path = format!("/lookup/{:06x}", RANDOM.next() & 0xff_ffff);
+        send_request(world, hosts, &mut kept, &path);
+    }
+}
+
+/// Looks at the board until the end.
+fn watch(world: &World, hosts: &[SocketAddr]) {
+    let mut kept = None;
+    while !world.is_ended.load(Ordering::Relaxed) {
+        let started = Instant::now();
+        send_request(world, hosts, &mut kept, "/status/board");
+        let period = WATCH_PERIOD.mul_f64(0.5 + RANDOM.unit());
+        thread::sleep(period.saturating_sub(started.elapsed()));
     }
 }
 
@@ -200,14 +219,12 @@
     });
     let store = Store::start();
     store.put("op", "config", &configuration(1));
-    for service in ["index-app", "status-app"] {
-        for number in 0..REPLICAS {
-            let (served, zone) = (Arc::clone(&world), ZONES[number % ZONES.len()]);
-            let id = format!("i-{service}-{number}");
-            Replica::start(&store, &id, service, zone, 6, None, move |replica, arrival, stream| {
-                answer(&served, replica, arrival, stream)
-            });
-        }
+    for number in 0..REPLICAS {
+        let (served, zone) = (Arc::clone(&world), ZONES[number % ZONES.len()]);
+        let id = format!("i-{SERVICE}-{number}");
+        Replica::start(&store, &id, SERVICE, zone, 6, None, move |replica, arrival, stream| {
+            answer(&served, replica, arrival, stream)
+        });
     }
     thread::sleep(Duration::from_millis(100));
     let start_host = |(number, zone): (usize, &&str)| {
@@ -219,8 +236,7 @@
     let are_ready = hosts.iter().all(Entry::wait_until_ready)
         && wait_until(Duration::from_secs(10), || {
             hosts.iter().all(|it| {
-                it.log_lines("target added").len() == 2 * REPLICAS
-                    && it.log_lines("host up").len() == 2
+                it.log_lines("target added").len() == REPLICAS && it.log_lines("host up").len() == 2
             })
         });
     let verdict = if are_ready {
@@ -244,23 +260,18 @@
 fn play(world: &Arc<World>, store: &Store, fronts: &[SocketAddr]) -> Verdict {
     let start = world.record.seconds();
     let mut clients = Vec::new();
-    for _ in 0..6 {
+    for _ in 0..CLIENTS {
         let (world, fronts) = (Arc::clone(world), fronts.to_vec());
-        let path = || format!("/lookup/{:06x}", RANDOM.next() & 0xff_ffff);
-        clients.push(thread::spawn(move || {
-            send_requests(&world, &fronts, Duration::from_millis(150), path)
-        }));
+        clients.push(thread::spawn(move || look_up(&world, &fronts, start)));
     }
     sleep_until(world, start + CHANGE);
     store.put("op", "config", &configuration(2));
     world.record.line("manifest 2 with the route /status/ is acknowledged");
     let changed = world.record.seconds();
     sleep_until(world, changed + CONFIG_APPLY);
-    for _ in 0..WATCHERS_PER_HOST * fronts.len() {
+    {
         let (world, fronts) = (Arc::clone(world), fronts.to_vec());
-        clients.push(thread::spawn(move || {
-            send_requests(&world, &fronts, WATCH_PERIOD, || "/status/board".to_owned())
-        }));
+        clients.push(thread::spawn(move || watch(&world, &fronts)));
     }
     sleep_until(world, start + TROUBLE.0);
     let trouble_from = world.record.seconds();
--- a/review/common-3/src/record.rs
+++ b/review/common-3/src/record.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs::File,
-    io::{BufWriter, Write},
+    io::{LineWriter, Write},
     path::Path,
     sync::Mutex,
     time::Instant,
@@ -11,14 +11,14 @@
 /// A record file, with the time since its start before each line.
 pub struct Record {
     started: Instant,
-    file: Mutex<BufWriter<File>>,
+    file: Mutex<LineWriter<File>>,
 }
 
 impl Record {
     /// Creates the file.
     pub fn create(path: &Path) -> Record {
         let file = File::create(path).expect("record.txt can be written");
-        Record { started: Instant::now(), file: Mutex::new(BufWriter::new(file)) }
+        Record { started: Instant::now(), file: Mutex::new(LineWriter::new(file)) }
     }
 
     /// Returns the seconds since the start.
@@ -36,6 +36,5 @@
     pub fn tell(&self, text: impl AsRef<str>) {
         println!("{}", text.as_ref());
         self.line(text);
-        let _ = self.file.lock().expect("record").flush();
     }
 }
